--- /dev/null
+++ b/cli/src/bin/endivescale.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/cli/src/bin/endivescaled.rs
@@ -0,0 +1,3 @@
+//! The daemon that runs beside each upstream VM.
+
+fn main() {}
--- /dev/null
+++ b/cli/tests/runner.rs
@@ -0,0 +1,1 @@
+//! One binary for all integration tests of the programs.
--- /dev/null
+++ b/lib/src/connection/mod.rs
@@ -0,0 +1,1 @@
+//! What lives for one connection.
--- /dev/null
+++ b/lib/src/request/context.rs
@@ -0,0 +1,113 @@
+//! The request context that travels between daemons.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use snafu::OptionExt as _;
+use snafu::Snafu;
+
+use crate::process::Incarnation;
+use crate::version::Criticality;
+
+/// Identity of one caller's request across its whole call chain.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RequestId(pub u128);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// What a daemon tells the next daemon of a request.
+///
+/// The deadline travels as the time that remains, never as a clock reading, so
+/// that the clocks of two VMs need not agree.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Context {
+    /// The request at the root of the chain.
+    pub id: RequestId,
+    /// Criticality by the rule that served the root.
+    pub criticality: Criticality,
+    /// Hash that orders requests of one criticality alike at every hop.
+    pub hash: u16,
+    /// Time left for the whole answer.
+    pub remaining: Duration,
+    /// Retry tokens that the receiver may spend or split; see
+    /// `docs/design/retries.md`.
+    pub retries: u32,
+    /// Calls between the root and this one.
+    pub depth: u8,
+    /// Whether the request must run at most once.
+    pub non_idempotent: bool,
+    /// Whether an earlier attempt at this request may have run.
+    pub rerun: bool,
+    /// Incarnation of the daemon that sent this.
+    pub sender: Incarnation,
+}
+
+/// A context header that cannot be read.
+#[derive(Debug, Eq, PartialEq, Snafu)]
+pub enum ContextError {
+    /// A field is absent.
+    #[snafu(display("context field '{field}' is missing"))]
+    MissingField {
+        /// The absent field.
+        field: &'static str,
+    },
+    /// A field holds no value of its type.
+    #[snafu(display("context field '{field}' cannot be read"))]
+    InvalidField {
+        /// The unreadable field.
+        field: &'static str,
+    },
+}
+
+impl fmt::Display for Context {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let micros = self.remaining.as_micros();
+        let flags = u8::from(self.non_idempotent) | u8::from(self.rerun) << 1;
+        write!(
+            f,
+            "{};{};{:x};{};{};{};{};{}",
+            self.id,
+            self.criticality.rank(),
+            self.hash,
+            micros,
+            self.retries,
+            self.depth,
+            flags,
+            self.sender,
+        )
+    }
+}
+
+impl FromStr for Context {
+    type Err = ContextError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let mut fields = s.split(';');
+        let mut next = |field| fields.next().context(MissingFieldSnafu { field });
+        let id = u128::from_str_radix(next("id")?, 16).ok();
+        let criticality = next("criticality")?.parse().ok().and_then(Criticality::from_rank);
+        let hash = u16::from_str_radix(next("hash")?, 16).ok();
+        let remaining = next("remaining")?.parse().ok().map(Duration::from_micros);
+        let retries = next("retries")?.parse().ok();
+        let depth = next("depth")?.parse().ok();
+        let flags: Option<u8> = next("flags")?.parse().ok();
+        let flags = flags.context(InvalidFieldSnafu { field: "flags" })?;
+        let sender = next("sender")?.parse().ok();
+        Ok(Self {
+            id: RequestId(id.context(InvalidFieldSnafu { field: "id" })?),
+            criticality: criticality.context(InvalidFieldSnafu { field: "criticality" })?,
+            hash: hash.context(InvalidFieldSnafu { field: "hash" })?,
+            remaining: remaining.context(InvalidFieldSnafu { field: "remaining" })?,
+            retries: retries.context(InvalidFieldSnafu { field: "retries" })?,
+            depth: depth.context(InvalidFieldSnafu { field: "depth" })?,
+            non_idempotent: flags & 1 != 0,
+            rerun: flags & 2 != 0,
+            sender: sender.context(InvalidFieldSnafu { field: "sender" })?,
+        })
+    }
+}
--- /dev/null
+++ b/lib/src/request/mod.rs
@@ -0,0 +1,12 @@
+//! What lives for one request.
+
+mod context;
+mod headers;
+mod outcome;
+
+pub use context::Context;
+pub use context::ContextError;
+pub use context::RequestId;
+pub use headers::*;
+pub use outcome::Outcome;
+pub use outcome::ParseOutcomeError;
--- /dev/null
+++ b/lib/src/version/criticality.rs
@@ -0,0 +1,50 @@
+//! How much a request matters when capacity is short.
+
+use std::fmt;
+
+/// Order in which requests are shed: the last variant goes first.
+///
+/// Submissions and transfers are [`Criticality::Critical`], downloads and audit
+/// bundles [`Criticality::Deferrable`]; see `docs/rules.md`.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Criticality {
+    /// Shed last.
+    Critical,
+    /// Shed before critical requests only.
+    High,
+    /// Ordinary browsing and checks.
+    Normal,
+    /// May wait; shed first.
+    Deferrable,
+}
+
+impl Criticality {
+    /// Every criticality, the most important first.
+    pub const ALL: [Self; 4] = [Self::Critical, Self::High, Self::Normal, Self::Deferrable];
+
+    /// Returns the position in [`Self::ALL`]; 0 is the most important.
+    pub fn rank(self) -> u8 {
+        self as u8
+    }
+
+    /// Returns the criticality at a position in [`Self::ALL`].
+    pub fn from_rank(rank: u8) -> Option<Self> {
+        Self::ALL.get(usize::from(rank)).copied()
+    }
+
+    /// Returns the word that stands in a rules file.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Critical => "critical",
+            Self::High => "high",
+            Self::Normal => "normal",
+            Self::Deferrable => "deferrable",
+        }
+    }
+}
+
+impl fmt::Display for Criticality {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/lib/tests/runner.rs
@@ -0,0 +1,3 @@
+//! One binary for all integration tests of the library.
+
+mod test_context;
--- /dev/null
+++ b/lib/tests/test_context.rs
@@ -0,0 +1,26 @@
+use std::time::Duration;
+
+use endivescale::process::Incarnation;
+use endivescale::request::Context;
+use endivescale::request::RequestId;
+use endivescale::version::Criticality;
+
+fn sample() -> Context {
+    Context {
+        id: RequestId(7),
+        criticality: Criticality::High,
+        hash: 0xbeef,
+        remaining: Duration::from_millis(250),
+        retries: 3,
+        depth: 4,
+        non_idempotent: true,
+        rerun: false,
+        sender: Incarnation(9),
+    }
+}
+
+#[test]
+fn printed_context_parses_back() {
+    let cx = sample();
+    assert_eq!(cx.to_string().parse(), Ok(cx));
+}
--- /dev/null
+++ b/lib/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, the upstreams and the callers.
