--- /dev/null
+++ b/lib/src/process/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Which instances exist and which of them work; see `docs/design/membership.md`.
--- /dev/null
+++ b/lib/src/process/metrics/mod.rs
@@ -0,0 +1,1 @@
+//! Counters of the process, for operators and for statsd; see `docs/operators.md`.
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -1,6 +1,13 @@
 //! What lives for the whole process.
 
+pub mod admission;
+pub mod burn;
+pub mod config;
 mod ids;
+pub mod membership;
+pub mod metrics;
+pub mod routing;
+pub mod settings;
 
 pub use ids::Incarnation;
 pub use ids::InstanceId;
--- /dev/null
+++ b/lib/src/process/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings of one daemon, read from a TOML file; see `docs/settings.md`.
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod context;
 mod headers;
+pub mod idempotency;
 mod outcome;
 
 pub use context::Context;
