connection: relay bodies, pool connections and type refusals

The pools tell whether a byte can have been sent, which decides between the outcomes not-run and unknown. A connection to the upstream is used again only after its answer was read to the end.

--- /dev/null
+++ b/lib/src/connection/body.rs
@@ -0,0 +1,159 @@
+//! Bodies that are relayed frame by frame, so that a slow reader holds one
+//! buffer and not the whole answer.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Empty;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use snafu::Snafu;
+
+/// Why a relayed body ended before its end.
+///
+/// The error reaches the reader as a cut connection or a reset stream, never as
+/// the end of the body, so a truncated answer cannot be taken for a whole one.
+#[derive(Debug, Snafu)]
+pub enum RelayError {
+    /// The sender of the body failed.
+    #[snafu(display("the body was cut short by its sender"))]
+    Cut {
+        /// What the connection reported.
+        source: hyper::Error,
+    },
+    /// The deadline of the request passed while the body was on its way.
+    #[snafu(display("the deadline passed before the body ended"))]
+    DeadlineExceeded,
+    /// The body is longer than the reader accepts.
+    #[snafu(display("the body is longer than {limit} bytes"))]
+    TooLong {
+        /// Longest body accepted, in bytes.
+        limit: usize,
+    },
+}
+
+/// A body on its way through the daemon.
+pub type RelayBody = UnsyncBoxBody<Bytes, RelayError>;
+
+/// Returns a body without bytes.
+pub fn empty() -> RelayBody {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Returns a body of bytes already held.
+pub fn full(bytes: impl Into<Bytes>) -> RelayBody {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// How a guarded body ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyEnd {
+    /// Every frame was read.
+    Whole,
+    /// The sender failed or the deadline passed.
+    Failed,
+    /// The reader went away first.
+    Dropped,
+}
+
+/// What must happen when a body ends, however it ends.
+pub trait OnEnd: Send + Unpin + 'static {
+    /// Runs exactly one time for each body.
+    fn on_end(&mut self, end: BodyEnd);
+}
+
+/// A body that reports its end and holds a deadline.
+pub(crate) struct GuardedBody<B, G: OnEnd> {
+    inner: B,
+    deadline: Pin<Box<tokio::time::Sleep>>,
+    guard: Option<G>,
+}
+
+impl<B: Body, G: OnEnd> GuardedBody<B, G> {
+    /// Wraps `inner`, which fails at `deadline` unless it has ended by then.
+    pub(crate) fn new(inner: B, deadline: tokio::time::Instant, guard: G) -> Self {
+        let deadline = Box::pin(tokio::time::sleep_until(deadline));
+        let mut body = Self { inner, deadline, guard: Some(guard) };
+        // The reader of an empty body may never ask for a frame.
+        if body.inner.is_end_stream() {
+            body.end(BodyEnd::Whole);
+        }
+        body
+    }
+}
+
+impl<B, G: OnEnd> GuardedBody<B, G> {
+    fn end(&mut self, end: BodyEnd) {
+        if let Some(mut guard) = self.guard.take() {
+            guard.on_end(end);
+        }
+    }
+}
+
+impl<B, G> Body for GuardedBody<B, G>
+where
+    B: Body<Data = Bytes, Error = RelayError> + Unpin,
+    G: OnEnd,
+{
+    type Data = Bytes;
+    type Error = RelayError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        let this = &mut *self;
+        if this.deadline.as_mut().poll(cx).is_ready() {
+            this.end(BodyEnd::Failed);
+            return Poll::Ready(Some(Err(RelayError::DeadlineExceeded)));
+        }
+        let frame = ready!(Pin::new(&mut this.inner).poll_frame(cx));
+        match &frame {
+            None => this.end(BodyEnd::Whole),
+            Some(Err(_)) => this.end(BodyEnd::Failed),
+            // The last frame may be known to be the last before the reader asks again.
+            Some(Ok(_)) if this.inner.is_end_stream() => this.end(BodyEnd::Whole),
+            Some(Ok(_)) => {}
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl<B, G: OnEnd> Drop for GuardedBody<B, G> {
+    fn drop(&mut self) {
+        self.end(BodyEnd::Dropped);
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes.
+pub(crate) async fn collect(mut body: RelayBody, limit: usize) -> Result<Bytes, RelayError> {
+    let mut buf = bytes::BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        if buf.len() + data.len() > limit {
+            return TooLongSnafu { limit }.fail();
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
+
+/// Turns a body received from a connection into a relayed one.
+pub fn relay(body: hyper::body::Incoming) -> RelayBody {
+    body.map_err(|source| RelayError::Cut { source }).boxed_unsync()
+}
--- /dev/null
+++ b/lib/src/connection/listener.rs
@@ -0,0 +1,124 @@
+//! Listeners: one accept loop each, with a graceful end.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::server::conn::http2;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use snafu::ResultExt as _;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tower::Service;
+
+use super::body::RelayBody;
+use super::peers::MAX_STREAMS;
+
+/// Longest time that a caller may take to send a request head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest request head, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// A listener's address that cannot be used.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot listen on {address}; is the address free and of this VM?"))]
+pub struct BindError {
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
+/// Protocol that a listener speaks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Protocol {
+    /// HTTP/1.1, for callers, upstreams and operators.
+    Http1,
+    /// HTTP/2 with prior knowledge, for peers.
+    Http2,
+}
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// Fails if the address is taken or not of this VM.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener, BindError> {
+    TcpListener::bind(address).await.context(BindSnafu { address })
+}
+
+/// Accepts connections until `stop`, then waits for the requests in progress.
+pub async fn serve<S>(
+    listener: TcpListener,
+    protocol: Protocol,
+    service: S,
+    stop: CancellationToken,
+) where
+    S: Service<Request<Incoming>, Response = Response<RelayBody>, Error = Infallible>,
+    S: Clone + Send + Sync + 'static,
+    S::Future: Send,
+{
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => spawn_connection(stream, protocol, service.clone(), &graceful),
+            Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn spawn_connection<S>(
+    stream: TcpStream,
+    protocol: Protocol,
+    service: S,
+    graceful: &GracefulShutdown,
+) where
+    S: Service<Request<Incoming>, Response = Response<RelayBody>, Error = Infallible>,
+    S: Clone + Send + Sync + 'static,
+    S::Future: Send,
+{
+    // A lost Nagle setting costs latency, not correctness.
+    let _ = stream.set_nodelay(true);
+    let io = TokioIo::new(stream);
+    let service = TowerToHyperService::new(service);
+    // A connection's error is seen by its requests; there is no one else to tell.
+    match protocol {
+        Protocol::Http1 => {
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .max_buf_size(MAX_HEAD_BYTES)
+                .serve_connection(io, service);
+            let connection = graceful.watch(connection);
+            tokio::spawn(async move {
+                let _ = connection.await;
+            });
+        }
+        Protocol::Http2 => {
+            let connection = http2::Builder::new(TokioExecutor::new())
+                .timer(TokioTimer::new())
+                .max_concurrent_streams(MAX_STREAMS)
+                .serve_connection(io, service);
+            let connection = graceful.watch(connection);
+            tokio::spawn(async move {
+                let _ = connection.await;
+            });
+        }
+    }
+}
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -1,1 +1,7 @@
 //! What lives for one connection.
+
+pub mod body;
+pub mod listener;
+pub mod peers;
+pub mod strip;
+pub mod upstream;
--- /dev/null
+++ b/lib/src/connection/upstream.rs
@@ -0,0 +1,162 @@
+//! Connections to the local upstream.
+//!
+//! A connection is used again only after an answer was read to its very end;
+//! anything else closes it, so that no caller reads the remains of another
+//! caller's answer. See `docs/design/answers.md`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use snafu::ResultExt as _;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+
+use super::body::RelayBody;
+
+/// Why a request to the local upstream got no answer.
+#[derive(Debug, Snafu)]
+pub enum UpstreamError {
+    /// No connection could be made; not a byte was sent.
+    #[snafu(display("cannot connect to the upstream at {address}"))]
+    Connect {
+        /// Address of the upstream.
+        address: SocketAddr,
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// The HTTP handshake failed; not a byte of the request was sent.
+    #[snafu(display("cannot open an HTTP connection to the upstream"))]
+    Handshake {
+        /// What the connection reported.
+        source: hyper::Error,
+    },
+    /// The connection closed before the request was written.
+    #[snafu(display("the connection to the upstream closed before the request was sent"))]
+    NotSent,
+    /// The connection failed after the request may have been written.
+    #[snafu(display("the upstream failed before it answered"))]
+    Failed {
+        /// What the connection reported.
+        source: hyper::Error,
+    },
+}
+
+impl UpstreamError {
+    /// Whether not a byte of the request can have reached the upstream.
+    pub fn is_unsent(&self) -> bool {
+        match self {
+            Self::Connect { .. } | Self::Handshake { .. } | Self::NotSent => true,
+            Self::Failed { .. } => false,
+        }
+    }
+}
+
+type Sender = http1::SendRequest<RelayBody>;
+
+/// Idle connections to one upstream, the most recently used last.
+#[derive(Debug)]
+pub struct UpstreamPool {
+    address: SocketAddr,
+    capacity: usize,
+    idle: Mutex<Vec<Sender>>,
+}
+
+/// A connection that carries one request.
+#[derive(Debug)]
+pub struct Lease {
+    sender: Sender,
+    pool: Arc<UpstreamPool>,
+}
+
+impl UpstreamPool {
+    /// Creates a pool that keeps at most `capacity` idle connections.
+    pub fn new(address: SocketAddr, capacity: usize) -> Arc<Self> {
+        Arc::new(Self { address, capacity, idle: Mutex::new(Vec::new()) })
+    }
+
+    fn take_idle(&self) -> Option<Sender> {
+        let mut idle = self.idle.lock();
+        while let Some(sender) = idle.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self) -> Result<Sender, UpstreamError> {
+        let stream = TcpStream::connect(self.address);
+        let stream = stream.await.context(ConnectSnafu { address: self.address })?;
+        // A lost Nagle setting costs latency, not correctness.
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    /// Sends a request and returns its answer with the lease of the connection.
+    ///
+    /// A request that provably was not written is sent again on a fresh
+    /// connection, because an idle one may have been closed meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// [`UpstreamError::is_unsent`] tells whether the request can have run.
+    pub async fn send(
+        self: &Arc<Self>,
+        req: Request<RelayBody>,
+    ) -> Result<(Response<Incoming>, Lease), UpstreamError> {
+        let req = match self.take_idle() {
+            Some(sender) => match self.send_on(sender, req).await {
+                Ok(answer) => return Ok(answer),
+                Err((UpstreamError::NotSent, Some(req))) => *req,
+                Err((err, _)) => return Err(err),
+            },
+            None => req,
+        };
+        let sender = self.connect().await?;
+        self.send_on(sender, req).await.map_err(|(err, _)| err)
+    }
+
+    async fn send_on(
+        self: &Arc<Self>,
+        mut sender: Sender,
+        req: Request<RelayBody>,
+    ) -> Result<(Response<Incoming>, Lease), (UpstreamError, Option<Box<Request<RelayBody>>>)> {
+        match sender.try_send_request(req).await {
+            Ok(rsp) => Ok((rsp, Lease { sender, pool: Arc::clone(self) })),
+            Err(mut err) => match err.take_message() {
+                Some(req) => Err((UpstreamError::NotSent, Some(Box::new(req)))),
+                None => Err((UpstreamError::Failed { source: err.into_error() }, None)),
+            },
+        }
+    }
+
+    /// Returns the number of idle connections.
+    pub fn idle(&self) -> usize {
+        self.idle.lock().len()
+    }
+}
+
+impl Lease {
+    /// Gives the connection back after its answer was read to the end.
+    pub fn release(mut self) {
+        tokio::spawn(async move {
+            // The connection is ready only when the request was written whole, too.
+            if self.sender.ready().await.is_err() {
+                return;
+            }
+            let mut idle = self.pool.idle.lock();
+            if idle.len() < self.pool.capacity {
+                idle.push(self.sender);
+            }
+        });
+    }
+}
--- a/lib/src/request/headers.rs
+++ b/lib/src/request/headers.rs
@@ -37,3 +37,6 @@
 
 /// Name that the caller gives a non-idempotent request, for people and logs.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// `Retry-After` in whole milliseconds, where a second is too coarse.
+pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("endivescale-retry-after-ms");
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod headers;
 pub mod idempotency;
 mod outcome;
+mod refusal;
 
 pub use context::Context;
 pub use context::ContextError;
@@ -11,3 +12,6 @@
 pub use headers::*;
 pub use outcome::Outcome;
 pub use outcome::ParseOutcomeError;
+pub use refusal::ParseReasonError;
+pub use refusal::Reason;
+pub use refusal::Refusal;
