--- a/lib/src/request/context.rs
+++ b/lib/src/request/context.rs
@@ -41,6 +41,10 @@
     pub depth: u8,
     /// Whether the request must run at most once.
     pub non_idempotent: bool,
+    /// Worth of the whole answer, for weighted goodput.
+    pub weight: u32,
+    /// Whether the request may queue when capacity is short.
+    pub may_wait: bool,
     /// Whether an earlier attempt at this request may have run.
     pub rerun: bool,
     /// Incarnation of the daemon that sent this.
@@ -67,10 +71,12 @@
 impl fmt::Display for Context {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let micros = self.remaining.as_micros();
-        let flags = u8::from(self.non_idempotent) | u8::from(self.rerun) << 1;
+        let flags = u8::from(self.non_idempotent)
+            | u8::from(self.rerun) << 1
+            | u8::from(self.may_wait) << 2;
         write!(
             f,
-            "{};{};{:x};{};{};{};{};{}",
+            "{};{};{:x};{};{};{};{};{};{}",
             self.id,
             self.criticality.rank(),
             self.hash,
@@ -79,6 +85,7 @@
             self.depth,
             flags,
             self.sender,
+            self.weight,
         )
     }
 }
@@ -98,6 +105,7 @@
         let flags: Option<u8> = next("flags")?.parse().ok();
         let flags = flags.context(InvalidFieldSnafu { field: "flags" })?;
         let sender = next("sender")?.parse().ok();
+        let weight = next("weight")?.parse().ok();
         Ok(Self {
             id: RequestId(id.context(InvalidFieldSnafu { field: "id" })?),
             criticality: criticality.context(InvalidFieldSnafu { field: "criticality" })?,
@@ -107,6 +115,8 @@
             depth: depth.context(InvalidFieldSnafu { field: "depth" })?,
             non_idempotent: flags & 1 != 0,
             rerun: flags & 2 != 0,
+            may_wait: flags & 4 != 0,
+            weight: weight.context(InvalidFieldSnafu { field: "weight" })?,
             sender: sender.context(InvalidFieldSnafu { field: "sender" })?,
         })
     }
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -187,17 +188,17 @@
 
     /// Reads the refusal that a peer answered; `None` if the answer is none.
     pub fn from_headers(headers: &HeaderMap) -> Option<Self> {
-        let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+        let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
         let outcome = headers.get(OUTCOME)?;
         // A word this version does not know proves nothing about the request.
         let outcome = outcome.to_str().ok().and_then(|word| word.parse().ok());
-        let reason = text(&REASON).and_then(|word| word.parse().ok());
-        let retry_after = text(&RETRY_AFTER_MS).and_then(|ms| ms.parse().ok());
+        let reason = text(REASON).and_then(|word| word.parse().ok());
+        let retry_after = text(RETRY_AFTER_MS).and_then(|ms| ms.parse().ok());
         Some(Self {
             outcome: outcome.unwrap_or(Outcome::Unknown),
             reason: reason.unwrap_or(Reason::Other),
             retry_after: retry_after.map(Duration::from_millis),
-            token: text(&TOKEN).map(str::to_owned),
+            token: text(TOKEN).map(str::to_owned),
         })
     }
 
--- a/lib/tests/test_context.rs
+++ b/lib/tests/test_context.rs
@@ -15,6 +15,8 @@
         depth: 4,
         non_idempotent: true,
         rerun: false,
+        may_wait: true,
+        weight: 10,
         sender: Incarnation(9),
     }
 }
