--- a/lib/src/process/ids.rs
+++ b/lib/src/process/ids.rs
@@ -52,6 +52,11 @@
     Zone
 }
 
+name_type! {
+    /// Name of a region, which holds one or more availability zones.
+    Region
+}
+
 /// Identity of one run of a daemon, drawn at random when the process starts.
 ///
 /// A restarted daemon keeps its address but never its incarnation, so what an
--- /dev/null
+++ b/lib/src/process/membership/standing.rs
@@ -0,0 +1,173 @@
+//! What a daemon has seen of one instance on the wire.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt as _;
+
+use super::Level;
+
+/// First wait before a suspected instance is probed.
+const PROBE_INTERVAL_MIN: Duration = Duration::from_millis(100);
+/// Longest wait between two probes of a suspected instance.
+const PROBE_INTERVAL_MAX: Duration = Duration::from_secs(10);
+/// Wait before an instance that said it was leaving is probed; a restarted one
+/// answers the probe, one that still leaves refuses it.
+const LEAVING_PROBE_INTERVAL: Duration = Duration::from_secs(30);
+/// Timeouts in a row, without an answer between them, that make an instance suspected.
+const TIMEOUTS_TO_SUSPECT: u32 = 3;
+/// How long an admission level is believed after it was last heard.
+const LEVEL_LIFETIME: Duration = Duration::from_secs(1);
+/// How long a cold instance takes to reach its full share of work.
+const SLOW_START: Duration = Duration::from_secs(10);
+/// Share of work that an instance gets at the very start.
+const COLD_SHARE: f64 = 0.1;
+
+/// What a daemon saw of an instance, by a call or its answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Observation {
+    /// An answer came, whatever it said.
+    Answered,
+    /// No connection could be made, or it broke before an answer began.
+    ConnectFailed,
+    /// No answer came in time.
+    TimedOut,
+    /// The instance said that it takes no new work.
+    Leaving,
+    /// The instance told its admission level.
+    Level(Level),
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Condition {
+    Working,
+    Suspected { failures: u32 },
+    Leaving,
+}
+
+/// What is known of one instance.
+#[derive(Clone, Debug)]
+pub(crate) struct Standing {
+    condition: Condition,
+    timeouts: u32,
+    /// When the next probe may go out; without meaning while working.
+    probe_at: Duration,
+    /// Whether a probe went out whose result is not yet seen; what arrives
+    /// otherwise belongs to requests sent before the condition changed.
+    probing: bool,
+    /// When the instance began to work; `None` if it is long warm.
+    warming_since: Option<Duration>,
+    level: Option<(Level, Duration)>,
+}
+
+impl Standing {
+    /// Returns the standing of an instance not heard of before.
+    pub(crate) fn new(warming_since: Option<Duration>) -> Self {
+        Self {
+            condition: Condition::Working,
+            timeouts: 0,
+            probe_at: Duration::ZERO,
+            probing: false,
+            warming_since,
+            level: None,
+        }
+    }
+
+    /// Takes in what was seen of the instance.
+    pub(crate) fn observe(&mut self, now: Duration, seen: Observation, rng: &mut impl Rng) {
+        match seen {
+            Observation::Answered => self.answered(now),
+            Observation::ConnectFailed => self.suspect(now, rng),
+            Observation::TimedOut => self.timed_out(now, rng),
+            Observation::Leaving => self.leave(now),
+            Observation::Level(level) => self.level = Some((level, now)),
+        }
+    }
+
+    /// Returns whether the instance may get ordinary work.
+    pub(crate) fn works(&self) -> bool {
+        self.condition == Condition::Working
+    }
+
+    /// Returns when the instance may be probed, unless it works.
+    pub(crate) fn probe_at(&self) -> Option<Duration> {
+        (!self.works()).then_some(self.probe_at)
+    }
+
+    /// Notes that a probe goes out, so that no second one follows soon.
+    pub(crate) fn probe_sent(&mut self, now: Duration, rng: &mut impl Rng) {
+        self.probe_at = now + self.interval(rng);
+        self.probing = true;
+    }
+
+    /// Lets the instance be probed at once, as what was seen of it is out of date.
+    pub(crate) fn outdate(&mut self, now: Duration) {
+        self.probe_at = self.probe_at.min(now);
+        self.level = None;
+    }
+
+    /// Returns the admission level in force, if one was heard lately.
+    pub(crate) fn level(&self, now: Duration) -> Option<Level> {
+        let (level, heard) = self.level?;
+        (now.saturating_sub(heard) <= LEVEL_LIFETIME).then_some(level)
+    }
+
+    /// Returns the share of ordinary work that the instance can take, up to 1.
+    pub(crate) fn share(&self, now: Duration) -> f64 {
+        let Some(since) = self.warming_since else { return 1.0 };
+        let warmed = now.saturating_sub(since).as_secs_f64() / SLOW_START.as_secs_f64();
+        warmed.clamp(COLD_SHARE, 1.0)
+    }
+
+    fn answered(&mut self, now: Duration) {
+        self.timeouts = 0;
+        match self.condition {
+            Condition::Working => {}
+            Condition::Suspected { .. } => self.recover(now),
+            Condition::Leaving if self.probing => self.recover(now),
+            Condition::Leaving => {}
+        }
+    }
+
+    fn recover(&mut self, now: Duration) {
+        self.condition = Condition::Working;
+        self.probing = false;
+        self.warming_since = Some(now);
+    }
+
+    fn timed_out(&mut self, now: Duration, rng: &mut impl Rng) {
+        self.timeouts += 1;
+        if self.timeouts >= TIMEOUTS_TO_SUSPECT || !self.works() {
+            self.suspect(now, rng);
+        }
+    }
+
+    fn suspect(&mut self, now: Duration, rng: &mut impl Rng) {
+        let failures = match self.condition {
+            Condition::Working => 1,
+            Condition::Suspected { failures } if self.probing => failures.saturating_add(1),
+            Condition::Suspected { .. } | Condition::Leaving => return,
+        };
+        self.probing = false;
+        self.condition = Condition::Suspected { failures };
+        self.level = None;
+        self.probe_at = now + self.interval(rng);
+    }
+
+    fn leave(&mut self, now: Duration) {
+        self.condition = Condition::Leaving;
+        self.probing = false;
+        self.probe_at = now + LEAVING_PROBE_INTERVAL;
+    }
+
+    fn interval(&self, rng: &mut impl Rng) -> Duration {
+        match self.condition {
+            Condition::Working | Condition::Leaving => LEAVING_PROBE_INTERVAL,
+            Condition::Suspected { failures } => {
+                let doublings = failures.saturating_sub(1).min(16);
+                let full = (PROBE_INTERVAL_MIN * (1 << doublings)).min(PROBE_INTERVAL_MAX);
+                full.mul_f64(rng.random_range(0.5..=1.0))
+            }
+        }
+    }
+}
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -12,5 +12,6 @@
 pub use ids::Incarnation;
 pub use ids::InstanceId;
 pub use ids::ParseIncarnationError;
+pub use ids::Region;
 pub use ids::ServiceName;
 pub use ids::Zone;
--- a/lib/src/process/routing/mod.rs
+++ b/lib/src/process/routing/mod.rs
@@ -1,1 +1,11 @@
 //! Choice of an instance for a call; see `docs/design/routing.md`.
+
+mod router;
+mod subset;
+
+pub use router::NoRoute;
+pub use router::Pick;
+pub use router::Place;
+pub use router::Router;
+pub use router::Work;
+pub use subset::rendezvous;
--- /dev/null
+++ b/lib/src/process/routing/router.rs
@@ -0,0 +1,299 @@
+//! Picks an instance for each call.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use super::subset::Subset;
+use crate::process::InstanceId;
+use crate::process::Region;
+use crate::process::ServiceName;
+use crate::process::Zone;
+use crate::process::membership::Health;
+use crate::process::membership::Membership;
+use crate::process::membership::Observation;
+use crate::process::membership::Vm;
+use crate::process::membership::VmList;
+use crate::version::Criticality;
+
+/// Part of a tier that must work for the tier to keep all of its work.
+const HEALTHY_PART: f64 = 0.5;
+/// When to come back if nothing says when an instance may work again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Where a daemon runs.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// The daemon's own instance.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Its region.
+    pub region: Region,
+}
+
+/// What the choice needs to know of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Work {
+    /// How much the request matters.
+    pub criticality: Criticality,
+    /// Hash that orders requests of one criticality alike at every hop.
+    pub hash: u16,
+}
+
+/// Where a call goes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Pick {
+    /// To this instance.
+    To(Arc<Vm>),
+    /// Nowhere; the call has not run.
+    None(NoRoute),
+}
+
+/// Why no instance can take a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoRoute {
+    /// The platform lists no instance of the service.
+    UnknownService,
+    /// No instance works, or all that do were tried.
+    NoneWorking {
+        /// When an instance may be tried again.
+        retry_after: Duration,
+    },
+    /// Each instance that works refuses work of this criticality and hash.
+    Refused,
+}
+
+/// Chooses instances by place, health, admission level and outstanding calls.
+#[derive(Debug)]
+pub struct Router {
+    here: Place,
+    members: Membership,
+    subsets: IndexMap<ServiceName, Subset>,
+    outstanding: IndexMap<InstanceId, u32>,
+    rng: ChaCha8Rng,
+}
+
+impl Router {
+    /// Returns a router that knows of no instance yet.
+    pub fn new(here: Place, seed: u64) -> Self {
+        Self {
+            here,
+            members: Membership::new(),
+            subsets: IndexMap::new(),
+            outstanding: IndexMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes in a list of the platform; returns whether it was newer.
+    pub fn apply(&mut self, now: Duration, list: &VmList) -> bool {
+        let newer = self.members.apply(now, list);
+        if newer {
+            self.subsets.clear();
+        }
+        newer
+    }
+
+    /// Takes in what was seen of an instance by a call.
+    pub fn observe(&mut self, now: Duration, instance: &InstanceId, seen: Observation) {
+        self.members.observe(now, instance, seen, &mut self.rng);
+    }
+
+    /// Treats everything seen as out of date, as after a pause of the process.
+    pub fn outdate(&mut self, now: Duration) {
+        self.members.outdate(now);
+    }
+
+    /// Returns what is known of the instances.
+    pub fn members(&self) -> &Membership {
+        &self.members
+    }
+
+    /// Counts a call that begins at an instance.
+    pub fn started(&mut self, instance: &InstanceId) {
+        *self.outstanding.entry(instance.clone()).or_default() += 1;
+    }
+
+    /// Counts a call that ended at an instance, however it ended.
+    pub fn finished(&mut self, instance: &InstanceId) {
+        let Some(count) = self.outstanding.get_mut(instance) else { return };
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            self.outstanding.swap_remove(instance);
+        }
+    }
+
+    /// Returns the calls outstanding at an instance.
+    pub fn outstanding(&self, instance: &InstanceId) -> u32 {
+        self.outstanding.get(instance).copied().unwrap_or(0)
+    }
+
+    /// Picks the instance that a call goes to, none of those in `avoid`.
+    ///
+    /// Follow it by [`Self::started`] and [`Self::finished`] for the instance,
+    /// and by [`Self::observe`] of what the call met with.
+    pub fn pick(
+        &mut self,
+        now: Duration,
+        service: &ServiceName,
+        work: &Work,
+        avoid: &[InstanceId],
+    ) -> Pick {
+        if !self.subsets.contains_key(service) {
+            let vms = self.members.instances(service);
+            if vms.is_empty() {
+                return Pick::None(NoRoute::UnknownService);
+            }
+            self.subsets.insert(service.clone(), Subset::choose(&self.here, vms));
+        }
+        let survey = self.survey(now, service, work, avoid);
+        match self.choose(&survey, work) {
+            Some(choice) => self.send(now, &choice),
+            None => Pick::None(survey.no_route(now)),
+        }
+    }
+
+    fn survey(
+        &self,
+        now: Duration,
+        service: &ServiceName,
+        work: &Work,
+        avoid: &[InstanceId],
+    ) -> Survey {
+        let mut survey = Survey::default();
+        for tier in &self.subsets[service].tiers {
+            let mut open = Open { listed: tier.len(), ..Open::default() };
+            for instance in tier {
+                self.survey_instance(now, instance, work, avoid, &mut survey, &mut open);
+            }
+            survey.tiers.push(open);
+        }
+        survey
+    }
+
+    fn survey_instance(
+        &self,
+        now: Duration,
+        instance: &InstanceId,
+        work: &Work,
+        avoid: &[InstanceId],
+        survey: &mut Survey,
+        open: &mut Open,
+    ) {
+        match self.members.health(now, instance) {
+            Health::Gone => open.listed -= 1,
+            _ if avoid.contains(instance) => {}
+            Health::Probed { at } if at <= now => survey.probes.push(instance.clone()),
+            Health::Probed { at } => {
+                survey.next_probe = Some(survey.next_probe.map_or(at, |next| next.min(at)));
+            }
+            Health::Working { share } => {
+                let level = self.members.level(now, instance);
+                if level.is_none_or(|level| level.admits(work.criticality, work.hash)) {
+                    let load = f64::from(self.outstanding(instance) + 1) / share;
+                    open.candidates.push(Candidate { instance: instance.clone(), share, load });
+                } else {
+                    survey.refused = true;
+                }
+            }
+        }
+    }
+
+    /// Chooses among the open instances, the nearest tier first.
+    ///
+    /// A due probe goes first, so that one request finds out whether an
+    /// instance works again; critical work is not put at that risk unless
+    /// nothing else is open.
+    fn choose(&mut self, survey: &Survey, work: &Work) -> Option<Choice> {
+        let probe = survey.probes.first().cloned().map(Choice::Probe);
+        if probe.is_some() && work.criticality != Criticality::Critical {
+            return probe;
+        }
+        let mut nearest = None;
+        for tier in survey.tiers.iter().filter(|tier| !tier.candidates.is_empty()) {
+            nearest = nearest.or(Some(tier));
+            if self.rng.random_bool(tier.part_to_keep()) {
+                nearest = Some(tier);
+                break;
+            }
+        }
+        nearest.map(|tier| Choice::Ordinary(self.less_loaded(&tier.candidates))).or(probe)
+    }
+
+    /// Returns the less loaded of two candidates drawn at random.
+    fn less_loaded(&mut self, candidates: &[Candidate]) -> InstanceId {
+        let first = self.rng.random_range(0..candidates.len());
+        if candidates.len() == 1 {
+            return candidates[first].instance.clone();
+        }
+        let step = self.rng.random_range(1..candidates.len());
+        let second = (first + step) % candidates.len();
+        let (a, b) = (&candidates[first], &candidates[second]);
+        let chosen = if b.load < a.load { b } else { a };
+        chosen.instance.clone()
+    }
+
+    fn send(&mut self, now: Duration, choice: &Choice) -> Pick {
+        let instance = match choice {
+            Choice::Ordinary(instance) => instance,
+            Choice::Probe(instance) => {
+                self.members.probe_sent(now, instance, &mut self.rng);
+                instance
+            }
+        };
+        let vm = self.members.vm(instance).expect("a candidate is listed");
+        Pick::To(vm.clone())
+    }
+}
+
+#[derive(Debug)]
+enum Choice {
+    Ordinary(InstanceId),
+    Probe(InstanceId),
+}
+
+#[derive(Debug)]
+struct Candidate {
+    instance: InstanceId,
+    share: f64,
+    load: f64,
+}
+
+/// The instances of one tier that may take a piece of work.
+#[derive(Debug, Default)]
+struct Open {
+    listed: usize,
+    candidates: Vec<Candidate>,
+}
+
+impl Open {
+    /// Returns the part of the work that the tier can keep without overloading
+    /// the few instances that are open.
+    fn part_to_keep(&self) -> f64 {
+        let shares: f64 = self.candidates.iter().map(|c| c.share).sum();
+        (shares / (self.listed as f64 * HEALTHY_PART)).clamp(0.0, 1.0)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Survey {
+    tiers: Vec<Open>,
+    probes: Vec<InstanceId>,
+    next_probe: Option<Duration>,
+    refused: bool,
+}
+
+impl Survey {
+    fn no_route(&self, now: Duration) -> NoRoute {
+        if self.refused {
+            return NoRoute::Refused;
+        }
+        let wait = self.next_probe.map(|at| at.saturating_sub(now));
+        NoRoute::NoneWorking { retry_after: wait.unwrap_or(RETRY_AFTER) }
+    }
+}
--- /dev/null
+++ b/lib/src/process/routing/subset.rs
@@ -0,0 +1,59 @@
+//! The instances of a service that one daemon calls.
+
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
+use std::sync::Arc;
+
+use siphasher::sip::SipHasher13;
+
+use super::Place;
+use crate::process::InstanceId;
+use crate::process::membership::Vm;
+
+/// Most instances of one service that a daemon calls in one tier.
+const TIER_LIMIT: usize = 8;
+
+/// Returns the rendezvous weight of a pair of names, the same on every daemon.
+pub fn rendezvous(chooser: &str, candidate: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    chooser.hash(&mut hasher);
+    candidate.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Instances of a service by distance, the nearest tier first.
+///
+/// Each daemon picks its own by rendezvous, so that the list may change without
+/// moving more than the changed instances, and every instance is called by a
+/// like number of daemons.
+#[derive(Debug, Default)]
+pub(crate) struct Subset {
+    pub(crate) tiers: Vec<Vec<InstanceId>>,
+}
+
+impl Subset {
+    /// Picks the instances that a daemon calls among those listed.
+    pub(crate) fn choose(here: &Place, vms: &[Arc<Vm>]) -> Self {
+        let mut tiers: [Vec<&Vm>; 3] = Default::default();
+        for vm in vms {
+            tiers[distance(here, vm)].push(vm);
+        }
+        let tiers = tiers.into_iter().filter(|tier| !tier.is_empty());
+        Self { tiers: tiers.map(|tier| nearest(here, tier)).collect() }
+    }
+}
+
+fn distance(here: &Place, vm: &Vm) -> usize {
+    match vm {
+        vm if vm.zone == here.zone => 0,
+        vm if vm.region == here.region => 1,
+        _ => 2,
+    }
+}
+
+fn nearest(here: &Place, mut tier: Vec<&Vm>) -> Vec<InstanceId> {
+    let chooser = here.instance.as_str();
+    tier.sort_by_key(|vm| std::cmp::Reverse(rendezvous(chooser, vm.instance.as_str())));
+    tier.truncate(TIER_LIMIT);
+    tier.iter().map(|vm| vm.instance.clone()).collect()
+}
