--- /dev/null
+++ b/lib/src/process/node/gate.rs
@@ -0,0 +1,180 @@
+//! Drives the admission state machine for the requests of one process.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use crate::process::admission::Admission;
+use crate::process::admission::AdmissionConfig;
+use crate::process::admission::Arrival;
+use crate::process::admission::Completion;
+use crate::process::admission::Decision;
+use crate::process::admission::Level;
+use crate::process::admission::Shed;
+use crate::process::admission::Ticket;
+use crate::process::admission::Verdict;
+use crate::process::admission::Work;
+use crate::process::clock::Clock;
+
+/// The way to the local upstream, which lets through what admission decides.
+#[derive(Debug)]
+pub struct Gate {
+    clock: Clock,
+    table: Mutex<Table>,
+    /// Wakes the timer when an earlier wake-up may be due.
+    rescheduled: Notify,
+}
+
+#[derive(Debug)]
+struct Table {
+    admission: Admission,
+    waiting: IndexMap<Ticket, oneshot::Sender<Verdict>>,
+    decisions: Vec<Decision>,
+}
+
+/// A slot at the upstream; it is freed when the permit is dropped.
+#[derive(Debug)]
+pub struct Permit {
+    gate: Arc<Gate>,
+    ticket: Option<Ticket>,
+}
+
+/// Withdraws a queued request whose caller goes away.
+struct Waiting {
+    gate: Arc<Gate>,
+    ticket: Option<Ticket>,
+}
+
+impl Gate {
+    /// Creates a gate with all slots free.
+    pub fn new(cfg: &AdmissionConfig, clock: Clock) -> Arc<Self> {
+        let admission = Admission::new(cfg);
+        let table = Table { admission, waiting: IndexMap::new(), decisions: Vec::new() };
+        Arc::new(Self { clock, table: Mutex::new(table), rescheduled: Notify::new() })
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to come back if the request is refused.
+    pub async fn enter(self: &Arc<Self>, work: Work) -> Result<Permit, Shed> {
+        let (ticket, rx) = {
+            let mut table = self.table.lock();
+            let now = self.clock.now();
+            let arrival = table.admission.arrive(now, work);
+            let queued = match arrival {
+                Arrival::Admitted(ticket) => (ticket, None),
+                Arrival::Shed(shed) => return Err(shed),
+                Arrival::Queued(ticket) => {
+                    let (tx, rx) = oneshot::channel();
+                    table.waiting.insert(ticket, tx);
+                    (ticket, Some(rx))
+                }
+            };
+            table.settle(now);
+            queued
+        };
+        let Some(rx) = rx else {
+            return Ok(Permit { gate: Arc::clone(self), ticket: Some(ticket) });
+        };
+        self.rescheduled.notify_one();
+        self.wait(ticket, rx).await
+    }
+
+    async fn wait(
+        self: &Arc<Self>,
+        ticket: Ticket,
+        rx: oneshot::Receiver<Verdict>,
+    ) -> Result<Permit, Shed> {
+        let mut waiting = Waiting { gate: Arc::clone(self), ticket: Some(ticket) };
+        let verdict = rx.await.expect("the verdict on a queued ticket is sent before it is dropped");
+        waiting.ticket = None;
+        match verdict {
+            Verdict::Admitted => Ok(Permit { gate: Arc::clone(self), ticket: Some(ticket) }),
+            Verdict::Shed(shed) => Err(shed),
+        }
+    }
+
+    /// Settles queued requests whose time has come, for as long as the process runs.
+    pub async fn run_timer(self: Arc<Self>) {
+        loop {
+            let wakeup = {
+                let mut table = self.table.lock();
+                let now = self.clock.now();
+                table.settle(now);
+                table.admission.next_wakeup()
+            };
+            match wakeup {
+                None => self.rescheduled.notified().await,
+                Some(at) => tokio::select! {
+                    () = tokio::time::sleep_until(self.clock.instant(at)) => {}
+                    () = self.rescheduled.notified() => {}
+                },
+            }
+        }
+    }
+
+    /// Returns the level that callers should apply on this instance's behalf.
+    pub fn level(&self) -> Level {
+        self.table.lock().admission.level()
+    }
+
+    /// Returns the state machine's own figures, for operators.
+    pub fn with_admission<T>(&self, f: impl FnOnce(&Admission) -> T) -> T {
+        f(&self.table.lock().admission)
+    }
+
+    fn update(&self, f: impl FnOnce(&mut Admission, std::time::Duration)) {
+        let mut table = self.table.lock();
+        let now = self.clock.now();
+        f(&mut table.admission, now);
+        table.settle(now);
+    }
+}
+
+impl Table {
+    fn settle(&mut self, now: std::time::Duration) {
+        self.admission.poll(now, &mut self.decisions);
+        for decision in self.decisions.drain(..) {
+            let Some(tx) = self.waiting.swap_remove(&decision.ticket) else { continue };
+            // A receiver that is gone withdraws its ticket itself.
+            let _ = tx.send(decision.verdict);
+        }
+    }
+}
+
+impl Permit {
+    /// Notes that the answer's head has arrived.
+    pub fn answer_started(&self) {
+        let Some(ticket) = self.ticket else { return };
+        self.gate.update(|admission, now| admission.answer_started(now, ticket));
+    }
+
+    /// Frees the slot and tells how the work ended.
+    pub fn complete(mut self, completion: Completion) {
+        self.finish(completion);
+    }
+
+    fn finish(&mut self, completion: Completion) {
+        let Some(ticket) = self.ticket.take() else { return };
+        self.gate.update(|admission, now| admission.complete(now, ticket, completion));
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.finish(Completion::Cancelled);
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket.take() else { return };
+        self.gate.table.lock().waiting.swap_remove(&ticket);
+        self.gate.update(|admission, now| admission.cancel(now, ticket));
+    }
+}
--- /dev/null
+++ b/lib/src/request/message.rs
@@ -0,0 +1,161 @@
+//! Requests and answers as they pass through the daemon.
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::Method;
+use http::Request;
+use http::Uri;
+use http::header;
+use http::request;
+use http::uri::PathAndQuery;
+use hyper::body::Body as _;
+use hyper::body::Incoming;
+
+use super::Reason;
+use super::Refusal;
+use super::idempotency::Fingerprint;
+use crate::connection::body;
+use crate::connection::body::RelayBody;
+use crate::process::ServiceName;
+
+/// Longest request body that is held so that the request can be sent again.
+const HELD_BODY_BYTES: u64 = 64 * 1024;
+/// Longest name of a service.
+const SERVICE_NAME_BYTES: usize = 253;
+
+/// Headers that speak of one connection and are not passed on.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A request for a service, read from a listener.
+#[derive(Debug)]
+pub struct Inbound {
+    /// Service that the request is for.
+    pub service: ServiceName,
+    /// Method of the request.
+    pub method: Method,
+    /// Path with query.
+    pub path: PathAndQuery,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+}
+
+/// The body of a request.
+#[derive(Debug)]
+pub enum Payload {
+    /// The whole body is held, so the request can be sent again.
+    Held(Bytes),
+    /// The body is relayed while it arrives, so it can be sent one time.
+    Streamed(Option<RelayBody>),
+}
+
+impl Inbound {
+    /// Splits a request into its head and body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request names no service.
+    pub fn read(req: Request<Incoming>) -> Result<(Self, Incoming), Refusal> {
+        let (parts, body) = req.into_parts();
+        let service = service_name(&parts).ok_or(Refusal::not_run(Reason::Malformed))?;
+        let path = parts.uri.path_and_query().cloned();
+        let path = path.ok_or(Refusal::not_run(Reason::Malformed))?;
+        let mut headers = parts.headers;
+        headers.remove(header::HOST);
+        remove_hop_by_hop(&mut headers);
+        Ok((Self { service, method: parts.method, path, headers }, body))
+    }
+
+    /// Returns what an idempotency token is bound to.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let key = self.headers.get(super::IDEMPOTENCY_KEY).map(|key| key.as_bytes());
+        Fingerprint::new(self.service.as_str(), &self.method, self.path.as_str(), key)
+    }
+
+    /// Builds a request with the URI that an HTTP/2 connection needs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service's name cannot stand in a URI.
+    pub fn to_request(&self, body: RelayBody) -> Result<Request<RelayBody>, Refusal> {
+        let uri = Uri::builder()
+            .scheme("http")
+            .authority(self.service.as_str())
+            .path_and_query(self.path.clone())
+            .build()
+            .map_err(|_| Refusal::not_run(Reason::Malformed))?;
+        let mut req = Request::new(body);
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = uri;
+        *req.headers_mut() = self.headers.clone();
+        Ok(req)
+    }
+}
+
+impl Payload {
+    /// Holds a short body and streams a long one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a short body ends early; nothing was passed on then.
+    pub async fn read(incoming: Incoming) -> Result<Self, Refusal> {
+        if incoming.is_end_stream() {
+            return Ok(Self::Held(Bytes::new()));
+        }
+        let is_short = incoming.size_hint().upper().is_some_and(|len| len <= HELD_BODY_BYTES);
+        if !is_short {
+            return Ok(Self::Streamed(Some(body::relay(incoming))));
+        }
+        let held = body::collect(body::relay(incoming), HELD_BODY_BYTES as usize).await;
+        held.map(Self::Held).map_err(|_| Refusal::not_run(Reason::BadBody))
+    }
+
+    /// Returns the body for one more attempt; `None` if it was streamed already.
+    pub fn next(&mut self) -> Option<RelayBody> {
+        match self {
+            Self::Held(bytes) if bytes.is_empty() => Some(body::empty()),
+            Self::Held(bytes) => Some(body::full(bytes.clone())),
+            Self::Streamed(body) => body.take(),
+        }
+    }
+
+    /// Whether [`Self::next`] will return a body.
+    pub fn is_left(&self) -> bool {
+        matches!(self, Self::Held(_) | Self::Streamed(Some(_)))
+    }
+}
+
+fn service_name(parts: &request::Parts) -> Option<ServiceName> {
+    let from_uri = parts.uri.authority().map(|authority| authority.host());
+    let from_host = || parts.headers.get(header::HOST)?.to_str().ok();
+    let host = from_uri.or_else(from_host)?;
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let is_valid = !name.is_empty()
+        && name.len() <= SERVICE_NAME_BYTES
+        && name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'.' || b == b'_');
+    is_valid.then(|| ServiceName::from(name))
+}
+
+/// Removes the headers that speak of one connection, the ones that the
+/// `Connection` header names included.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -3,7 +3,9 @@
 mod context;
 mod headers;
 pub mod idempotency;
+pub mod message;
 mod outcome;
+pub mod parent;
 mod refusal;
 
 pub use context::Context;
