settings: read and check the settings file of a daemon

Cause: a daemon needs its addresses, zone and limits from one file, and an operator wants every fault of that file at once.

Ruled out: deriving the whole struct with deny_unknown_fields, since serde stops at the first fault and does not name the accepted range.

After: each section is read key by key, faults are collected as typed problems with the key and what is accepted; contradictions between keys are checked last.

--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -8,9 +8,12 @@
 pub mod metrics;
 pub mod routing;
 pub mod settings;
+mod units;
 
 pub use ids::Incarnation;
 pub use ids::InstanceId;
 pub use ids::ParseIncarnationError;
 pub use ids::ServiceName;
 pub use ids::Zone;
+pub use units::DurationText;
+pub use units::ParseDurationError;
--- /dev/null
+++ b/lib/src/process/settings/check.rs
@@ -0,0 +1,140 @@
+//! Finds settings that are each in range but cannot hold together.
+
+use std::net::SocketAddr;
+
+use super::Settings;
+use super::error::Problem;
+
+/// Adds every contradiction between two keys to `problems`.
+pub(super) fn contradictions(settings: &Settings, problems: &mut Vec<Problem>) {
+    names(settings, problems);
+    health_path(settings, problems);
+    listeners(settings, problems);
+    upstream_address(settings, problems);
+    connections(settings, problems);
+    admission_limit(settings, problems);
+    kept_answer(settings, problems);
+}
+
+fn names(settings: &Settings, problems: &mut Vec<Problem>) {
+    let daemon = &settings.daemon;
+    let names = [
+        ("daemon.instance", daemon.instance.as_str()),
+        ("daemon.service", daemon.service.as_str()),
+        ("daemon.zone", daemon.zone.as_str()),
+        ("daemon.region", daemon.region.as_str()),
+    ];
+    for (key, name) in names {
+        let is_usual = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        if name.is_empty() || !name.chars().all(is_usual) {
+            problems.push(Problem::InvalidValue {
+                key: key.to_owned(),
+                found: format!("{name:?}"),
+                expected: "a name of letters, digits, '-', '_' and '.'".to_owned(),
+            });
+        }
+    }
+}
+
+fn health_path(settings: &Settings, problems: &mut Vec<Problem>) {
+    let Some(path) = &settings.upstream.health else { return };
+    if !path.starts_with('/') || path.contains(char::is_whitespace) {
+        problems.push(Problem::InvalidValue {
+            key: "upstream.health".to_owned(),
+            found: format!("{path:?}"),
+            expected: "a path, such as \"/health\"".to_owned(),
+        });
+    }
+}
+
+fn listener_addresses(settings: &Settings) -> [(&'static str, SocketAddr); 5] {
+    let listen = &settings.listen;
+    [
+        ("listen.caller", listen.caller),
+        ("listen.upstream", listen.upstream),
+        ("listen.peer", listen.peer),
+        ("listen.control", listen.control),
+        ("listen.operator", listen.operator),
+    ]
+}
+
+fn listeners(settings: &Settings, problems: &mut Vec<Problem>) {
+    let listeners = listener_addresses(settings);
+    for (index, (key, address)) in listeners.iter().enumerate() {
+        let earlier = listeners[..index].iter().find(|(_, other)| same_port(*address, *other));
+        if let Some((other, other_address)) = earlier {
+            let accepted = "an address of its own for each listener";
+            problems.push(contradiction(key, address, other, other_address, accepted));
+        }
+    }
+}
+
+fn upstream_address(settings: &Settings, problems: &mut Vec<Problem>) {
+    let address = settings.upstream.address;
+    for (key, listener) in listener_addresses(settings) {
+        if same_port(address, listener) {
+            let accepted = "the address of the upstream's own process";
+            problems.push(contradiction("upstream.address", &address, key, &listener, accepted));
+        }
+    }
+}
+
+fn connections(settings: &Settings, problems: &mut Vec<Problem>) {
+    let upstream = &settings.upstream;
+    if upstream.connections < upstream.slots {
+        let accepted = format!("{} to 100000", upstream.slots);
+        problems.push(contradiction(
+            "upstream.connections",
+            &upstream.connections,
+            "upstream.slots",
+            &upstream.slots,
+            &accepted,
+        ));
+    }
+}
+
+fn admission_limit(settings: &Settings, problems: &mut Vec<Problem>) {
+    let (least, slots) = (settings.admission.min_limit, settings.upstream.slots);
+    if least > slots {
+        let accepted = format!("1 to {slots}");
+        let key = "admission.min_limit";
+        problems.push(contradiction(key, &least, "upstream.slots", &slots, &accepted));
+    }
+}
+
+fn kept_answer(settings: &Settings, problems: &mut Vec<Problem>) {
+    let idempotency = &settings.idempotency;
+    if idempotency.answer_bytes > idempotency.memory_bytes {
+        let accepted = format!("0 to {}", idempotency.memory_bytes);
+        problems.push(contradiction(
+            "idempotency.answer_bytes",
+            &idempotency.answer_bytes,
+            "idempotency.memory_bytes",
+            &idempotency.memory_bytes,
+            &accepted,
+        ));
+    }
+}
+
+/// Port 0 asks the system for a free port, so two of them never clash.
+fn same_port(left: SocketAddr, right: SocketAddr) -> bool {
+    let overlaps =
+        left.ip() == right.ip() || left.ip().is_unspecified() || right.ip().is_unspecified();
+    left.port() != 0 && left.port() == right.port() && overlaps
+}
+
+fn contradiction(
+    key: &str,
+    found: &dyn ToString,
+    other: &str,
+    other_found: &dyn ToString,
+    accepted: &str,
+) -> Problem {
+    Problem::Contradiction {
+        key: key.to_owned(),
+        found: found.to_string(),
+        other: other.to_owned(),
+        other_found: other_found.to_string(),
+        accepted: accepted.to_owned(),
+    }
+}
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -1,1 +1,218 @@
-//! Settings of one daemon, read from a TOML file; see `docs/settings.md`.
+//! Settings of one daemon, read once at start; see `docs/settings.md`.
+
+mod check;
+mod error;
+mod reader;
+mod section;
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde_with::serde_as;
+use snafu::ResultExt as _;
+
+pub use self::error::Problem;
+pub use self::error::SettingsError;
+use super::InstanceId;
+use super::ServiceName;
+use super::Zone;
+use super::units::DurationText;
+
+/// Everything that a daemon learns from its settings file.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Settings {
+    /// Who this daemon is and where it runs.
+    pub daemon: Daemon,
+    /// Addresses that the daemon listens on.
+    pub listen: Listen,
+    /// The upstream beside the daemon.
+    pub upstream: Upstream,
+    /// Where rules and the list of VMs are read.
+    pub platform: Platform,
+    /// How the daemon stops.
+    pub stop: Stop,
+    /// Where counters are sent.
+    pub metrics: MetricsSettings,
+    /// What is logged.
+    pub log: Log,
+    /// Admission of requests to the upstream.
+    pub admission: AdmissionSettings,
+    /// Idempotency tokens of this daemon.
+    pub idempotency: IdempotencySettings,
+    /// Spread of rules between daemons.
+    pub spread: SpreadSettings,
+    /// Bounds on what one request may take.
+    pub limits: Limits,
+}
+
+/// Who a daemon is and where it runs.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Daemon {
+    /// Name of the VM.
+    pub instance: InstanceId,
+    /// Service that the local upstream serves.
+    pub service: ServiceName,
+    /// Availability zone of the VM.
+    pub zone: Zone,
+    /// Region of the availability zone.
+    pub region: String,
+}
+
+/// Addresses that a daemon listens on, one for each kind of client.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Listen {
+    /// Outside callers, HTTP/1.1.
+    pub caller: SocketAddr,
+    /// The local upstream's own calls, HTTP/1.1.
+    pub upstream: SocketAddr,
+    /// Requests from other daemons, HTTP/2.
+    pub peer: SocketAddr,
+    /// Control messages from other daemons, `tarpc`.
+    pub control: SocketAddr,
+    /// Operators, HTTP/1.1 with JSON answers.
+    pub operator: SocketAddr,
+}
+
+/// The upstream beside a daemon.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Upstream {
+    /// Address that the upstream listens on.
+    pub address: SocketAddr,
+    /// Requests that the upstream can work on at once.
+    pub slots: u32,
+    /// Connections that the upstream accepts.
+    pub connections: u32,
+    /// Path of the health endpoint, taken as a hint only.
+    pub health: Option<String>,
+}
+
+/// Where rules and the list of VMs are read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Platform {
+    /// Address of the platform's configuration service.
+    pub address: SocketAddr,
+}
+
+/// How a daemon stops.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Stop {
+    /// How long a graceful shutdown waits for requests in progress.
+    #[serde_as(as = "DurationText")]
+    pub patience: Duration,
+}
+
+/// Where counters are sent besides the operator listener.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct MetricsSettings {
+    /// Address of a statsd server, over UDP.
+    pub statsd: Option<SocketAddr>,
+}
+
+/// What is logged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Log {
+    /// The least severe level that is written.
+    pub level: LogLevel,
+}
+
+/// Severity of a log line.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Failures that need an operator.
+    Error,
+    /// Failures that the daemon handles.
+    Warn,
+    /// Changes of state.
+    Info,
+    /// Details for those who work on the daemon.
+    Debug,
+}
+
+/// Admission of requests to the upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct AdmissionSettings {
+    /// Lowest concurrency limit that the daemon may learn, in requests.
+    pub min_limit: u32,
+    /// Requests that may wait for a slot at once.
+    pub queue: u32,
+}
+
+/// Idempotency tokens of a daemon.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct IdempotencySettings {
+    /// Memory for the window of used tokens and the kept answers, in bytes.
+    pub memory_bytes: u64,
+    /// Largest answer that is kept for a resend, in bytes.
+    pub answer_bytes: u64,
+    /// How long an answer is kept for a resend.
+    #[serde_as(as = "DurationText")]
+    pub keep: Duration,
+}
+
+/// Spread of rules between daemons.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct SpreadSettings {
+    /// Daemons of one availability zone that watch the platform.
+    pub watchers: u32,
+    /// Daemons that each daemon passes a new version on to.
+    pub fanout: u32,
+}
+
+/// Bounds on what one request may take.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Limits {
+    /// Largest head of a request or answer, in bytes.
+    pub head_bytes: u64,
+    /// Part of one body that is held in memory at once, in bytes.
+    pub body_buffer_bytes: u64,
+    /// Longest deadline that a request may carry.
+    #[serde_as(as = "DurationText")]
+    pub max_deadline: Duration,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read, and as [`Settings::parse`] does.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).context(error::ReadSnafu { file: &file })?;
+        Self::parse(&file, &text)
+    }
+
+    /// Parses and checks settings; `name` stands for the file in errors.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every problem of the file at once: unknown and missing keys,
+    /// values of the wrong type or out of range, keys that contradict one
+    /// another.
+    pub fn parse(name: &str, text: &str) -> Result<Self, SettingsError> {
+        let table: toml::Table = toml::from_str(text).context(error::SyntaxSnafu { file: name })?;
+        let (settings, mut problems) = reader::read(table);
+        if problems.is_empty() {
+            check::contradictions(&settings, &mut problems);
+        }
+        if problems.is_empty() {
+            return Ok(settings);
+        }
+        error::InvalidSnafu { file: name, problems }.fail()
+    }
+}
+
+/// Prints every setting in force, defaults included, as TOML.
+impl fmt::Display for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = toml::to_string(self).map_err(|_| fmt::Error)?;
+        f.write_str(&text)
+    }
+}
--- /dev/null
+++ b/lib/src/process/settings/reader.rs
@@ -0,0 +1,157 @@
+//! Reads each section of a settings file, with its defaults and ranges.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use toml::Table;
+
+use super::AdmissionSettings;
+use super::Daemon;
+use super::IdempotencySettings;
+use super::Limits;
+use super::Listen;
+use super::Log;
+use super::LogLevel;
+use super::MetricsSettings;
+use super::Platform;
+use super::Settings;
+use super::SpreadSettings;
+use super::Stop;
+use super::Upstream;
+use super::error::Problem;
+use super::section::Section;
+
+const KIB: u64 = 1024;
+const MIB: u64 = 1024 * KIB;
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_secs(60);
+const HOUR: Duration = Duration::from_secs(60 * 60);
+
+const SECTIONS: &str = "daemon, listen, upstream, platform, stop, metrics, log, admission, \
+                        idempotency, spread, limits";
+
+const NAME: &str = "a name of letters, digits, '-', '_' and '.'";
+const ADDRESS: &str = "an IP address and port, such as \"127.0.0.1:7001\"";
+
+const NO_ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+/// Reads a file into settings; they are usable only if no problem is returned.
+pub(super) fn read(mut file: Table) -> (Settings, Vec<Problem>) {
+    let mut problems = Vec::new();
+    let settings = Settings {
+        daemon: daemon(Section::take(&mut file, "daemon", &mut problems)),
+        listen: listen(Section::take(&mut file, "listen", &mut problems)),
+        upstream: upstream(Section::take(&mut file, "upstream", &mut problems)),
+        platform: platform(Section::take(&mut file, "platform", &mut problems)),
+        stop: stop(Section::take(&mut file, "stop", &mut problems)),
+        metrics: metrics(Section::take(&mut file, "metrics", &mut problems)),
+        log: log(Section::take(&mut file, "log", &mut problems)),
+        admission: admission(Section::take(&mut file, "admission", &mut problems)),
+        idempotency: idempotency(Section::take(&mut file, "idempotency", &mut problems)),
+        spread: spread(Section::take(&mut file, "spread", &mut problems)),
+        limits: limits(Section::take(&mut file, "limits", &mut problems)),
+    };
+    for key in file.keys() {
+        let expected = SECTIONS.to_owned();
+        problems.push(Problem::UnknownKey { key: key.clone(), expected });
+    }
+    (settings, problems)
+}
+
+fn daemon(mut section: Section<'_>) -> Daemon {
+    let daemon = Daemon {
+        instance: section.required("instance", NAME, "".into()),
+        service: section.required("service", NAME, "".into()),
+        zone: section.required("zone", NAME, "".into()),
+        region: section.required("region", NAME, String::new()),
+    };
+    section.finish();
+    daemon
+}
+
+fn listen(mut section: Section<'_>) -> Listen {
+    let mut address = |key| section.required(key, ADDRESS, NO_ADDRESS);
+    let listen = Listen {
+        caller: address("caller"),
+        upstream: address("upstream"),
+        peer: address("peer"),
+        control: address("control"),
+        operator: address("operator"),
+    };
+    section.finish();
+    listen
+}
+
+fn upstream(mut section: Section<'_>) -> Upstream {
+    let upstream = Upstream {
+        address: section.required("address", ADDRESS, NO_ADDRESS),
+        slots: section.required_number("slots", 1..=100_000),
+        connections: section.required_number("connections", 1..=100_000),
+        health: section.optional("health", "a path, such as \"/health\""),
+    };
+    section.finish();
+    upstream
+}
+
+fn platform(mut section: Section<'_>) -> Platform {
+    let platform = Platform { address: section.required("address", ADDRESS, NO_ADDRESS) };
+    section.finish();
+    platform
+}
+
+fn stop(mut section: Section<'_>) -> Stop {
+    let stop = Stop { patience: section.duration("patience", SECOND..=24 * HOUR, 10 * MINUTE) };
+    section.finish();
+    stop
+}
+
+fn metrics(mut section: Section<'_>) -> MetricsSettings {
+    let metrics = MetricsSettings { statsd: section.optional("statsd", ADDRESS) };
+    section.finish();
+    metrics
+}
+
+fn log(mut section: Section<'_>) -> Log {
+    let level = section.optional("level", "one of \"error\", \"warn\", \"info\", \"debug\"");
+    section.finish();
+    Log { level: level.unwrap_or(LogLevel::Info) }
+}
+
+fn admission(mut section: Section<'_>) -> AdmissionSettings {
+    let admission = AdmissionSettings {
+        min_limit: section.number("min_limit", 1..=100_000, 1),
+        queue: section.number("queue", 1..=100_000, 1_024),
+    };
+    section.finish();
+    admission
+}
+
+fn idempotency(mut section: Section<'_>) -> IdempotencySettings {
+    let idempotency = IdempotencySettings {
+        memory_bytes: section.number("memory_bytes", 64 * KIB..=1_024 * MIB, 16 * MIB),
+        answer_bytes: section.number("answer_bytes", 0..=MIB, 16 * KIB),
+        keep: section.duration("keep", SECOND..=24 * HOUR, 10 * MINUTE),
+    };
+    section.finish();
+    idempotency
+}
+
+fn spread(mut section: Section<'_>) -> SpreadSettings {
+    let spread = SpreadSettings {
+        watchers: section.number("watchers", 1..=16, 2),
+        fanout: section.number("fanout", 1..=64, 4),
+    };
+    section.finish();
+    spread
+}
+
+fn limits(mut section: Section<'_>) -> Limits {
+    let limits = Limits {
+        head_bytes: section.number("head_bytes", KIB..=MIB, 64 * KIB),
+        body_buffer_bytes: section.number("body_buffer_bytes", KIB..=16 * MIB, 64 * KIB),
+        max_deadline: section.duration("max_deadline", SECOND..=24 * HOUR, HOUR),
+    };
+    section.finish();
+    limits
+}
--- /dev/null
+++ b/lib/src/process/settings/section.rs
@@ -0,0 +1,182 @@
+//! Typed access to one section of a settings file.
+
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use serde_with::DeserializeAs;
+use serde_with::de::DeserializeAsWrap;
+use toml::Table;
+use toml::Value;
+
+use super::error::Problem;
+use crate::process::units::DurationText;
+
+/// One section, whose keys are taken out as they are read.
+///
+/// Reading never stops at a problem: it notes the problem and goes on with a
+/// placeholder, so that an operator sees every problem at once. The placeholder
+/// is never used, because settings with a problem are refused.
+pub(super) struct Section<'a> {
+    name: &'static str,
+    values: Table,
+    known: Vec<&'static str>,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl<'a> Section<'a> {
+    /// Takes the section `name` out of the file; an absent section is empty.
+    pub(super) fn take(
+        file: &mut Table,
+        name: &'static str,
+        problems: &'a mut Vec<Problem>,
+    ) -> Self {
+        let values = match file.remove(name) {
+            None => Table::new(),
+            Some(Value::Table(values)) => values,
+            Some(found) => {
+                let expected = format!("a section [{name}]");
+                problems.push(Problem::InvalidValue {
+                    key: name.to_owned(),
+                    found: found.to_string(),
+                    expected,
+                });
+                Table::new()
+            }
+        };
+        Self { name, values, known: Vec::new(), problems }
+    }
+
+    /// Reads a key that must be set.
+    pub(super) fn required<T: DeserializeOwned>(
+        &mut self,
+        key: &'static str,
+        expected: &str,
+        placeholder: T,
+    ) -> T {
+        match self.remove(key) {
+            Some(value) => self.convert(key, value, expected).unwrap_or(placeholder),
+            None => {
+                let key = self.path(key);
+                self.problems.push(Problem::MissingKey { key, expected: expected.to_owned() });
+                placeholder
+            }
+        }
+    }
+
+    /// Reads a key that may be absent.
+    pub(super) fn optional<T: DeserializeOwned>(
+        &mut self,
+        key: &'static str,
+        expected: &str,
+    ) -> Option<T> {
+        let value = self.remove(key)?;
+        self.convert(key, value, expected)
+    }
+
+    /// Reads a number that must be set and lie in `accepted`.
+    pub(super) fn required_number<T>(&mut self, key: &'static str, accepted: RangeInclusive<T>) -> T
+    where
+        T: Copy + DeserializeOwned + Display + PartialOrd,
+    {
+        let expected = format!("a whole number from {} to {}", accepted.start(), accepted.end());
+        let number = self.required(key, &expected, *accepted.start());
+        self.in_range(key, number, &accepted, T::to_string)
+    }
+
+    /// Reads a number that may be absent and must lie in `accepted`.
+    pub(super) fn number<T>(
+        &mut self,
+        key: &'static str,
+        accepted: RangeInclusive<T>,
+        default: T,
+    ) -> T
+    where
+        T: Copy + DeserializeOwned + Display + PartialOrd,
+    {
+        let expected = format!("a whole number from {} to {}", accepted.start(), accepted.end());
+        match self.optional(key, &expected) {
+            Some(number) => self.in_range(key, number, &accepted, T::to_string),
+            None => default,
+        }
+    }
+
+    /// Reads a duration that may be absent and must lie in `accepted`.
+    pub(super) fn duration(
+        &mut self,
+        key: &'static str,
+        accepted: RangeInclusive<Duration>,
+        default: Duration,
+    ) -> Duration {
+        let show = |duration: &Duration| DurationText(*duration).to_string();
+        let (least, greatest) = (show(accepted.start()), show(accepted.end()));
+        let expected = format!("a duration from \"{least}\" to \"{greatest}\"");
+        let Some(value) = self.remove(key) else { return default };
+        match self.convert_as::<Duration, DurationText>(key, value, &expected) {
+            Some(duration) => self.in_range(key, duration, &accepted, show),
+            None => default,
+        }
+    }
+
+    /// Notes every key that was not read as unknown.
+    pub(super) fn finish(self) {
+        let expected = self.known.join(", ");
+        for key in self.values.keys() {
+            let key = format!("{}.{key}", self.name);
+            self.problems.push(Problem::UnknownKey { key, expected: expected.clone() });
+        }
+    }
+
+    fn remove(&mut self, key: &'static str) -> Option<Value> {
+        self.known.push(key);
+        self.values.remove(key)
+    }
+
+    fn path(&self, key: &str) -> String {
+        format!("{}.{key}", self.name)
+    }
+
+    fn convert<T: DeserializeOwned>(
+        &mut self,
+        key: &str,
+        value: Value,
+        expected: &str,
+    ) -> Option<T> {
+        self.convert_as::<T, serde_with::Same>(key, value, expected)
+    }
+
+    fn convert_as<T, U>(&mut self, key: &str, value: Value, expected: &str) -> Option<T>
+    where
+        U: for<'de> DeserializeAs<'de, T>,
+    {
+        let found = value.to_string();
+        match value.try_into::<DeserializeAsWrap<T, U>>() {
+            Ok(converted) => Some(converted.into_inner()),
+            Err(_) => {
+                let key = self.path(key);
+                let expected = expected.to_owned();
+                self.problems.push(Problem::InvalidValue { key, found, expected });
+                None
+            }
+        }
+    }
+
+    fn in_range<T: PartialOrd>(
+        &mut self,
+        key: &str,
+        value: T,
+        accepted: &RangeInclusive<T>,
+        show: impl Fn(&T) -> String,
+    ) -> T {
+        if !accepted.contains(&value) {
+            self.problems.push(Problem::OutOfRange {
+                key: self.path(key),
+                found: show(&value),
+                least: show(accepted.start()),
+                greatest: show(accepted.end()),
+            });
+        }
+        value
+    }
+}
