idempotency: tokens that run at most once, and retry accounts

The record of "ran" can't follow a request through VMs that keep nothing, so the request carries the one place where it may run: its token names the daemon run that issued it. The issuer marks a token used before the daemon may send anything, and drops marks only together with their whole window below a floor that never falls.

--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod headers;
 pub mod idempotency;
 mod outcome;
+pub mod retries;
 
 pub use context::Context;
 pub use context::ContextError;
--- /dev/null
+++ b/lib/tests/test_idempotency.rs
@@ -0,0 +1,284 @@
+use std::net::SocketAddr;
+use std::num::NonZeroU32;
+
+use endivescale::process::Incarnation;
+use endivescale::request::Outcome;
+use endivescale::request::idempotency::Begin;
+use endivescale::request::idempotency::Fingerprint;
+use endivescale::request::idempotency::Finished;
+use endivescale::request::idempotency::Issuer;
+use endivescale::request::idempotency::IssuerConfig;
+use endivescale::request::idempotency::Refusal;
+use endivescale::request::idempotency::Secret;
+use endivescale::request::idempotency::Sequence;
+use endivescale::request::idempotency::Token;
+use http::Method;
+
+const ADDR: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 7003);
+
+macro_rules! cases {
+    ($($name:ident => $run:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            $run;
+        })*
+    };
+}
+
+fn issuer(cfg: &IssuerConfig) -> Issuer<&'static str> {
+    Issuer::new(ADDR, Incarnation(1), Secret([7; 32]), cfg)
+}
+
+/// Two blocks of two sequences each.
+fn tiny() -> IssuerConfig {
+    let two = NonZeroU32::new(2).unwrap();
+    IssuerConfig { block_len: two, blocks_max: two, ..IssuerConfig::default() }
+}
+
+fn request(path: &str) -> Fingerprint {
+    Fingerprint::new("submission", &Method::POST, path, Some(b"key"))
+}
+
+fn run(issuer: &mut Issuer<&'static str>, token: &Token) {
+    assert_eq!(issuer.begin(token, request("/a")), Begin::Run(token.sequence));
+}
+
+fn refused(issuer: &mut Issuer<&'static str>, token: &Token, refusal: Refusal) {
+    assert_eq!(issuer.begin(token, request("/a")), Begin::Refused(refusal));
+}
+
+fn ran(answer: &'static str, bytes: usize) -> Finished<&'static str> {
+    Finished::Ran { answer: Some((answer, bytes)) }
+}
+
+fn resend_attaches_then_gets_the_kept_answer() {
+    let mut issuer = issuer(&IssuerConfig::default());
+    let token = issuer.issue();
+    run(&mut issuer, &token);
+    assert_eq!(issuer.begin(&token, request("/a")), Begin::Attach(token.sequence));
+    issuer.finish(token.sequence, ran("done", 4));
+    assert_eq!(issuer.begin(&token, request("/a")), Begin::Kept(&"done"));
+}
+
+fn ended(finished: Finished<&'static str>, refusal: Refusal) {
+    let mut issuer = issuer(&IssuerConfig::default());
+    let token = issuer.issue();
+    run(&mut issuer, &token);
+    issuer.finish(token.sequence, finished);
+    refused(&mut issuer, &token, refusal);
+    assert_eq!(issuer.running(), 0);
+}
+
+fn token_is_bound_to_its_first_request() {
+    let mut issuer = issuer(&IssuerConfig::default());
+    let token = issuer.issue();
+    run(&mut issuer, &token);
+    let other = Begin::Refused(Refusal::BoundToOther);
+    assert_eq!(issuer.begin(&token, request("/b")), other);
+    issuer.finish(token.sequence, ran("done", 4));
+    assert_eq!(issuer.begin(&token, request("/b")), other);
+}
+
+fn token_of_another_daemon_goes_there() {
+    let elsewhere = SocketAddr::new(ADDR.ip(), 7004);
+    let mut other: Issuer<&str> =
+        Issuer::new(elsewhere, Incarnation(2), Secret([8; 32]), &IssuerConfig::default());
+    let token = other.issue();
+    let mut issuer = issuer(&IssuerConfig::default());
+    assert_eq!(issuer.begin(&token, request("/a")), Begin::Elsewhere(elsewhere));
+}
+
+fn token_of_earlier_run_never_runs() {
+    let token = issuer(&IssuerConfig::default()).issue();
+    let mut restarted =
+        Issuer::new(ADDR, Incarnation(2), Secret([9; 32]), &IssuerConfig::default());
+    restarted.issue();
+    refused(&mut restarted, &token, Refusal::OtherIncarnation);
+}
+
+fn forged_mac_never_runs() {
+    let mut issuer = issuer(&IssuerConfig::default());
+    issuer.issue();
+    let mut forger =
+        Issuer::<&str>::new(ADDR, Incarnation(1), Secret([8; 32]), &IssuerConfig::default());
+    refused(&mut issuer, &forger.issue(), Refusal::Forged);
+    assert_eq!(issuer.mark_bytes(), 0);
+}
+
+fn sequence_never_issued_is_forged() {
+    let mut ahead =
+        issuer(&IssuerConfig { first_sequence: Sequence(u64::MAX - 1), ..IssuerConfig::default() });
+    let token = ahead.issue();
+    refused(&mut issuer(&IssuerConfig::default()), &token, Refusal::Forged);
+}
+
+fn last_sequence_runs_once() {
+    let cfg = IssuerConfig { first_sequence: Sequence(u64::MAX), ..tiny() };
+    let mut issuer = issuer(&cfg);
+    let token = issuer.issue();
+    assert_eq!(issuer.issue(), token);
+    run(&mut issuer, &token);
+    issuer.finish(token.sequence, Finished::Unknown);
+    refused(&mut issuer, &token, Refusal::Unknown);
+}
+
+fn unused_tokens_take_no_memory_and_keep_the_window() {
+    let mut issuer = issuer(&tiny());
+    let first = issuer.issue();
+    for _ in 0..1000 {
+        issuer.issue();
+    }
+    assert_eq!(issuer.mark_bytes(), 0);
+    run(&mut issuer, &first);
+}
+
+/// Uses the first token of each of the next blocks.
+fn overrun(issuer: &mut Issuer<&'static str>, blocks: usize) {
+    for token in (0..2 * blocks).map(|_| issuer.issue()).skip(1).step_by(2).collect::<Vec<_>>() {
+        run(issuer, &token);
+        issuer.finish(token.sequence, Finished::Ran { answer: None });
+    }
+}
+
+fn below_the_window_nothing_runs() {
+    let mut issuer = issuer(&tiny());
+    let used = issuer.issue();
+    let unused = issuer.issue();
+    run(&mut issuer, &used);
+    issuer.finish(used.sequence, Finished::NotRun);
+    overrun(&mut issuer, 2);
+    refused(&mut issuer, &used, Refusal::BelowWindow);
+    refused(&mut issuer, &unused, Refusal::BelowWindow);
+}
+
+fn lowest_block_that_finds_no_room_is_refused() {
+    let mut issuer = issuer(&tiny());
+    let unused = issuer.issue();
+    overrun(&mut issuer, 2);
+    refused(&mut issuer, &unused, Refusal::BelowWindow);
+    refused(&mut issuer, &unused, Refusal::BelowWindow);
+}
+
+fn running_request_outlasts_its_mark() {
+    let mut issuer = issuer(&tiny());
+    let token = issuer.issue();
+    run(&mut issuer, &token);
+    overrun(&mut issuer, 3);
+    assert_eq!(issuer.begin(&token, request("/a")), Begin::Attach(token.sequence));
+    issuer.finish(token.sequence, ran("done", 4));
+    assert_eq!(issuer.begin(&token, request("/a")), Begin::Kept(&"done"));
+}
+
+fn oldest_answer_is_dropped_first() {
+    let cfg = IssuerConfig { answer_bytes_max: 10, ..IssuerConfig::default() };
+    let mut issuer = issuer(&cfg);
+    let tokens = [issuer.issue(), issuer.issue(), issuer.issue()];
+    for (token, bytes) in tokens.iter().zip([6, 5, 11]) {
+        run(&mut issuer, token);
+        issuer.finish(token.sequence, ran("done", bytes));
+        assert!(issuer.answer_bytes() <= 10);
+    }
+    refused(&mut issuer, &tokens[0], Refusal::Ran);
+    assert_eq!(issuer.begin(&tokens[1], request("/a")), Begin::Kept(&"done"));
+    refused(&mut issuer, &tokens[2], Refusal::Ran);
+}
+
+fn token_refused_for_room_is_void() {
+    let cfg = IssuerConfig { running_max: 1, ..IssuerConfig::default() };
+    let mut issuer = issuer(&cfg);
+    let tokens = [issuer.issue(), issuer.issue()];
+    run(&mut issuer, &tokens[0]);
+    refused(&mut issuer, &tokens[1], Refusal::TooManyRunning);
+    issuer.finish(tokens[0].sequence, Finished::NotRun);
+    refused(&mut issuer, &tokens[1], Refusal::NotRun);
+}
+
+fn late_end(first: Finished<&'static str>, late: Finished<&'static str>, refusal: Refusal) {
+    let mut issuer = issuer(&IssuerConfig::default());
+    let token = issuer.issue();
+    run(&mut issuer, &token);
+    issuer.finish(token.sequence, first);
+    issuer.finish(token.sequence, late);
+    refused(&mut issuer, &token, refusal);
+}
+
+fn unasked_end_changes_nothing() {
+    let mut issuer = issuer(&IssuerConfig::default());
+    let token = issuer.issue();
+    issuer.finish(token.sequence, Finished::NotRun);
+    run(&mut issuer, &token);
+}
+
+fn prints_and_parses(addr: &str) {
+    let mut issuer: Issuer<()> = Issuer::new(
+        addr.parse().unwrap(),
+        Incarnation(0xfeed),
+        Secret([1; 32]),
+        &IssuerConfig::default(),
+    );
+    let token = issuer.issue();
+    let text = token.to_string();
+    assert!(http::HeaderValue::from_str(&text).is_ok());
+    assert_eq!(text.parse::<Token>().unwrap(), token);
+}
+
+fn unreadable(text: &str, message: &str) {
+    assert_eq!(text.parse::<Token>().unwrap_err().to_string(), message);
+}
+
+fn absent_and_empty_key_differ() {
+    let digest = |path, key| Fingerprint::new("s", &Method::POST, path, key);
+    assert_ne!(digest("/a", None), digest("/a", Some(b"")));
+    assert_ne!(digest("/a", Some(b"b")), digest("/ab", Some(b"")));
+}
+
+cases! {
+    resend_attaches_then_gets_kept_answer => resend_attaches_then_gets_the_kept_answer();
+    ran_without_kept_answer => ended(Finished::Ran { answer: None }, Refusal::Ran);
+    not_run_voids_the_token => ended(Finished::NotRun, Refusal::NotRun);
+    unknown_stays_unknown => ended(Finished::Unknown, Refusal::Unknown);
+    bound_at_first_use => token_is_bound_to_its_first_request();
+    other_daemon => token_of_another_daemon_goes_there();
+    earlier_run => token_of_earlier_run_never_runs();
+    forged => forged_mac_never_runs();
+    never_issued => sequence_never_issued_is_forged();
+    last_sequence => last_sequence_runs_once();
+    unused_cost_nothing => unused_tokens_take_no_memory_and_keep_the_window();
+    below_window => below_the_window_nothing_runs();
+    lowest_block => lowest_block_that_finds_no_room_is_refused();
+    running_at_the_edge => running_request_outlasts_its_mark();
+    kept_bytes_bounded => oldest_answer_is_dropped_first();
+    no_room_voids => token_refused_for_room_is_void();
+    unknown_sharpens_to_ran =>
+        late_end(Finished::Unknown, Finished::Ran { answer: None }, Refusal::Ran);
+    unknown_sharpens_to_not_run =>
+        late_end(Finished::Unknown, Finished::NotRun, Refusal::NotRun);
+    ran_stays_ran => late_end(Finished::Ran { answer: None }, Finished::NotRun, Refusal::Ran);
+    not_run_stays_not_run =>
+        late_end(Finished::NotRun, Finished::Ran { answer: None }, Refusal::NotRun);
+    unasked_end => unasked_end_changes_nothing();
+    text_v4 => prints_and_parses("127.0.0.1:7003");
+    text_v6 => prints_and_parses("[2001:db8::1]:7003");
+    text_empty => unreadable(
+        "",
+        "the idempotency token's issuer is no address; send it back unchanged",
+    );
+    text_short => unreadable(
+        "127.0.0.1:1_1_1",
+        "the idempotency token lacks its MAC; send it back unchanged",
+    );
+    text_trailing => unreadable(
+        "127.0.0.1:1_1_1_1_1",
+        "the idempotency token has text after its MAC; send it back unchanged",
+    );
+    text_long => unreadable(
+        &"1".repeat(161),
+        "an idempotency token has at most 160 bytes, not 161",
+    );
+    fingerprint_fields => absent_and_empty_key_differ();
+    refusals_that_prove_nothing_say_unknown => {
+        for refusal in [Refusal::Forged, Refusal::OtherIncarnation, Refusal::BelowWindow] {
+            assert_eq!(refusal.outcome(), Outcome::Unknown);
+        }
+    };
+}
