--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod outcome;
 pub mod parent;
 mod refusal;
+pub mod retries;
 
 pub use context::Context;
 pub use context::ContextError;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,4 +1,6 @@
 //! One binary for all integration tests of the library.
 
 mod test_context;
+mod test_idempotency;
+mod test_retries;
 mod test_settings;
