--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -2,10 +2,12 @@
 
 pub mod admission;
 pub mod burn;
+pub mod clock;
 pub mod config;
 mod ids;
 pub mod membership;
 pub mod metrics;
+pub mod node;
 pub mod routing;
 pub mod settings;
 mod units;
--- /dev/null
+++ b/lib/src/process/node/home.rs
@@ -0,0 +1,222 @@
+//! Drives the idempotency tokens that this daemon issued.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::connection::body;
+use crate::connection::body::RelayBody;
+use crate::process::Incarnation;
+use crate::request::Outcome;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::idempotency;
+use crate::request::idempotency::Begin;
+use crate::request::idempotency::Finished;
+use crate::request::idempotency::Fingerprint;
+use crate::request::idempotency::Issuer;
+use crate::request::idempotency::IssuerConfig;
+use crate::request::idempotency::Secret;
+use crate::request::idempotency::Sequence;
+use crate::request::idempotency::Token;
+
+/// Longest answer that is kept for resends, in bytes of its body.
+const KEPT_ANSWER_BYTES: usize = 64 * 1024;
+/// Memory that a kept answer takes beside its body, in bytes.
+const KEPT_ANSWER_OVERHEAD_BYTES: usize = 1024;
+
+/// A whole answer, held so that every resend gets the same one.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Headers of the answer.
+    pub headers: HeaderMap,
+    /// Whole body of the answer.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Builds the answer for one more caller.
+    pub fn to_response(&self) -> Response<RelayBody> {
+        let mut rsp = Response::new(body::full(self.body.clone()));
+        *rsp.status_mut() = self.status;
+        *rsp.headers_mut() = self.headers.clone();
+        rsp
+    }
+
+    fn held_bytes(&self) -> usize {
+        self.body.len() + KEPT_ANSWER_OVERHEAD_BYTES
+    }
+}
+
+/// How a run under a token ended, the same for each caller that waits.
+#[derive(Clone, Debug)]
+pub enum RunEnd {
+    /// The upstream answered whole.
+    Answered(Arc<Answer>),
+    /// There is no whole answer.
+    Refused(Refusal),
+}
+
+impl RunEnd {
+    /// Builds the answer for one more caller.
+    pub fn into_result(self) -> Result<Response<RelayBody>, Refusal> {
+        match self {
+            Self::Answered(answer) => Ok(answer.to_response()),
+            Self::Refused(refusal) => Err(refusal),
+        }
+    }
+}
+
+/// Receives the end of a run.
+pub type EndReceiver = watch::Receiver<Option<RunEnd>>;
+
+/// What to do with a request under a token.
+#[derive(Debug)]
+pub enum Start {
+    /// The caller of [`Home::begin`] must run the request.
+    Run(Run, EndReceiver),
+    /// The request is running already.
+    Attach(EndReceiver),
+    /// The end is known.
+    Ended(RunEnd),
+}
+
+/// The right to run one request; its end must be reported.
+///
+/// Dropped without a report, the run counts as one that may have happened.
+#[derive(Debug)]
+pub struct Run {
+    table: Arc<Mutex<Table>>,
+    sequence: Option<Sequence>,
+    tx: watch::Sender<Option<RunEnd>>,
+}
+
+#[derive(Debug)]
+struct Table {
+    issuer: Issuer<Arc<Answer>>,
+    runs: IndexMap<Sequence, EndReceiver>,
+}
+
+/// The issuer of this daemon's tokens and the runs under them.
+#[derive(Debug)]
+pub struct Home {
+    table: Arc<Mutex<Table>>,
+}
+
+impl Home {
+    /// Creates the issuer of one run of the daemon, with a fresh secret.
+    pub fn new(addr: SocketAddr, incarnation: Incarnation, cfg: &IssuerConfig) -> Self {
+        let issuer = Issuer::new(addr, incarnation, Secret(rand::random()), cfg);
+        let table = Table { issuer, runs: IndexMap::new() };
+        Self { table: Arc::new(Mutex::new(table)) }
+    }
+
+    /// Issues a token.
+    pub fn issue(&self) -> Token {
+        self.table.lock().issuer.issue()
+    }
+
+    /// Decides on a request under a token issued here.
+    pub fn begin(&self, token: &Token, fingerprint: Fingerprint) -> Start {
+        let table = &mut *self.table.lock();
+        match table.issuer.begin(token, fingerprint) {
+            Begin::Run(sequence) => {
+                let (tx, rx) = watch::channel(None);
+                table.runs.insert(sequence, rx.clone());
+                let run = Run { table: Arc::clone(&self.table), sequence: Some(sequence), tx };
+                Start::Run(run, rx)
+            }
+            Begin::Attach(sequence) => match table.runs.get(&sequence) {
+                Some(rx) => Start::Attach(rx.clone()),
+                None => Start::Ended(refused(idempotency::Refusal::Unknown, &mut table.issuer)),
+            },
+            Begin::Kept(answer) => Start::Ended(RunEnd::Answered(Arc::clone(answer))),
+            Begin::Elsewhere(_) => {
+                Start::Ended(RunEnd::Refused(Refusal::unknown(Reason::TokenIssuerGone)))
+            }
+            Begin::Refused(refusal) => Start::Ended(refused(refusal, &mut table.issuer)),
+        }
+    }
+
+    /// Returns the number of runs in progress and the bytes that marks and
+    /// kept answers hold.
+    pub fn usage(&self) -> (usize, usize, usize) {
+        let table = self.table.lock();
+        (table.issuer.running(), table.issuer.mark_bytes(), table.issuer.answer_bytes())
+    }
+}
+
+impl Run {
+    /// Reports the end of the run to the issuer and to all that wait.
+    pub fn finish(mut self, end: RunEnd) {
+        self.report(end);
+    }
+
+    fn report(&mut self, end: RunEnd) {
+        let Some(sequence) = self.sequence.take() else { return };
+        let mut table = self.table.lock();
+        let end = table.settle(sequence, end);
+        drop(table);
+        self.tx.send_replace(Some(end));
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.report(RunEnd::Refused(Refusal::unknown(Reason::OutcomeUnknown)));
+    }
+}
+
+impl Table {
+    fn settle(&mut self, sequence: Sequence, end: RunEnd) -> RunEnd {
+        self.runs.swap_remove(&sequence);
+        let finished = match &end {
+            RunEnd::Answered(answer) => {
+                let kept = answer.body.len() <= KEPT_ANSWER_BYTES;
+                Finished::Ran { answer: kept.then(|| (Arc::clone(answer), answer.held_bytes())) }
+            }
+            RunEnd::Refused(refusal) => match refusal.outcome {
+                Outcome::NotRun => Finished::NotRun,
+                Outcome::Unknown => Finished::Unknown,
+                Outcome::Ran => Finished::Ran { answer: None },
+            },
+        };
+        self.issuer.finish(sequence, finished);
+        match end {
+            RunEnd::Refused(refusal) => RunEnd::Refused(with_fresh_token(refusal, &mut self.issuer)),
+            RunEnd::Answered(_) => end,
+        }
+    }
+}
+
+/// A request that was answered as not run needs a new token to run at all.
+fn with_fresh_token(refusal: Refusal, issuer: &mut Issuer<Arc<Answer>>) -> Refusal {
+    match refusal.outcome {
+        Outcome::NotRun => refusal.with_token(issuer.issue().to_string()),
+        Outcome::Unknown | Outcome::Ran => refusal,
+    }
+}
+
+fn refused(refusal: idempotency::Refusal, issuer: &mut Issuer<Arc<Answer>>) -> RunEnd {
+    let reason = match refusal {
+        idempotency::Refusal::OtherIncarnation => Reason::TokenIssuerGone,
+        idempotency::Refusal::Forged => Reason::TokenForged,
+        idempotency::Refusal::BoundToOther => Reason::TokenMismatch,
+        idempotency::Refusal::Ran => Reason::AlreadyRan,
+        idempotency::Refusal::NotRun => Reason::TokenVoid,
+        idempotency::Refusal::Unknown => Reason::OutcomeUnknown,
+        idempotency::Refusal::BelowWindow => Reason::TokenExpired,
+        idempotency::Refusal::TooManyRunning => Reason::Overloaded,
+    };
+    let answer = Refusal { outcome: refusal.outcome(), reason, retry_after: None, token: None };
+    RunEnd::Refused(with_fresh_token(answer, issuer))
+}
--- /dev/null
+++ b/lib/src/process/node/mod.rs
@@ -0,0 +1,126 @@
+//! The shared tables of one daemon.
+//!
+//! Locks are taken in this order, and none is held across an await:
+//! requests in progress, a request's own account, call ledger and tokens, the
+//! home of idempotency tokens, the router, the gate, the connection pools. Most
+//! code holds one at a time.
+
+mod gate;
+mod home;
+mod lifecycle;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+pub use self::gate::Gate;
+pub use self::gate::Permit;
+pub use self::home::Answer;
+pub use self::home::Home;
+pub use self::home::Run;
+pub use self::home::RunEnd;
+pub use self::home::Start;
+pub use self::lifecycle::InProgress;
+pub use self::lifecycle::Lifecycle;
+use super::Incarnation;
+use super::admission::AdmissionConfig;
+use super::clock::Clock;
+use super::config::ActiveRules;
+use super::config::ConfigHandle;
+use super::membership::VmList;
+use super::routing::Place;
+use super::routing::Router;
+use super::settings::Settings;
+use crate::connection::peers::PeerPool;
+use crate::connection::upstream::UpstreamPool;
+use crate::request::idempotency::IssuerConfig;
+use crate::request::parent::Parents;
+
+/// Everything that the requests of one daemon share.
+#[derive(Debug)]
+pub struct Node {
+    /// What the daemon was started with.
+    pub settings: Settings,
+    /// Identity of this run.
+    pub incarnation: Incarnation,
+    /// Where other daemons reach this one.
+    pub peer_addr: SocketAddr,
+    /// Time since the start.
+    pub clock: Clock,
+    /// Requests in progress at the local upstream.
+    pub parents: Arc<Parents>,
+    /// Idempotency tokens issued here.
+    pub home: Home,
+    /// Choice of instances.
+    pub router: Mutex<Router>,
+    /// The way to the local upstream.
+    pub gate: Arc<Gate>,
+    /// Connections to other daemons.
+    pub peers: PeerPool,
+    /// Connections to the local upstream.
+    pub upstream: Arc<UpstreamPool>,
+    /// Whether new work is taken.
+    pub lifecycle: Arc<Lifecycle>,
+    config: ConfigHandle,
+}
+
+impl Node {
+    /// Creates the tables of a daemon whose peer listener is at `peer_addr`.
+    pub fn new(settings: Settings, peer_addr: SocketAddr, config: ConfigHandle) -> Arc<Self> {
+        let incarnation = Incarnation(rand::random());
+        let clock = Clock::start();
+        let place = Place {
+            instance: settings.daemon.instance.clone(),
+            zone: settings.daemon.zone.clone(),
+            region: settings.daemon.region.clone(),
+        };
+        let slots = settings.upstream.slots as usize;
+        let connections = settings.upstream.connections as usize;
+        let upstream = UpstreamPool::new(settings.upstream.address, connections);
+        Arc::new(Self {
+            incarnation,
+            peer_addr,
+            clock,
+            parents: Parents::new(incarnation),
+            home: Home::new(peer_addr, incarnation, &IssuerConfig::default()),
+            router: Mutex::new(Router::new(place, rand::random())),
+            gate: Gate::new(&AdmissionConfig::new(slots), clock),
+            peers: PeerPool::default(),
+            upstream,
+            lifecycle: Arc::default(),
+            config,
+            settings,
+        })
+    }
+
+    /// Returns the rules in force; `None` before the first are heard of.
+    pub fn rules(&self) -> Option<Arc<ActiveRules>> {
+        self.config.rules.borrow().clone()
+    }
+
+    /// Returns the list of VMs in force; `None` before the first is heard of.
+    pub fn vms(&self) -> Option<Arc<VmList>> {
+        self.config.vms.borrow().clone()
+    }
+
+    /// Returns the configuration in force and its sources.
+    pub fn config(&self) -> &ConfigHandle {
+        &self.config
+    }
+
+    /// Hands each new list of VMs to the router, for as long as lists come.
+    pub async fn follow_vms(self: Arc<Self>) {
+        let mut vms: watch::Receiver<_> = self.config.vms.clone();
+        loop {
+            let list = vms.borrow_and_update().clone();
+            if let Some(list) = list {
+                self.router.lock().apply(self.clock.now(), &list);
+            }
+            if vms.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -8,6 +8,7 @@
 pub mod parent;
 mod refusal;
 pub mod retries;
+pub mod serve;
 
 pub use context::Context;
 pub use context::ContextError;
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -115,6 +115,45 @@
     Other = "other", BAD_GATEWAY;
 }
 
+impl Reason {
+    /// Whether another instance of the service might answer otherwise.
+    pub fn may_differ_elsewhere(self) -> bool {
+        match self {
+            Self::NoConfiguration
+            | Self::Overloaded
+            | Self::Leaving
+            | Self::NoInstance
+            | Self::UnknownService
+            | Self::UpstreamUnreachable
+            | Self::UpstreamFailed
+            | Self::UpstreamShed
+            | Self::PeerUnreachable
+            | Self::PeerFailed
+            | Self::Other => true,
+            Self::Malformed
+            | Self::BadBody
+            | Self::Expired
+            | Self::DeadlineExceeded
+            | Self::AnswerTooLong
+            | Self::TokenRequired
+            | Self::TokenMalformed
+            | Self::TokenForged
+            | Self::TokenIssuerGone
+            | Self::TokenIssuerUnreachable
+            | Self::TokenMismatch
+            | Self::TokenVoid
+            | Self::TokenExpired
+            | Self::AlreadyRan
+            | Self::OutcomeUnknown
+            | Self::StillRunning
+            | Self::ParentGone
+            | Self::RetriesSpent
+            | Self::RerunForbidden
+            | Self::TooDeep => false,
+        }
+    }
+}
+
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.as_str())
--- /dev/null
+++ b/lib/src/request/serve/attempt.rs
@@ -0,0 +1,164 @@
+//! One attempt at one instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http_body_util::BodyExt as _;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use super::call::Call;
+use super::owner;
+use crate::connection::body;
+use crate::connection::body::BodyEnd;
+use crate::connection::body::GuardedBody;
+use crate::connection::body::OnEnd;
+use crate::connection::body::RelayBody;
+use crate::connection::peers::PeerError;
+use crate::connection::strip::strip;
+use crate::process::InstanceId;
+use crate::process::membership::Observation;
+use crate::process::membership::Vm;
+use crate::process::node::Node;
+use crate::request::CONTEXT;
+use crate::request::Context;
+use crate::request::LEAVING;
+use crate::request::LEVEL;
+use crate::request::RETRIES_LEFT;
+use crate::request::RULES_VERSION;
+use crate::request::Reason;
+use crate::request::Refusal;
+
+/// Counts one call as outstanding at an instance until it is dropped.
+#[derive(Debug)]
+struct Outstanding {
+    node: Arc<Node>,
+    instance: InstanceId,
+}
+
+impl Outstanding {
+    fn begin(node: &Arc<Node>, instance: &InstanceId) -> Self {
+        node.router.lock().started(instance);
+        Self { node: Arc::clone(node), instance: instance.clone() }
+    }
+}
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        self.node.router.lock().finished(&self.instance);
+    }
+}
+
+impl OnEnd for Outstanding {
+    fn on_end(&mut self, _end: BodyEnd) {}
+}
+
+/// Sends a request to one instance and returns its answer without our headers.
+///
+/// # Errors
+///
+/// The refusal speaks of this attempt alone.
+pub(super) async fn attempt(
+    node: &Arc<Node>,
+    vm: &Vm,
+    call: &mut Call,
+) -> Result<Response<RelayBody>, Refusal> {
+    let Some(body) = call.payload.next() else {
+        return Err(Refusal::not_run(Reason::BadBody));
+    };
+    let outstanding = Outstanding::begin(node, &vm.instance);
+    let grant = call.account.lock().split_for_child();
+    let cx = Context {
+        remaining: call.deadline.saturating_duration_since(Instant::now()),
+        retries: grant.tokens(),
+        ..call.cx.clone()
+    };
+    let is_local = vm.instance == node.settings.daemon.instance;
+    let answered = match is_local {
+        true => Ok(owner::serve(node, cx, &call.inbound, body).await),
+        false => send(node, vm.peer, &cx, call, body).await,
+    };
+    let rsp = answered.inspect_err(|failure| observe_failure(node, vm, failure));
+    let mut rsp = rsp.map_err(|failure| failure.refusal())?;
+    let unused = read_header(rsp.headers(), &RETRIES_LEFT);
+    call.account.lock().give_back(grant, unused);
+    observe_answer(node, vm, rsp.headers());
+    if let Some(refusal) = Refusal::from_headers(rsp.headers()) {
+        return Err(refusal);
+    }
+    strip(rsp.headers_mut(), &[]);
+    let give_up = call.give_up();
+    Ok(rsp.map(|body| GuardedBody::new(body, give_up, outstanding).boxed_unsync()))
+}
+
+/// Why a peer gave no answer.
+#[derive(Debug)]
+enum Failure {
+    Malformed(Refusal),
+    Peer(PeerError),
+    TimedOut,
+}
+
+impl Failure {
+    fn refusal(self) -> Refusal {
+        match self {
+            Self::Malformed(refusal) => refusal,
+            Self::Peer(err) if err.is_unsent() => Refusal::not_run(Reason::PeerUnreachable),
+            Self::Peer(_) => Refusal::unknown(Reason::PeerFailed),
+            Self::TimedOut => Refusal::unknown(Reason::DeadlineExceeded),
+        }
+    }
+}
+
+async fn send(
+    node: &Arc<Node>,
+    peer: SocketAddr,
+    cx: &Context,
+    call: &Call,
+    body: RelayBody,
+) -> Result<Response<RelayBody>, Failure> {
+    let mut req = call.inbound.to_request(body).map_err(Failure::Malformed)?;
+    let headers = req.headers_mut();
+    if let Ok(value) = HeaderValue::try_from(cx.to_string()) {
+        headers.insert(CONTEXT, value);
+    }
+    if let Some(rules) = node.rules() {
+        headers.insert(RULES_VERSION, rules.version.into());
+    }
+    let sending = timeout_at(call.give_up(), node.peers.send(peer, req));
+    let rsp = sending.await.map_err(|_| Failure::TimedOut)?.map_err(Failure::Peer)?;
+    Ok(rsp.map(body::relay))
+}
+
+fn observe_failure(node: &Node, vm: &Vm, failure: &Failure) {
+    let seen = match failure {
+        Failure::Malformed(_) => return,
+        Failure::Peer(_) => Observation::ConnectFailed,
+        Failure::TimedOut => Observation::TimedOut,
+    };
+    node.router.lock().observe(node.clock.now(), &vm.instance, seen);
+}
+
+fn observe_answer(node: &Node, vm: &Vm, headers: &HeaderMap) {
+    let now = node.clock.now();
+    let mut router = node.router.lock();
+    router.observe(now, &vm.instance, Observation::Answered);
+    if let Some(level) = read_header(headers, &LEVEL) {
+        router.observe(now, &vm.instance, Observation::Level(level));
+    }
+    if headers.contains_key(LEAVING) {
+        router.observe(now, &vm.instance, Observation::Leaving);
+    }
+}
+
+/// Reads a header of ours; one that cannot be read counts as absent.
+pub(super) fn read_header<T: std::str::FromStr>(
+    headers: &HeaderMap,
+    name: &HeaderName,
+) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/lib/src/request/serve/call.rs
@@ -0,0 +1,110 @@
+//! Sends one request to an instance of its service, and to another if the
+//! first provably did not run it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Response;
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use super::attempt;
+use crate::connection::body::RelayBody;
+use crate::process::InstanceId;
+use crate::process::membership::Vm;
+use crate::process::node::Node;
+use crate::process::routing::NoRoute;
+use crate::process::routing::Pick;
+use crate::process::routing::Work;
+use crate::request::Context;
+use crate::request::Outcome;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::message::Inbound;
+use crate::request::message::Payload;
+use crate::request::retries::RetryAccount;
+
+/// Time beyond the deadline for which the answer to a non-idempotent request is
+/// still awaited, so that a resend can be given it.
+const LATE_ANSWER_GRACE: Duration = Duration::from_secs(30);
+/// Pause told to a caller when every instance refuses requests like its own.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// One request on its way to an instance.
+#[derive(Debug)]
+pub(super) struct Call {
+    /// Head of the request.
+    pub(super) inbound: Inbound,
+    /// Body of the request.
+    pub(super) payload: Payload,
+    /// Context, but for the time left and the retry tokens, which each attempt sets.
+    pub(super) cx: Context,
+    /// When the whole answer must have arrived.
+    pub(super) deadline: Instant,
+    /// Retry tokens that the attempts spend and lend.
+    pub(super) account: Arc<Mutex<RetryAccount>>,
+}
+
+impl Call {
+    /// Returns when waiting for an answer ends.
+    pub(super) fn give_up(&self) -> Instant {
+        match self.cx.non_idempotent {
+            true => self.deadline + LATE_ANSWER_GRACE,
+            false => self.deadline,
+        }
+    }
+
+    /// Whether one more attempt is safe, possible and paid for.
+    fn may_retry(&self, refusal: &Refusal) -> bool {
+        let is_safe = refusal.outcome == Outcome::NotRun || !self.cx.non_idempotent;
+        let is_useful = refusal.reason.may_differ_elsewhere();
+        is_safe && is_useful && self.payload.is_left() && self.account.lock().spend()
+    }
+}
+
+/// Sends a request until an instance answers or nothing more may be tried.
+///
+/// # Errors
+///
+/// The refusal's outcome speaks of all attempts together.
+pub(super) async fn call(
+    node: &Arc<Node>,
+    mut call: Call,
+) -> Result<Response<RelayBody>, Refusal> {
+    let mut tried: Vec<InstanceId> = Vec::new();
+    let mut earlier: Option<Outcome> = None;
+    loop {
+        if Instant::now() >= call.deadline {
+            return Err(Refusal::not_run(Reason::Expired).after(earlier));
+        }
+        let vm = pick(node, &call, &tried).map_err(|refusal| refusal.after(earlier))?;
+        call.cx.rerun |= earlier.is_some_and(|outcome| outcome != Outcome::NotRun);
+        let refusal = match attempt::attempt(node, &vm, &mut call).await {
+            Ok(rsp) => return Ok(rsp),
+            Err(refusal) => refusal,
+        };
+        let may_retry = call.may_retry(&refusal);
+        let refusal = refusal.after(earlier);
+        if !may_retry {
+            return Err(refusal);
+        }
+        earlier = Some(refusal.outcome);
+        tried.push(vm.instance.clone());
+    }
+}
+
+fn pick(node: &Node, call: &Call, tried: &[InstanceId]) -> Result<Arc<Vm>, Refusal> {
+    let work = Work { criticality: call.cx.criticality, hash: call.cx.hash };
+    let now = node.clock.now();
+    let picked = node.router.lock().pick(now, &call.inbound.service, &work, tried);
+    match picked {
+        Pick::To(vm) => Ok(vm),
+        Pick::None(NoRoute::UnknownService) => Err(Refusal::not_run(Reason::UnknownService)),
+        Pick::None(NoRoute::NoneWorking { retry_after }) => {
+            Err(Refusal::not_run(Reason::NoInstance).retry_after(retry_after))
+        }
+        Pick::None(NoRoute::Refused) => {
+            Err(Refusal::not_run(Reason::Overloaded).retry_after(REFUSED_RETRY_AFTER))
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/request/serve/entry.rs
@@ -0,0 +1,163 @@
+//! Serves outside callers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use super::attempt::read_header;
+use super::call::Call;
+use super::call::call;
+use super::once;
+use crate::connection::body::BodyEnd;
+use crate::connection::body::GuardedBody;
+use crate::connection::body::OnEnd;
+use crate::connection::body::RelayBody;
+use crate::connection::strip::strip;
+use crate::process::node::InProgress;
+use crate::process::node::Node;
+use crate::request::Context;
+use crate::request::DEADLINE_MS;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::RequestId;
+use crate::request::TOKEN;
+use crate::request::idempotency::Token;
+use crate::request::message::Inbound;
+use crate::request::message::Payload;
+use crate::request::retries::RetryAccount;
+use crate::version::rules::Rule;
+
+/// Time for which an answer in progress is relayed beyond its deadline.
+const BODY_GRACE: Duration = Duration::from_secs(60);
+
+impl OnEnd for InProgress {
+    fn on_end(&mut self, _end: BodyEnd) {}
+}
+
+/// Answers one request of an outside caller.
+///
+/// # Errors
+///
+/// None: every failure is an answer.
+pub async fn serve_caller(
+    node: Arc<Node>,
+    req: Request<Incoming>,
+) -> Result<Response<RelayBody>, Infallible> {
+    let in_progress = node.lifecycle.begin();
+    let served = try_serve(&node, req).await;
+    let mut rsp = served.unwrap_or_else(Refusal::into_response);
+    if node.lifecycle.is_leaving() {
+        let close = header::HeaderValue::from_static("close");
+        rsp.headers_mut().insert(header::CONNECTION, close);
+    }
+    let latest = Instant::now() + node.settings.limits.max_deadline + BODY_GRACE;
+    Ok(rsp.map(|body| GuardedBody::new(body, latest, in_progress).boxed_unsync()))
+}
+
+async fn try_serve(
+    node: &Arc<Node>,
+    req: Request<Incoming>,
+) -> Result<Response<RelayBody>, Refusal> {
+    let (mut inbound, body) = Inbound::read(req)?;
+    let token = take_token(&mut inbound.headers)?;
+    let wanted = take_deadline(&mut inbound.headers)?;
+    strip(&mut inbound.headers, &[]);
+    let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
+    let (method, path) = (&inbound.method, inbound.path.path());
+    let rule = rules.rules.find(inbound.service.as_str(), method, path);
+    let allowed = rule.deadline.min(node.settings.limits.max_deadline);
+    let deadline = Instant::now() + wanted.unwrap_or(allowed).min(allowed);
+    match token {
+        Some(token) if token.issuer == node.peer_addr => {
+            let payload = Payload::read(body).await;
+            let payload = payload.map_err(|refusal| Refusal::unknown(refusal.reason))?;
+            let call = root_call(node, inbound, payload, rule, deadline, token.sequence.0);
+            once::run_under_token(node, &token, call).await
+        }
+        Some(token) => {
+            let payload = Payload::read(body).await;
+            let payload = payload.map_err(|refusal| Refusal::unknown(refusal.reason))?;
+            once::send_to_issuer(node, &token, &inbound, payload, deadline).await
+        }
+        None if !rule.idempotent => Err(hand_out_token(node)),
+        None => {
+            let payload = Payload::read(body).await?;
+            let id: u64 = rand::random();
+            call(node, root_call(node, inbound, payload, rule, deadline, id)).await
+        }
+    }
+}
+
+/// Refuses a request that needs a token, with a token for the next try.
+///
+/// A daemon that is leaving issues none, since they would outlive it.
+fn hand_out_token(node: &Node) -> Refusal {
+    match node.lifecycle.is_leaving() {
+        true => Refusal::not_run(Reason::Leaving).retry_after(Duration::from_secs(1)),
+        false => {
+            Refusal::not_run(Reason::TokenRequired).with_token(node.home.issue().to_string())
+        }
+    }
+}
+
+/// Builds the call at the root of a chain, which mints its retry tokens.
+pub(super) fn root_call(
+    node: &Node,
+    inbound: Inbound,
+    payload: Payload,
+    rule: &Rule,
+    deadline: Instant,
+    seed: u64,
+) -> Call {
+    let id = RequestId(u128::from(node.incarnation.0) << 64 | u128::from(seed));
+    let cx = Context {
+        id,
+        criticality: rule.criticality,
+        hash: admission_hash(id),
+        remaining: Duration::ZERO,
+        retries: 0,
+        depth: 0,
+        non_idempotent: !rule.idempotent,
+        weight: rule.weight,
+        may_wait: rule.may_wait,
+        rerun: false,
+        sender: node.incarnation,
+    };
+    let account = Arc::new(Mutex::new(RetryAccount::mint(rule.retries)));
+    Call { inbound, payload, cx, deadline, account }
+}
+
+/// Spreads requests evenly over the hashes that admission levels speak of.
+fn admission_hash(id: RequestId) -> u16 {
+    use std::hash::Hasher as _;
+    let mut hasher = siphasher::sip::SipHasher13::new();
+    hasher.write_u128(id.0);
+    hasher.finish() as u16
+}
+
+/// Takes the caller's token; one that cannot be read may be the damaged copy
+/// of one that ran.
+pub(super) fn take_token(headers: &mut HeaderMap) -> Result<Option<Token>, Refusal> {
+    let Some(value) = headers.remove(TOKEN) else { return Ok(None) };
+    let token = value.to_str().ok().and_then(|text| text.parse().ok());
+    token.map(Some).ok_or(Refusal::unknown(Reason::TokenMalformed))
+}
+
+/// Takes the deadline that the sender asks for, in place of the rule's longer one.
+pub(super) fn take_deadline(headers: &mut HeaderMap) -> Result<Option<Duration>, Refusal> {
+    if !headers.contains_key(DEADLINE_MS) {
+        return Ok(None);
+    }
+    let wanted = read_header(headers, &DEADLINE_MS).map(Duration::from_millis);
+    headers.remove(DEADLINE_MS);
+    wanted.map(Some).ok_or(Refusal::not_run(Reason::Malformed))
+}
--- /dev/null
+++ b/lib/src/request/serve/mod.rs
@@ -0,0 +1,18 @@
+//! The way of one request through the daemon, by the listener it came from.
+//!
+//! [`entry`] serves outside callers, [`outbound`] the local upstream's own
+//! calls, [`peer`] other daemons. All three meet in [`call`], which sends a
+//! request to an instance of its service, and [`owner`], which hands it to the
+//! local upstream. See `docs/architecture.md`.
+
+mod attempt;
+mod call;
+mod entry;
+mod once;
+mod outbound;
+mod owner;
+mod peer;
+
+pub use entry::serve_caller;
+pub use outbound::serve_upstream;
+pub use peer::serve_peer;
--- /dev/null
+++ b/lib/src/request/serve/once.rs
@@ -0,0 +1,131 @@
+//! Runs non-idempotent requests at most one time each.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Response;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use super::call::Call;
+use super::call::call;
+use super::owner::MAX_HELD_ANSWER_BYTES;
+use crate::connection::body;
+use crate::connection::body::RelayBody;
+use crate::process::node::Answer;
+use crate::process::node::Node;
+use crate::process::node::RunEnd;
+use crate::process::node::Start;
+use crate::request::DEADLINE_MS;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::TOKEN;
+use crate::request::idempotency::Token;
+use crate::request::message::Inbound;
+use crate::request::message::Payload;
+
+/// Pause told to a caller whose request is still in progress at its deadline.
+const STILL_RUNNING_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Runs a request under a token issued here, or gives the answer of its run.
+///
+/// The run belongs to the token, not to the caller: it goes on when the caller
+/// goes away, and a resend waits for the same answer.
+pub(super) async fn run_under_token(
+    node: &Arc<Node>,
+    token: &Token,
+    request: Call,
+) -> Result<Response<RelayBody>, Refusal> {
+    let deadline = request.deadline;
+    let fingerprint = request.inbound.fingerprint();
+    let mut rx = match node.home.begin(token, fingerprint) {
+        Start::Ended(end) => return end.into_result(),
+        Start::Attach(rx) => rx,
+        Start::Run(run, rx) => {
+            let node = Arc::clone(node);
+            let in_progress = node.lifecycle.begin();
+            tokio::spawn(async move {
+                run.finish(execute(&node, request).await);
+                drop(in_progress);
+            });
+            rx
+        }
+    };
+    let ended = timeout_at(deadline, rx.wait_for(Option::is_some)).await;
+    match ended {
+        Ok(Ok(end)) => match end.clone() {
+            Some(end) => end.into_result(),
+            None => Err(Refusal::unknown(Reason::OutcomeUnknown)),
+        },
+        Ok(Err(_)) => Err(Refusal::unknown(Reason::OutcomeUnknown)),
+        Err(_) => {
+            Err(Refusal::unknown(Reason::StillRunning).retry_after(STILL_RUNNING_RETRY_AFTER))
+        }
+    }
+}
+
+async fn execute(node: &Arc<Node>, request: Call) -> RunEnd {
+    let rsp = match call(node, request).await {
+        Ok(rsp) => rsp,
+        Err(refusal) => return RunEnd::Refused(refusal),
+    };
+    let (parts, body) = rsp.into_parts();
+    match body::collect(body, MAX_HELD_ANSWER_BYTES).await {
+        Ok(body) => {
+            let answer = Answer { status: parts.status, headers: parts.headers, body };
+            RunEnd::Answered(Arc::new(answer))
+        }
+        Err(body::RelayError::TooLong { .. }) => {
+            RunEnd::Refused(Refusal::ran(Reason::AnswerTooLong))
+        }
+        Err(_) => RunEnd::Refused(Refusal::ran(Reason::PeerFailed)),
+    }
+}
+
+/// Sends a request to the daemon that issued its token, and nowhere else.
+///
+/// Nothing but that daemon's own word makes the outcome `not-run`: a copy of
+/// the request may be running there while this one fails on its way.
+pub(super) async fn send_to_issuer(
+    node: &Arc<Node>,
+    token: &Token,
+    inbound: &Inbound,
+    mut payload: Payload,
+    deadline: Instant,
+) -> Result<Response<RelayBody>, Refusal> {
+    if !is_listed(node, token.issuer) {
+        return Err(Refusal::unknown(Reason::TokenIssuerGone));
+    }
+    let body = payload.next().unwrap_or_else(body::empty);
+    let to_request = inbound.to_request(body);
+    let mut req = to_request.map_err(|refusal| Refusal::unknown(refusal.reason))?;
+    let headers = req.headers_mut();
+    if let Ok(value) = HeaderValue::try_from(token.to_string()) {
+        headers.insert(TOKEN, value);
+    }
+    let left = deadline.saturating_duration_since(Instant::now());
+    headers.insert(DEADLINE_MS, u64::try_from(left.as_millis()).unwrap_or(u64::MAX).into());
+    let rsp = match timeout_at(deadline, node.peers.send(token.issuer, req)).await {
+        Ok(Ok(rsp)) => rsp.map(body::relay),
+        Ok(Err(err)) if err.is_unsent() => {
+            let refusal = Refusal::unknown(Reason::TokenIssuerUnreachable);
+            return Err(refusal.retry_after(STILL_RUNNING_RETRY_AFTER));
+        }
+        Ok(Err(_)) => return Err(Refusal::unknown(Reason::PeerFailed)),
+        Err(_) => {
+            let refusal = Refusal::unknown(Reason::StillRunning);
+            return Err(refusal.retry_after(STILL_RUNNING_RETRY_AFTER));
+        }
+    };
+    match Refusal::from_headers(rsp.headers()) {
+        Some(refusal) => Err(refusal),
+        None => Ok(rsp),
+    }
+}
+
+/// A token may name any address; only listed daemons are ever connected to.
+fn is_listed(node: &Node, issuer: SocketAddr) -> bool {
+    node.vms().is_some_and(|list| list.vms.iter().any(|vm| vm.peer == issuer))
+}
--- /dev/null
+++ b/lib/src/request/serve/outbound.rs
@@ -0,0 +1,151 @@
+//! Serves the calls that the local upstream makes.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::attempt::read_header;
+use super::call::Call;
+use super::call::call;
+use super::entry::serve_caller;
+use super::once;
+use crate::connection::body::RelayBody;
+use crate::connection::strip::strip;
+use crate::process::node::Node;
+use crate::request::CONTEXT;
+use crate::request::Context;
+use crate::request::IDEMPOTENCY_KEY;
+use crate::request::Outcome;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::idempotency::Token;
+use crate::request::message::Inbound;
+use crate::request::message::Payload;
+use crate::request::parent::Handle;
+use crate::request::parent::Parent;
+use crate::request::retries;
+use crate::request::retries::Attempt;
+use crate::version::rules::Rule;
+
+/// Answers one call of the local upstream.
+///
+/// A call without a context is one that the upstream makes for itself; it is
+/// served like that of an outside caller.
+///
+/// # Errors
+///
+/// None: every failure is an answer.
+pub async fn serve_upstream(
+    node: Arc<Node>,
+    req: Request<Incoming>,
+) -> Result<Response<RelayBody>, Infallible> {
+    if !req.headers().contains_key(CONTEXT) {
+        return serve_caller(node, req).await;
+    }
+    let served = serve_child(&node, req).await;
+    Ok(served.unwrap_or_else(Refusal::into_response))
+}
+
+async fn serve_child(
+    node: &Arc<Node>,
+    req: Request<Incoming>,
+) -> Result<Response<RelayBody>, Refusal> {
+    let handle: Option<Handle> = read_header(req.headers(), &CONTEXT);
+    let parent = handle.and_then(|handle| node.parents.find(handle));
+    let parent = parent.ok_or(Refusal::not_run(Reason::ParentGone))?;
+    let (mut inbound, incoming) = Inbound::read(req)?;
+    strip(&mut inbound.headers, &[]);
+    let earlier = pay_for_repeat(&parent, &inbound)?;
+    let payload = Payload::read(incoming).await.map_err(|refusal| refusal.after(earlier))?;
+    let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
+    let (method, path) = (&inbound.method, inbound.path.path());
+    let rule = rules.rules.find(inbound.service.as_str(), method, path);
+    let call = child_call(node, &parent, inbound, payload, rule);
+    parent.child_may_run();
+    let served = run_child(node, &parent, call).await;
+    if served.as_ref().is_err_and(|refusal| refusal.outcome == Outcome::NotRun) {
+        parent.child_did_not_run();
+    }
+    served.map_err(|refusal| refusal.after(earlier))
+}
+
+/// Takes a retry token for a call that the upstream repeats.
+///
+/// Returns what may have become of the earlier attempt, since a refusal speaks
+/// of the call and not of its last attempt.
+fn pay_for_repeat(parent: &Parent, inbound: &Inbound) -> Result<Option<Outcome>, Refusal> {
+    let key = inbound.headers.get(IDEMPOTENCY_KEY).map(|key| key.as_bytes());
+    let call = retries::Call {
+        service: inbound.service.as_str(),
+        method: &inbound.method,
+        path: inbound.path.as_str(),
+        key,
+    };
+    let mut account = parent.account.lock();
+    match parent.calls.lock().attempt(&call, &mut account) {
+        Attempt::First => Ok(None),
+        Attempt::Retry => Ok(Some(Outcome::Unknown)),
+        Attempt::Exhausted => Err(Refusal::unknown(Reason::RetriesSpent)),
+        Attempt::TooManyCalls => Err(Refusal::not_run(Reason::RetriesSpent)),
+    }
+}
+
+fn child_call(
+    node: &Node,
+    parent: &Parent,
+    inbound: Inbound,
+    payload: Payload,
+    rule: &Rule,
+) -> Call {
+    let cx = Context {
+        depth: parent.cx.depth.saturating_add(1),
+        non_idempotent: !rule.idempotent,
+        sender: node.incarnation,
+        ..parent.cx.clone()
+    };
+    let deadline = parent.deadline.min(Instant::now() + rule.deadline);
+    Call { inbound, payload, cx, deadline, account: Arc::clone(&parent.account) }
+}
+
+async fn run_child(
+    node: &Arc<Node>,
+    parent: &Parent,
+    request: Call,
+) -> Result<Response<RelayBody>, Refusal> {
+    if request.cx.non_idempotent {
+        return run_non_idempotent(node, parent, request).await;
+    }
+    tokio::select! {
+        served = call(node, request) => served,
+        () = parent.ended.cancelled() => Err(Refusal::unknown(Reason::ParentGone)),
+    }
+}
+
+/// Runs a non-idempotent call under a token that this daemon issues for it.
+///
+/// If the calling request may have run before, the call may have, too.
+async fn run_non_idempotent(
+    node: &Arc<Node>,
+    parent: &Parent,
+    request: Call,
+) -> Result<Response<RelayBody>, Refusal> {
+    if parent.cx.rerun {
+        return Err(Refusal::unknown(Reason::RerunForbidden));
+    }
+    let fingerprint = request.inbound.fingerprint();
+    let token: Token =
+        parent.tokens.lock().entry(fingerprint).or_insert_with(|| node.home.issue()).clone();
+    let served = once::run_under_token(node, &token, request).await;
+    if served.as_ref().is_err_and(|refusal| refusal.outcome == Outcome::NotRun) {
+        // The token is void now; a repeat of the call needs a fresh one.
+        let mut tokens = parent.tokens.lock();
+        if tokens.get(&fingerprint) == Some(&token) {
+            tokens.swap_remove(&fingerprint);
+        }
+    }
+    served
+}
--- /dev/null
+++ b/lib/src/request/serve/owner.rs
@@ -0,0 +1,279 @@
+//! Hands a request to the local upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::connection::body;
+use crate::connection::body::BodyEnd;
+use crate::connection::body::GuardedBody;
+use crate::connection::body::OnEnd;
+use crate::connection::body::RelayBody;
+use crate::connection::strip::strip;
+use crate::connection::upstream::Lease;
+use crate::process::admission::Completion;
+use crate::process::admission::Level;
+use crate::process::admission::Shed;
+use crate::process::admission::ShedReason;
+use crate::process::admission::Work;
+use crate::process::node::InProgress;
+use crate::process::node::Node;
+use crate::process::node::Permit;
+use crate::request::CONTEXT;
+use crate::request::Context;
+use crate::request::DEADLINE_MS;
+use crate::request::LEAVING;
+use crate::request::LEVEL;
+use crate::request::OUTCOME;
+use crate::request::RETRIES_LEFT;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::message::Inbound;
+use crate::request::message::remove_hop_by_hop;
+use crate::request::parent::OpenParent;
+
+/// Deepest chain of calls that is served.
+const MAX_DEPTH: u8 = 64;
+/// Time beyond the deadline for which a non-idempotent request that has begun
+/// is left to finish.
+const LATE_FINISH_GRACE: Duration = Duration::from_secs(30);
+/// Longest whole answer to a non-idempotent request, in bytes.
+pub(super) const MAX_HELD_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Serves a request for the local upstream and marks the answer for the sender.
+pub(super) async fn serve(
+    node: &Arc<Node>,
+    cx: Context,
+    inbound: &Inbound,
+    body: RelayBody,
+) -> Response<RelayBody> {
+    let served = try_serve(node, cx, inbound, body).await;
+    let mut rsp = served.unwrap_or_else(Refusal::into_response);
+    let level = node.gate.level();
+    if level != Level::OPEN
+        && let Ok(value) = HeaderValue::try_from(level.to_string())
+    {
+        rsp.headers_mut().insert(LEVEL, value);
+    }
+    if node.lifecycle.is_leaving() {
+        rsp.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
+    }
+    rsp
+}
+
+async fn try_serve(
+    node: &Arc<Node>,
+    cx: Context,
+    inbound: &Inbound,
+    body: RelayBody,
+) -> Result<Response<RelayBody>, Refusal> {
+    let in_progress = node.lifecycle.begin();
+    if node.lifecycle.is_leaving() {
+        return Err(Refusal::not_run(Reason::Leaving));
+    }
+    if cx.depth > MAX_DEPTH {
+        return Err(Refusal::not_run(Reason::TooDeep));
+    }
+    let deadline = Instant::now() + cx.remaining;
+    let work = work(node, &cx);
+    let permit = node.gate.enter(work).await.map_err(shed)?;
+    // The process may have been paused while the request waited.
+    if Instant::now() >= deadline {
+        return Err(Refusal::not_run(Reason::Expired));
+    }
+    let non_idempotent = cx.non_idempotent;
+    let parent = node.parents.open(cx, deadline);
+    let req = upstream_request(node, inbound, body, &parent, deadline);
+    let exchange = Exchange { parent, permit, in_progress, deadline };
+    match non_idempotent {
+        true => run_detached(node, req, exchange).await,
+        false => run_attached(node, req, exchange).await,
+    }
+}
+
+/// One request at the upstream, with all that must be held until it ends.
+struct Exchange {
+    parent: OpenParent,
+    permit: Permit,
+    in_progress: InProgress,
+    deadline: Instant,
+}
+
+impl Exchange {
+    fn complete(self, completion: Completion) {
+        self.permit.complete(completion);
+    }
+}
+
+/// Runs a request that ends when its caller goes away.
+async fn run_attached(
+    node: &Arc<Node>,
+    req: Request<RelayBody>,
+    exchange: Exchange,
+) -> Result<Response<RelayBody>, Refusal> {
+    let deadline = exchange.deadline;
+    let (rsp, lease, exchange) = send(node, req, exchange, deadline).await?;
+    let retries = exchange.parent.parent().take_retries();
+    let guard = Guard { exchange: Some(exchange), lease: Some(lease) };
+    let body = |body| GuardedBody::new(body::relay(body), deadline, guard).boxed_unsync();
+    let mut rsp = rsp.map(body);
+    rsp.headers_mut().insert(RETRIES_LEFT, retries.into());
+    Ok(rsp)
+}
+
+/// Runs a request that goes on to its end though its caller goes away, because
+/// stopping it half way would leave its effect unknown.
+async fn run_detached(
+    node: &Arc<Node>,
+    req: Request<RelayBody>,
+    exchange: Exchange,
+) -> Result<Response<RelayBody>, Refusal> {
+    let (tx, rx) = oneshot::channel();
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        let answered = run_to_end(&node, req, exchange).await;
+        // Without a receiver, the upstream's work is done all the same.
+        let _ = tx.send(answered);
+    });
+    rx.await.unwrap_or_else(|_| Err(Refusal::unknown(Reason::UpstreamFailed)))
+}
+
+async fn run_to_end(
+    node: &Arc<Node>,
+    req: Request<RelayBody>,
+    exchange: Exchange,
+) -> Result<Response<RelayBody>, Refusal> {
+    let give_up = exchange.deadline + LATE_FINISH_GRACE;
+    let (rsp, lease, exchange) = send(node, req, exchange, give_up).await?;
+    let (parts, incoming) = rsp.into_parts();
+    let guard = Guard { exchange: None, lease: Some(lease) };
+    let guarded = GuardedBody::new(body::relay(incoming), give_up, guard).boxed_unsync();
+    let held = body::collect(guarded, MAX_HELD_ANSWER_BYTES).await;
+    let retries = exchange.parent.parent().take_retries();
+    let Ok(held) = held else {
+        exchange.complete(Completion::Failed);
+        return Err(Refusal::ran(Reason::UpstreamFailed));
+    };
+    exchange.complete(Completion::Answered);
+    let mut rsp = Response::from_parts(parts, body::full(held));
+    rsp.headers_mut().insert(RETRIES_LEFT, retries.into());
+    Ok(rsp)
+}
+
+/// Sends a request to the upstream and waits for the head of its answer.
+async fn send(
+    node: &Arc<Node>,
+    req: Request<RelayBody>,
+    exchange: Exchange,
+    give_up: Instant,
+) -> Result<(Response<Incoming>, Lease, Exchange), Refusal> {
+    let (mut rsp, lease) = match timeout_at(give_up, node.upstream.send(req)).await {
+        Ok(Ok(answered)) => answered,
+        Ok(Err(err)) if err.is_unsent() => {
+            exchange.complete(Completion::Failed);
+            return Err(Refusal::not_run(Reason::UpstreamUnreachable));
+        }
+        Ok(Err(_)) => {
+            exchange.complete(Completion::Failed);
+            return Err(Refusal::unknown(Reason::UpstreamFailed));
+        }
+        Err(_) => {
+            exchange.complete(Completion::TimedOut);
+            return Err(Refusal::unknown(Reason::DeadlineExceeded));
+        }
+    };
+    if is_shed(&rsp, &exchange) {
+        exchange.complete(Completion::Overloaded);
+        return Err(Refusal::not_run(Reason::UpstreamShed));
+    }
+    exchange.permit.answer_started();
+    remove_hop_by_hop(rsp.headers_mut());
+    strip(rsp.headers_mut(), &[]);
+    Ok((rsp, lease, exchange))
+}
+
+/// Whether the upstream says that it did not run the request.
+///
+/// It is believed only if no call was made on the request's behalf: what ran
+/// below belongs to the request, too.
+fn is_shed(rsp: &Response<Incoming>, exchange: &Exchange) -> bool {
+    let says_not_run = rsp.headers().get(OUTCOME).is_some_and(|value| value == "not-run");
+    says_not_run
+        && rsp.status() == StatusCode::SERVICE_UNAVAILABLE
+        && !exchange.parent.parent().has_child_that_may_have_run()
+}
+
+/// Ends the exchange with the body of its answer.
+struct Guard {
+    exchange: Option<Exchange>,
+    lease: Option<Lease>,
+}
+
+impl OnEnd for Guard {
+    fn on_end(&mut self, end: BodyEnd) {
+        let lease = self.lease.take();
+        if let (BodyEnd::Whole, Some(lease)) = (end, lease) {
+            lease.release();
+        }
+        let Some(exchange) = self.exchange.take() else { return };
+        exchange.complete(match end {
+            BodyEnd::Whole => Completion::Answered,
+            BodyEnd::Failed => Completion::Failed,
+            BodyEnd::Dropped => Completion::Cancelled,
+        });
+    }
+}
+
+fn work(node: &Node, cx: &Context) -> Work {
+    Work {
+        criticality: cx.criticality,
+        hash: cx.hash,
+        depth: cx.depth,
+        deadline: node.clock.now() + cx.remaining,
+        may_wait: cx.may_wait,
+        weight: cx.weight,
+    }
+}
+
+fn shed(shed: Shed) -> Refusal {
+    let reason = match shed.reason {
+        ShedReason::Level | ShedReason::QueueFull | ShedReason::NoWait => Reason::Overloaded,
+        ShedReason::Deadline => Reason::Expired,
+    };
+    Refusal::not_run(reason).retry_after(shed.retry_after)
+}
+
+fn upstream_request(
+    node: &Node,
+    inbound: &Inbound,
+    body: RelayBody,
+    parent: &OpenParent,
+    deadline: Instant,
+) -> Request<RelayBody> {
+    let mut req = Request::new(body);
+    *req.method_mut() = inbound.method.clone();
+    *req.uri_mut() = inbound.path.clone().into();
+    *req.headers_mut() = inbound.headers.clone();
+    let headers = req.headers_mut();
+    strip(headers, &[]);
+    let host = HeaderValue::from_str(node.settings.daemon.service.as_str());
+    if let Ok(host) = host {
+        headers.insert(http::header::HOST, host);
+    }
+    if let Ok(handle) = HeaderValue::try_from(parent.handle().to_string()) {
+        headers.insert(CONTEXT, handle);
+    }
+    let left = deadline.saturating_duration_since(Instant::now());
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(DEADLINE_MS, left_ms.into());
+    req
+}
--- /dev/null
+++ b/lib/src/request/serve/peer.rs
@@ -0,0 +1,87 @@
+//! Serves other daemons.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::attempt::read_header;
+use super::entry::root_call;
+use super::entry::take_deadline;
+use super::entry::take_token;
+use super::once;
+use super::owner;
+use crate::connection::body;
+use crate::connection::body::RelayBody;
+use crate::process::node::Node;
+use crate::request::CONTEXT;
+use crate::request::Context;
+use crate::request::RULES_VERSION;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::TOKEN;
+use crate::request::message::Inbound;
+use crate::request::message::Payload;
+
+/// Answers one request of another daemon.
+///
+/// # Errors
+///
+/// None: every failure is an answer.
+pub async fn serve_peer(
+    node: Arc<Node>,
+    req: Request<Incoming>,
+) -> Result<Response<RelayBody>, Infallible> {
+    if let Some(version) = read_header(req.headers(), &RULES_VERSION) {
+        node.config().heard_of(version);
+    }
+    let served = match req.headers().contains_key(TOKEN) {
+        true => serve_issuer(&node, req).await,
+        false => serve_owner(&node, req).await,
+    };
+    Ok(served.unwrap_or_else(Refusal::into_response))
+}
+
+/// Serves a request for the local upstream.
+async fn serve_owner(
+    node: &Arc<Node>,
+    req: Request<Incoming>,
+) -> Result<Response<RelayBody>, Refusal> {
+    let cx: Option<Context> = read_header(req.headers(), &CONTEXT);
+    let cx = cx.ok_or(Refusal::not_run(Reason::Malformed))?;
+    let (inbound, incoming) = Inbound::read(req)?;
+    // The address may have been taken over by an instance of another service.
+    if inbound.service != node.settings.daemon.service {
+        return Err(Refusal::not_run(Reason::UnknownService));
+    }
+    Ok(owner::serve(node, cx, &inbound, body::relay(incoming)).await)
+}
+
+/// Serves a request under a token that this daemon issued.
+async fn serve_issuer(
+    node: &Arc<Node>,
+    req: Request<Incoming>,
+) -> Result<Response<RelayBody>, Refusal> {
+    let (mut inbound, incoming) = Inbound::read(req).map_err(maybe_run_before)?;
+    let token = take_token(&mut inbound.headers)?;
+    let token = token.ok_or(Refusal::unknown(Reason::TokenMalformed))?;
+    let wanted = take_deadline(&mut inbound.headers).map_err(maybe_run_before)?;
+    let payload = Payload::read(incoming).await.map_err(maybe_run_before)?;
+    let rules = node.rules().ok_or(Refusal::unknown(Reason::NoConfiguration))?;
+    let (method, path) = (&inbound.method, inbound.path.path());
+    let rule = rules.rules.find(inbound.service.as_str(), method, path);
+    let allowed = rule.deadline.min(node.settings.limits.max_deadline);
+    let deadline = Instant::now() + wanted.unwrap_or(allowed).min(allowed);
+    let mut call = root_call(node, inbound, payload, rule, deadline, token.sequence.0);
+    // Whatever the rule says now, the token promises one run at most.
+    call.cx.non_idempotent = true;
+    once::run_under_token(node, &token, call).await
+}
+
+/// A copy of the request may have run before this one was found unreadable.
+fn maybe_run_before(refusal: Refusal) -> Refusal {
+    Refusal::unknown(refusal.reason)
+}
