testutils: add stand-ins for platform, upstreams and callers

The path and its proofs need the other sides of every interface. The stand-ins keep no cluster of their own: a platform with watches that can be down, slow, stale or go back a version, an upstream with a ledger of what ran, an open-loop caller that compares each answer with its own mark.

--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,1 +1,15 @@
-//! Stand-ins for the platform, the upstreams and the callers.
+//! Small stand-ins for what surrounds endivescale: the platform, the upstreams
+//! and the callers.
+//!
+//! Each is a module that tests run in their own process, on ports that the
+//! system picks, and a thin program under `src/bin/` for runs with separate
+//! processes.
+
+pub mod caller;
+pub mod error;
+pub mod headers;
+pub mod http;
+pub mod mark;
+pub mod platform;
+pub mod program;
+pub mod upstream;
