--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -13,6 +13,7 @@
 pub use ids::Incarnation;
 pub use ids::InstanceId;
 pub use ids::ParseIncarnationError;
+pub use ids::Region;
 pub use ids::ServiceName;
 pub use ids::Zone;
 pub use units::DurationText;
