--- /dev/null
+++ b/lib/src/version/rules/attributes.rs
@@ -0,0 +1,160 @@
+//! The attributes of a rule, which follow its path in any order.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use http::Method;
+
+use super::MethodPattern;
+use super::Rule;
+use super::error::ProblemKind;
+use super::parser::Sink;
+use super::words::Word;
+use crate::process::DurationText;
+use crate::version::Criticality;
+
+const WEIGHTS: RangeInclusive<u32> = 1..=1_000_000;
+const RETRIES: RangeInclusive<u32> = 0..=100;
+const DEADLINES: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(86_400);
+
+const DEFAULT_WEIGHT: u32 = 1;
+const DEFAULT_RETRIES: u32 = 0;
+
+/// Attributes as written; an absent one is `None`.
+#[derive(Default)]
+pub(super) struct Attributes {
+    criticality: Option<Criticality>,
+    weight: Option<u32>,
+    idempotent: Option<bool>,
+    retries: Option<u32>,
+    deadline: Option<Duration>,
+    may_wait: Option<bool>,
+}
+
+/// Attributes with the defaults filled in.
+pub(super) struct Resolved {
+    pub(super) criticality: Criticality,
+    pub(super) weight: u32,
+    pub(super) idempotent: bool,
+    pub(super) retries: u32,
+    pub(super) deadline: Duration,
+    pub(super) may_wait: bool,
+}
+
+impl Attributes {
+    /// Parses the words after the path; `None` if any is at fault.
+    pub(super) fn parse<'a>(
+        words: impl Iterator<Item = Word<'a>>,
+        end: Word<'_>,
+        sink: &mut Sink<'_>,
+    ) -> Option<Self> {
+        let mut attributes = Self::default();
+        let mut sound = true;
+        for word in words {
+            if let Err(kind) = attributes.set(word.text) {
+                sink.push(word, kind);
+                sound = false;
+            }
+        }
+        if sound && attributes.criticality.is_none() {
+            let example = "criticality=normal";
+            sink.push(end, ProblemKind::MissingAttribute { attribute: "criticality", example });
+            sound = false;
+        }
+        sound.then_some(attributes)
+    }
+
+    fn set(&mut self, word: &str) -> Result<(), ProblemKind> {
+        match word.split_once('=') {
+            Some(("criticality", value)) => {
+                store(&mut self.criticality, "criticality", criticality(value)?)
+            }
+            Some(("weight", value)) => {
+                let accepted = "1 to 1000000";
+                store(&mut self.weight, "weight", number("weight", value, &WEIGHTS, accepted)?)
+            }
+            Some(("retries", value)) => {
+                let accepted = "0 to 100";
+                store(&mut self.retries, "retries", number("retries", value, &RETRIES, accepted)?)
+            }
+            Some(("deadline", value)) => store(&mut self.deadline, "deadline", deadline(value)?),
+            None if word == "idempotent" => store(&mut self.idempotent, "idempotent", true),
+            None if word == "non-idempotent" => store(&mut self.idempotent, "idempotent", false),
+            None if word == "wait" => store(&mut self.may_wait, "wait", true),
+            None if word == "no-wait" => store(&mut self.may_wait, "wait", false),
+            _ => Err(ProblemKind::UnknownAttribute),
+        }
+    }
+
+    /// Fills in defaults and finds attributes that contradict the method.
+    ///
+    /// A rule is idempotent by default only if all its methods are so by their
+    /// definition.
+    pub(super) fn resolve(
+        self,
+        method: &MethodPattern,
+        method_word: Word<'_>,
+        sink: &mut Sink<'_>,
+    ) -> Option<Resolved> {
+        let idempotent = self.idempotent.unwrap_or_else(|| is_idempotent(method));
+        if let (MethodPattern::OneOf(methods), false) = (method, idempotent)
+            && let Some(safe) = methods.iter().find(|method| method.is_safe())
+        {
+            let method = safe.to_string();
+            sink.push(method_word, ProblemKind::SafeMethodNonIdempotent { method });
+            return None;
+        }
+        Some(Resolved {
+            criticality: self.criticality?,
+            weight: self.weight.unwrap_or(DEFAULT_WEIGHT),
+            idempotent,
+            retries: self.retries.unwrap_or(DEFAULT_RETRIES),
+            deadline: self.deadline.unwrap_or(Rule::DEFAULT_DEADLINE),
+            may_wait: self.may_wait.unwrap_or(false),
+        })
+    }
+}
+
+fn is_idempotent(method: &MethodPattern) -> bool {
+    match method {
+        MethodPattern::Any => false,
+        MethodPattern::OneOf(methods) => methods.iter().all(Method::is_idempotent),
+    }
+}
+
+fn store<T>(slot: &mut Option<T>, attribute: &'static str, value: T) -> Result<(), ProblemKind> {
+    match slot.replace(value) {
+        Some(_) => Err(ProblemKind::RepeatedAttribute { attribute }),
+        None => Ok(()),
+    }
+}
+
+fn criticality(value: &str) -> Result<Criticality, ProblemKind> {
+    let found = Criticality::ALL.into_iter().find(|criticality| criticality.as_str() == value);
+    found.ok_or_else(|| ProblemKind::InvalidValue {
+        attribute: "criticality",
+        found: value.to_owned(),
+        accepted: "critical, high, normal, deferrable",
+    })
+}
+
+fn number(
+    attribute: &'static str,
+    value: &str,
+    range: &RangeInclusive<u32>,
+    accepted: &'static str,
+) -> Result<u32, ProblemKind> {
+    let digits = value.bytes().all(|b| b.is_ascii_digit());
+    let parsed = value.parse().ok().filter(|number| digits && range.contains(number));
+    let found = value.to_owned();
+    parsed.ok_or(ProblemKind::InvalidValue { attribute, found, accepted })
+}
+
+fn deadline(value: &str) -> Result<Duration, ProblemKind> {
+    let parsed = value.parse().ok().map(|DurationText(deadline)| deadline);
+    let found = value.to_owned();
+    let accepted = "1ms to 24h, such as 250ms, 2s, 10m";
+    let attribute = "deadline";
+    let inside = parsed.filter(|deadline| DEADLINES.contains(deadline));
+    inside.ok_or(ProblemKind::InvalidValue { attribute, found, accepted })
+}
--- /dev/null
+++ b/lib/src/version/rules/index.rs
@@ -0,0 +1,50 @@
+//! Finds the rules that can serve a service, in the order of the file.
+
+use indexmap::IndexMap;
+
+use super::Rule;
+use super::ServicePattern;
+
+/// Positions of rules by service.
+///
+/// A rule for every service stands in each list, so that one look-up gives all
+/// candidates in the order of the file, however many services there are.
+#[derive(Clone, Debug)]
+pub(super) struct Index {
+    by_service: IndexMap<String, Vec<usize>, rustc_hash::FxBuildHasher>,
+    any_service: Vec<usize>,
+}
+
+impl Index {
+    pub(super) fn new(rules: &[Rule]) -> Self {
+        let mut index = Self { by_service: IndexMap::default(), any_service: Vec::new() };
+        for (at, rule) in rules.iter().enumerate() {
+            index.add(at, &rule.service);
+        }
+        index
+    }
+
+    /// Returns the positions of the rules that can serve `service`.
+    pub(super) fn candidates(&self, service: &str) -> impl Iterator<Item = usize> + '_ {
+        let has_upper_case = service.bytes().any(|b| b.is_ascii_uppercase());
+        let found = match has_upper_case {
+            true => self.by_service.get(&service.to_ascii_lowercase()),
+            false => self.by_service.get(service),
+        };
+        found.unwrap_or(&self.any_service).iter().copied()
+    }
+
+    fn add(&mut self, at: usize, service: &ServicePattern) {
+        match service {
+            ServicePattern::Any => {
+                self.any_service.push(at);
+                self.by_service.values_mut().for_each(|list| list.push(at));
+            }
+            ServicePattern::Named(name) => {
+                let earlier = &self.any_service;
+                let list = self.by_service.entry(name.clone()).or_insert_with(|| earlier.clone());
+                list.push(at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/version/rules/parser.rs
@@ -0,0 +1,232 @@
+//! Parses a rules file line by line, noting every problem on the way.
+
+use http::Method;
+
+use super::Line;
+use super::MethodPattern;
+use super::PathPattern;
+use super::Rule;
+use super::Rules;
+use super::Segment;
+use super::ServicePattern;
+use super::attributes::Attributes;
+use super::error::PathFault;
+use super::error::Problem;
+use super::error::ProblemKind;
+use super::error::RulesError;
+use super::shadow;
+use super::words;
+use super::words::Word;
+
+/// Longest rules file that is read, in bytes; the platform serves no longer
+/// value.
+pub const MAX_TEXT_BYTES: usize = 1 << 20;
+
+const ASKED_BY: &str = "asked by";
+
+/// Collects what is wrong with one line.
+pub(super) struct Sink<'a> {
+    file: &'a str,
+    line: usize,
+    problems: &'a mut Vec<Problem>,
+}
+
+impl Sink<'_> {
+    pub(super) fn push(&mut self, word: Word<'_>, kind: ProblemKind) {
+        self.problems.push(Problem {
+            file: self.file.to_owned(),
+            line: self.line,
+            column: word.column,
+            words: word.text.to_owned(),
+            kind,
+        });
+    }
+}
+
+/// Parses and checks a rules file.
+pub(super) fn parse(file: &str, text: &str) -> Result<Rules, RulesError> {
+    if text.len() > MAX_TEXT_BYTES {
+        return Err(RulesError { problems: vec![too_long(file, text.len())] });
+    }
+    let mut problems = Vec::new();
+    let (mut lines, mut rules) = (Vec::new(), Vec::new());
+    for (index, line) in text.lines().enumerate() {
+        let mut sink = Sink { file, line: index + 1, problems: &mut problems };
+        let (kind, rule) = parse_line(line, &mut sink);
+        lines.push(kind);
+        rules.extend(rule);
+    }
+    report_shadowed(file, &rules, &mut problems);
+    if problems.is_empty() {
+        return Ok(Rules::new(lines, rules));
+    }
+    problems.sort_by_key(|problem| (problem.line, problem.column));
+    Err(RulesError { problems })
+}
+
+fn too_long(file: &str, found: usize) -> Problem {
+    let kind = ProblemKind::TooLong { found };
+    Problem { file: file.to_owned(), line: 1, column: 1, words: String::new(), kind }
+}
+
+fn report_shadowed(file: &str, rules: &[Rule], problems: &mut Vec<Problem>) {
+    for found in shadow::shadowed(rules) {
+        let rule = &rules[found.rule];
+        problems.push(Problem {
+            file: file.to_owned(),
+            line: rule.line,
+            column: 1,
+            words: format!("{} {} {}", rule.service, rule.method, rule.path),
+            kind: ProblemKind::Shadowed { by: rules[found.by].line },
+        });
+    }
+}
+
+fn parse_line(line: &str, sink: &mut Sink<'_>) -> (Line, Option<Rule>) {
+    let split = words::split(line);
+    match (split.words.as_slice(), split.comment) {
+        ([], None) => (Line::Blank, None),
+        ([], Some(comment)) => (Line::Comment(comment.text.to_owned()), None),
+        (words, comment) => (Line::Rule, parse_rule(line, words, comment, sink)),
+    }
+}
+
+fn parse_rule(
+    line: &str,
+    words: &[Word<'_>],
+    comment: Option<Word<'_>>,
+    sink: &mut Sink<'_>,
+) -> Option<Rule> {
+    let end = Word { text: "", column: line.trim_end().chars().count() + 1 };
+    let mut rest = words.iter().copied();
+    let service = match rest.next() {
+        Some(word) => service(word, sink),
+        None => None,
+    };
+    let method_word = rest.next();
+    let method = match method_word {
+        Some(word) => method(word, sink),
+        None => missing(end, "method", sink),
+    };
+    let path = match rest.next() {
+        Some(word) => path(word, sink),
+        None => missing(end, "path", sink),
+    };
+    let attributes = Attributes::parse(rest, end, sink);
+    let asked = asked_by(comment, end, sink);
+    let (service, method, path) = (service?, method?, path?);
+    let attributes = attributes?.resolve(&method, method_word?, sink)?;
+    let (requested_by, reason) = asked?;
+    Some(Rule {
+        line: sink.line,
+        service,
+        method,
+        path,
+        criticality: attributes.criticality,
+        weight: attributes.weight,
+        idempotent: attributes.idempotent,
+        retries: attributes.retries,
+        deadline: attributes.deadline,
+        may_wait: attributes.may_wait,
+        requested_by,
+        reason,
+    })
+}
+
+fn missing<T>(end: Word<'_>, part: &'static str, sink: &mut Sink<'_>) -> Option<T> {
+    sink.push(end, ProblemKind::MissingPart { part });
+    None
+}
+
+fn service(word: Word<'_>, sink: &mut Sink<'_>) -> Option<ServicePattern> {
+    let is_usual = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
+    if word.text == "*" {
+        return Some(ServicePattern::Any);
+    }
+    if word.text.chars().all(is_usual) {
+        return Some(ServicePattern::Named(word.text.to_owned()));
+    }
+    sink.push(word, ProblemKind::InvalidService);
+    None
+}
+
+fn method(word: Word<'_>, sink: &mut Sink<'_>) -> Option<MethodPattern> {
+    if word.text == "*" {
+        return Some(MethodPattern::Any);
+    }
+    let mut methods = Vec::new();
+    for part in word.split(',') {
+        let is_usual = !part.text.is_empty() && part.text.bytes().all(|b| b.is_ascii_uppercase());
+        let parsed = is_usual.then(|| Method::from_bytes(part.text.as_bytes()).ok()).flatten();
+        match parsed {
+            Some(method) if methods.contains(&method) => {
+                sink.push(part, ProblemKind::RepeatedMethod);
+                return None;
+            }
+            Some(method) => methods.push(method),
+            None => {
+                sink.push(word, ProblemKind::InvalidMethod);
+                return None;
+            }
+        }
+    }
+    Some(MethodPattern::OneOf(methods))
+}
+
+fn path(word: Word<'_>, sink: &mut Sink<'_>) -> Option<PathPattern> {
+    match path_pattern(word.text) {
+        Ok(pattern) => Some(pattern),
+        Err(fault) => {
+            sink.push(word, ProblemKind::InvalidPath { fault });
+            None
+        }
+    }
+}
+
+fn path_pattern(text: &str) -> Result<PathPattern, PathFault> {
+    let rest = text.strip_prefix('/').ok_or(PathFault::NoRoot)?;
+    let (rest, open_ended) = match rest.strip_suffix("**") {
+        Some("") => return Ok(PathPattern::any()),
+        Some(body) => (body.strip_suffix('/').ok_or(PathFault::PartialWildcard)?, true),
+        None => (rest, false),
+    };
+    if rest.is_empty() && !open_ended {
+        return Ok(PathPattern { segments: Vec::new(), open_ended });
+    }
+    let segments = rest.split('/').map(segment).collect::<Result<_, _>>()?;
+    Ok(PathPattern { segments, open_ended })
+}
+
+fn segment(text: &str) -> Result<Segment, PathFault> {
+    match text {
+        "" => Err(PathFault::EmptySegment),
+        "*" => Ok(Segment::Any),
+        "**" => Err(PathFault::EarlyWildcard),
+        _ if text.contains('*') => Err(PathFault::PartialWildcard),
+        _ if !text.bytes().all(is_path_byte) => Err(PathFault::InvalidCharacter),
+        _ => Ok(Segment::Exact(text.to_owned())),
+    }
+}
+
+/// Tells whether a byte may stand in a path segment, by RFC 3986.
+fn is_path_byte(b: u8) -> bool {
+    b.is_ascii_alphanumeric() || b"-._~!$&'()+,;=:@%".contains(&b)
+}
+
+fn asked_by(
+    comment: Option<Word<'_>>,
+    end: Word<'_>,
+    sink: &mut Sink<'_>,
+) -> Option<(String, String)> {
+    let named = comment.and_then(|comment| comment.text.strip_prefix(ASKED_BY));
+    let named = named.filter(|rest| rest.starts_with(char::is_whitespace));
+    let (name, reason) = match named.map(|rest| rest.split_once(',').unwrap_or((rest, ""))) {
+        Some((name, reason)) => (name.trim(), reason.trim()),
+        None => ("", ""),
+    };
+    if name.is_empty() {
+        sink.push(comment.unwrap_or(end), ProblemKind::MissingName);
+        return None;
+    }
+    Some((name.to_owned(), reason.to_owned()))
+}
--- /dev/null
+++ b/lib/src/version/rules/shadow.rs
@@ -0,0 +1,40 @@
+//! Finds rules that no request can reach.
+
+use super::Rule;
+use super::index::Index;
+
+/// Returns, for each rule that an earlier one wholly covers, both positions.
+///
+/// Rules that overlap only in part are the normal way to write an exception and
+/// are not reported.
+pub(super) fn shadowed(rules: &[Rule]) -> Vec<Shadowed> {
+    let index = Index::new(rules);
+    let find = |(at, rule): (usize, &Rule)| {
+        let earlier = first_cover(rules, &index, at, rule)?;
+        Some(Shadowed { rule: at, by: earlier })
+    };
+    rules.iter().enumerate().filter_map(find).collect()
+}
+
+/// A rule that never applies.
+pub(super) struct Shadowed {
+    /// Position of the rule.
+    pub(super) rule: usize,
+    /// Position of the earlier rule that takes all its requests.
+    pub(super) by: usize,
+}
+
+fn first_cover(rules: &[Rule], index: &Index, at: usize, rule: &Rule) -> Option<usize> {
+    let name = match &rule.service {
+        super::ServicePattern::Any => "",
+        super::ServicePattern::Named(name) => name,
+    };
+    let earlier = index.candidates(name).take_while(|&other| other < at);
+    earlier.into_iter().find(|&other| covers(&rules[other], rule))
+}
+
+fn covers(earlier: &Rule, later: &Rule) -> bool {
+    earlier.service.covers(&later.service)
+        && earlier.method.covers(&later.method)
+        && earlier.path.covers(&later.path)
+}
