--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,5 +3,6 @@
 mod test_context;
 mod test_idempotency;
 mod test_retries;
+mod test_rules;
 mod test_settings;
 mod test_standins;
