admission: decide by criticality, depth and deadline

Cause: every request was admitted. Before: no limit, no queue. After: learned limit, one bounded queue with an order by criticality, work dropped at its latest start, a level that closes under queueing delay and opens after it, refusals paced by the drain rate.

--- a/lib/src/process/admission/mod.rs
+++ b/lib/src/process/admission/mod.rs
@@ -5,7 +5,12 @@
 //! reasons and the measurements behind it are in `docs/design/admission.md`.
 
 mod config;
+mod latency;
 mod level;
+mod level_control;
+mod limit;
+mod pacing;
+mod queue;
 mod state;
 mod work;
 
--- /dev/null
+++ b/lib/src/process/admission/queue.rs
@@ -0,0 +1,114 @@
+//! The requests that wait for a slot.
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rustc_hash::FxBuildHasher;
+
+use super::Ticket;
+use super::Work;
+use crate::version::Criticality;
+
+/// One waiting request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    pub(super) work: Work,
+    pub(super) arrived: Duration,
+    /// When the request is dropped if it has not started.
+    pub(super) expires: Duration,
+}
+
+/// Order in which waiting requests are shed; the greatest goes first.
+///
+/// Fresh work goes before work deep in a chain, because more has been spent on
+/// the latter.
+pub(super) type ShedKey = (Criticality, Reverse<u8>, u16);
+
+/// Returns where a request stands in the order of shedding.
+pub(super) fn shed_key(work: &Work) -> ShedKey {
+    (work.criticality, Reverse(work.depth), work.hash)
+}
+
+/// Waiting requests, indexed by each order in which they leave.
+///
+/// Every entry stands in `entries` and in exactly one place of each index.
+#[derive(Debug, Default)]
+pub(super) struct WaitQueue {
+    entries: IndexMap<Ticket, Waiting, FxBuildHasher>,
+    by_start: [BTreeSet<(Reverse<u8>, Ticket)>; Criticality::ALL.len()],
+    by_age: [BTreeSet<Ticket>; Criticality::ALL.len()],
+    by_worth: BTreeSet<(ShedKey, Ticket)>,
+    by_expiry: BTreeSet<(Duration, Ticket)>,
+}
+
+impl WaitQueue {
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(super) fn len_of(&self, criticality: Criticality) -> usize {
+        self.by_age[usize::from(criticality.rank())].len()
+    }
+
+    pub(super) fn push(&mut self, ticket: Ticket, waiting: Waiting) {
+        let rank = usize::from(waiting.work.criticality.rank());
+        self.by_start[rank].insert((Reverse(waiting.work.depth), ticket));
+        self.by_age[rank].insert(ticket);
+        self.by_worth.insert((shed_key(&waiting.work), ticket));
+        self.by_expiry.insert((waiting.expires, ticket));
+        self.entries.insert(ticket, waiting);
+    }
+
+    pub(super) fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.entries.swap_remove(&ticket)?;
+        let rank = usize::from(waiting.work.criticality.rank());
+        self.by_start[rank].remove(&(Reverse(waiting.work.depth), ticket));
+        self.by_age[rank].remove(&ticket);
+        self.by_worth.remove(&(shed_key(&waiting.work), ticket));
+        self.by_expiry.remove(&(waiting.expires, ticket));
+        Some(waiting)
+    }
+
+    /// Returns the request of one criticality that starts next.
+    pub(super) fn next(&self, criticality: Criticality, young_first: bool) -> Option<Ticket> {
+        let order = &self.by_start[usize::from(criticality.rank())];
+        let &(depth, oldest) = order.first()?;
+        if !young_first {
+            return Some(oldest);
+        }
+        let deepest = (depth, Ticket(0))..=(depth, Ticket(u64::MAX));
+        order.range(deepest).next_back().map(|&(_, youngest)| youngest)
+    }
+
+    /// Returns the oldest request of all criticalities.
+    pub(super) fn oldest(&self) -> Option<Ticket> {
+        self.by_age.iter().filter_map(|tickets| tickets.first().copied()).min()
+    }
+
+    /// Returns how long the oldest request of one criticality has waited.
+    pub(super) fn age(&self, now: Duration, criticality: Criticality) -> Option<Duration> {
+        let oldest = self.by_age[usize::from(criticality.rank())].first()?;
+        Some(now.saturating_sub(self.entries.get(oldest)?.arrived))
+    }
+
+    /// Returns the request that is shed first and its place in that order.
+    pub(super) fn least_worth(&self) -> Option<(ShedKey, Ticket)> {
+        self.by_worth.last().copied()
+    }
+
+    /// Removes one request whose time has run out.
+    pub(super) fn pop_expired(&mut self, now: Duration) -> Option<(Ticket, Waiting)> {
+        let &(expires, ticket) = self.by_expiry.first()?;
+        if expires > now {
+            return None;
+        }
+        self.remove(ticket).map(|waiting| (ticket, waiting))
+    }
+
+    /// Returns when the next request's time runs out.
+    pub(super) fn next_expiry(&self) -> Option<Duration> {
+        self.by_expiry.first().map(|&(expires, _)| expires)
+    }
+}
--- a/lib/src/process/admission/state.rs
+++ b/lib/src/process/admission/state.rs
@@ -2,13 +2,43 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+use rustc_hash::FxBuildHasher;
+
 use super::AdmissionConfig;
 use super::Arrival;
 use super::Completion;
 use super::Decision;
+use super::Fault;
 use super::Level;
+use super::Policy;
+use super::QueueOrder;
+use super::Shed;
+use super::ShedReason;
 use super::Ticket;
+use super::Verdict;
 use super::Work;
+use super::latency::DrainRate;
+use super::latency::Latencies;
+use super::level_control::LevelControl;
+use super::limit::ConcurrencyLimit;
+use super::pacing::ReturnPacing;
+use super::queue::WaitQueue;
+use super::queue::Waiting;
+use super::queue::shed_key;
+use crate::version::Criticality;
+
+/// Time for which the slots of deferrable work stay capped after other work
+/// has had to wait.
+const CAP_MEMORY: Duration = Duration::from_secs(10);
+
+/// One request that holds a slot.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    criticality: Criticality,
+    started: Duration,
+    answer_started: bool,
+}
 
 /// Decides which work may start at the local upstream.
 ///
@@ -16,63 +46,365 @@
 /// at [`Self::next_wakeup`], the driver calls [`Self::poll`] for the verdicts
 /// on queued work. `now` is the monotonic time since the process started and
 /// never goes backwards.
+///
+/// Between two calls no slot is idle while a waiting request may take it.
 #[derive(Debug)]
 pub struct Admission {
     cfg: AdmissionConfig,
     next_ticket: u64,
+    queue: WaitQueue,
+    running: IndexMap<Ticket, Running, FxBuildHasher>,
+    held: [usize; Criticality::ALL.len()],
+    limit: ConcurrencyLimit,
+    latencies: Latencies,
+    drain: DrainRate,
+    level: LevelControl,
+    pacing: ReturnPacing,
+    decisions: Vec<Decision>,
+    window_start: Duration,
+    lost_in_queue: u32,
+    others_waited: Option<Duration>,
 }
 
 impl Admission {
     /// Creates the state machine with all slots free.
     pub fn new(cfg: &AdmissionConfig) -> Self {
-        Self { cfg: cfg.clone(), next_ticket: 0 }
+        Self {
+            cfg: cfg.clone(),
+            next_ticket: 0,
+            queue: WaitQueue::default(),
+            running: IndexMap::default(),
+            held: [0; Criticality::ALL.len()],
+            limit: ConcurrencyLimit::new(cfg.limit, cfg.slots),
+            latencies: Latencies::default(),
+            drain: DrainRate::default(),
+            level: LevelControl::new(),
+            pacing: ReturnPacing::default(),
+            decisions: Vec::new(),
+            window_start: Duration::ZERO,
+            lost_in_queue: 0,
+            others_waited: None,
+        }
     }
 
     /// Decides on a request that has just arrived.
-    pub fn arrive(&mut self, _now: Duration, _work: Work) -> Arrival {
-        let ticket = Ticket(self.next_ticket);
-        self.next_ticket += 1;
-        Arrival::Admitted(ticket)
+    pub fn arrive(&mut self, now: Duration, work: Work) -> Arrival {
+        self.advance(now);
+        self.dispatch(now);
+        self.level.arrived(work.criticality, work.hash);
+        if self.is_doomed(now, &work) {
+            return Arrival::Shed(self.shed(&work, ShedReason::Deadline));
+        }
+        if self.has_slot(now, work.criticality) {
+            let ticket = self.issue();
+            self.start(now, ticket, work.criticality);
+            return Arrival::Admitted(ticket);
+        }
+        if let Some(reason) = self.refusal(&work)
+            && !self.displace(&work, reason)
+        {
+            return Arrival::Shed(self.shed(&work, reason));
+        }
+        Arrival::Queued(self.enqueue(now, work))
     }
 
     /// Forgets a queued request, or frees the slot of an admitted one, because
     /// its caller went away. A ticket already settled is ignored.
-    pub fn cancel(&mut self, _now: Duration, _ticket: Ticket) {}
+    pub fn cancel(&mut self, now: Duration, ticket: Ticket) {
+        self.advance(now);
+        if self.queue.remove(ticket).is_none() {
+            self.complete(now, ticket, Completion::Cancelled);
+        }
+    }
 
     /// Notes that the answer's head has arrived.
     ///
     /// Latency is taken up to this point, so that a slow reader of a long body
     /// does not pass for a slow upstream. Optional.
-    pub fn answer_started(&mut self, _now: Duration, _ticket: Ticket) {}
+    pub fn answer_started(&mut self, now: Duration, ticket: Ticket) {
+        if let Some(running) = self.running.get_mut(&ticket)
+            && !running.answer_started
+        {
+            running.answer_started = true;
+            let Running { criticality, started, .. } = *running;
+            self.sample(now, criticality, now.saturating_sub(started));
+        }
+    }
 
     /// Frees the slot of an admitted request.
-    pub fn complete(&mut self, _now: Duration, _ticket: Ticket, _completion: Completion) {}
+    pub fn complete(&mut self, now: Duration, ticket: Ticket, completion: Completion) {
+        self.advance(now);
+        let Some(running) = self.running.swap_remove(&ticket) else { return };
+        let Running { criticality, started, answer_started } = running;
+        self.held[usize::from(criticality.rank())] -= 1;
+        self.drain.completed();
+        let elapsed = now.saturating_sub(started);
+        self.latencies.held(criticality, elapsed);
+        match completion {
+            Completion::Answered if !answer_started => self.sample(now, criticality, elapsed),
+            Completion::TimedOut | Completion::Cancelled if !answer_started => {
+                self.latencies.sample_at_least(now, criticality, elapsed);
+            }
+            Completion::Overloaded => self.limit.upstream_overloaded(),
+            _ => {}
+        }
+        self.dispatch(now);
+    }
 
     /// Appends the verdicts on queued requests that are due.
-    pub fn poll(&mut self, _now: Duration, _decisions: &mut Vec<Decision>) {}
+    pub fn poll(&mut self, now: Duration, decisions: &mut Vec<Decision>) {
+        self.advance(now);
+        self.dispatch(now);
+        decisions.append(&mut self.decisions);
+    }
 
     /// Returns when [`Self::poll`] has something to do without another event.
     pub fn next_wakeup(&self) -> Option<Duration> {
-        None
+        if !self.decisions.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let adapting = self.queue.len() > 0 || !self.level.is_open();
+        let window_end = adapting.then(|| self.window_start + self.cfg.window);
+        window_end.into_iter().chain(self.queue.next_expiry()).min()
     }
 
     /// Returns the level that callers should apply on our behalf.
     pub fn level(&self) -> Level {
-        Level::OPEN
+        match self.cfg.policy {
+            Policy::None | Policy::FixedLimit => Level::OPEN,
+            Policy::Adaptive => self.level.level(),
+        }
     }
 
     /// Returns the concurrency limit now in force.
     pub fn limit(&self) -> usize {
-        self.cfg.slots
+        match self.cfg.policy {
+            Policy::None => usize::MAX,
+            Policy::FixedLimit => self.cfg.slots,
+            Policy::Adaptive => self.limit.get(),
+        }
     }
 
     /// Returns the number of requests that hold a slot.
     pub fn in_progress(&self) -> usize {
-        0
+        self.running.len()
     }
 
     /// Returns the number of requests that wait.
     pub fn queued(&self) -> usize {
-        0
+        self.queue.len()
+    }
+
+    /// Returns the number of requests of one criticality that wait.
+    pub fn queued_of(&self, criticality: Criticality) -> usize {
+        self.queue.len_of(criticality)
+    }
+
+    /// Tells whether a request of a criticality that arrives now would start.
+    pub fn has_slot(&self, now: Duration, criticality: Criticality) -> bool {
+        let limit = self.limit();
+        if self.running.len() >= limit {
+            return false;
+        }
+        let capped = criticality == Criticality::Deferrable
+            && self.cfg.policy == Policy::Adaptive
+            && self.caps_deferrable(now);
+        !capped || self.held[usize::from(criticality.rank())] < self.deferrable_cap()
+    }
+
+    fn issue(&mut self) -> Ticket {
+        self.next_ticket += 1;
+        Ticket(self.next_ticket)
+    }
+
+    fn start(&mut self, now: Duration, ticket: Ticket, criticality: Criticality) {
+        let running = Running { criticality, started: now, answer_started: false };
+        self.running.insert(ticket, running);
+        self.held[usize::from(criticality.rank())] += 1;
+        self.limit.in_use(self.running.len());
+    }
+
+    fn enqueue(&mut self, now: Duration, work: Work) -> Ticket {
+        if work.criticality != Criticality::Deferrable {
+            self.others_waited = Some(now);
+        }
+        let ticket = self.issue();
+        let expires = self.expiry(now, &work);
+        self.queue.push(ticket, Waiting { work, arrived: now, expires });
+        ticket
+    }
+
+    /// Returns when a request that starts to wait now is dropped.
+    fn expiry(&self, now: Duration, work: &Work) -> Duration {
+        if self.cfg.policy == Policy::FixedLimit {
+            return Duration::MAX;
+        }
+        let latest_start = self.latest_start(now, work);
+        if work.may_wait { latest_start } else { latest_start.min(now + self.cfg.brief_wait) }
+    }
+
+    /// Returns the latest start that still meets the deadline.
+    fn latest_start(&self, now: Duration, work: &Work) -> Duration {
+        if !self.cfg.deadline_cut {
+            return work.deadline;
+        }
+        let service_time = self.latencies.service_time(now, work.criticality);
+        work.deadline.saturating_sub(service_time)
+    }
+
+    /// Tells whether a request cannot finish inside its deadline.
+    fn is_doomed(&self, now: Duration, work: &Work) -> bool {
+        self.cfg.policy == Policy::Adaptive
+            && self.cfg.deadline_cut
+            && self.latest_start(now, work) <= now
+    }
+
+    /// Returns why a request may not wait, if so.
+    fn refusal(&self, work: &Work) -> Option<ShedReason> {
+        let full = self.queue.len() >= self.cfg.queue_entries;
+        let excluded = !self.level().admits(work.criticality, work.hash);
+        if full {
+            Some(ShedReason::QueueFull)
+        } else if excluded {
+            Some(ShedReason::Level)
+        } else {
+            None
+        }
+    }
+
+    /// Sheds a waiting request that is worth less than a new one, if any.
+    fn displace(&mut self, work: &Work, reason: ShedReason) -> bool {
+        let ranked = self.cfg.policy == Policy::Adaptive;
+        if !ranked || self.cfg.fault == Some(Fault::ShedNewcomer) {
+            return false;
+        }
+        let Some((key, ticket)) = self.queue.least_worth() else { return false };
+        if key <= shed_key(work) {
+            return false;
+        }
+        self.lost_in_queue += 1;
+        self.settle_shed(ticket, reason);
+        true
+    }
+
+    fn settle_shed(&mut self, ticket: Ticket, reason: ShedReason) {
+        if let Some(waiting) = self.queue.remove(ticket) {
+            let shed = self.shed(&waiting.work, reason);
+            self.decisions.push(Decision { ticket, verdict: Verdict::Shed(shed) });
+        }
+    }
+
+    fn shed(&mut self, work: &Work, reason: ShedReason) -> Shed {
+        let retry_after = self.pacing.refuse(
+            work.criticality,
+            work.hash,
+            self.queue.len(),
+            self.drain.per_second(),
+            self.cfg.retry_after,
+        );
+        Shed { retry_after, reason }
+    }
+
+    /// Drops waiting requests whose time has run out and closes windows.
+    fn advance(&mut self, now: Duration) {
+        while let Some((ticket, waiting)) = self.queue.pop_expired(now) {
+            self.lost_in_queue += 1;
+            let brief = !waiting.work.may_wait && self.latest_start(now, &waiting.work) > now;
+            let reason = if brief { ShedReason::NoWait } else { ShedReason::Deadline };
+            let shed = self.shed(&waiting.work, reason);
+            self.decisions.push(Decision { ticket, verdict: Verdict::Shed(shed) });
+        }
+        let elapsed = now.saturating_sub(self.window_start);
+        if elapsed >= self.cfg.window {
+            self.roll(now, elapsed);
+        }
+    }
+
+    fn roll(&mut self, now: Duration, elapsed: Duration) {
+        self.window_start = now;
+        let served = self.drain.roll(elapsed);
+        self.pacing.roll(self.drain.per_second() * elapsed.as_secs_f64());
+        let overloaded = self.is_overloaded(now);
+        self.lost_in_queue = 0;
+        self.level.roll(overloaded, served);
+        self.limit.in_use(self.running.len());
+        self.limit.roll();
+    }
+
+    /// Tells whether more work waits than the upstream can serve in good time.
+    ///
+    /// Deferrable work may wait, so its age alone is no sign of overload.
+    fn is_overloaded(&self, now: Duration) -> bool {
+        let others = [Criticality::Critical, Criticality::High, Criticality::Normal];
+        let late = others.iter().any(|&criticality| self.is_late(now, criticality));
+        let half_full = self.queue.len() * 2 > self.cfg.queue_entries;
+        late || half_full || (self.lost_in_queue > 0 && self.queue.len() > 0)
+    }
+
+    fn is_late(&self, now: Duration, criticality: Criticality) -> bool {
+        self.queue.age(now, criticality).is_some_and(|age| age > self.cfg.target_delay)
+    }
+
+    /// Starts waiting requests while slots are free.
+    fn dispatch(&mut self, now: Duration) {
+        if self.cfg.fault == Some(Fault::LeaveSlotIdle) {
+            return;
+        }
+        while let Some(ticket) = self.next_ticket(now) {
+            let Some(waiting) = self.queue.remove(ticket) else { return };
+            if self.is_doomed(now, &waiting.work) {
+                self.lost_in_queue += 1;
+                let shed = self.shed(&waiting.work, ShedReason::Deadline);
+                self.decisions.push(Decision { ticket, verdict: Verdict::Shed(shed) });
+                continue;
+            }
+            self.start(now, ticket, waiting.work.criticality);
+            self.decisions.push(Decision { ticket, verdict: Verdict::Admitted });
+        }
+    }
+
+    /// Returns the waiting request that a free slot goes to.
+    fn next_ticket(&self, now: Duration) -> Option<Ticket> {
+        let unranked =
+            self.cfg.policy != Policy::Adaptive || self.cfg.fault == Some(Fault::IgnoreCriticality);
+        if unranked {
+            let free = self.running.len() < self.limit();
+            return free.then(|| self.queue.oldest()).flatten();
+        }
+        Criticality::ALL
+            .into_iter()
+            .filter(|&criticality| self.has_slot(now, criticality))
+            .find_map(|criticality| {
+                self.queue.next(criticality, self.young_first(now, criticality))
+            })
+    }
+
+    fn young_first(&self, now: Duration, criticality: Criticality) -> bool {
+        match self.cfg.order {
+            QueueOrder::Fifo => false,
+            QueueOrder::YoungFirst => self.is_late(now, criticality),
+        }
+    }
+
+    /// Tells whether deferrable work would hold slots that others need soon.
+    ///
+    /// The slots count as needed while others have lately waited, or while a
+    /// slot would come back from deferrable work too late for the target delay.
+    fn caps_deferrable(&self, now: Duration) -> bool {
+        let waited = self.others_waited.is_some_and(|at| now.saturating_sub(at) < CAP_MEMORY);
+        let hold = self.latencies.hold_seconds(Criticality::Deferrable);
+        let turnover = hold / self.limit.get() as f64;
+        waited || turnover > self.cfg.target_delay.as_secs_f64()
+    }
+
+    fn deferrable_cap(&self) -> usize {
+        let cap = self.limit.get() as f64 * self.cfg.deferrable_share;
+        (cap as usize).max(1)
+    }
+
+    fn sample(&mut self, now: Duration, criticality: Criticality, latency: Duration) {
+        if let Some(ratio) = self.latencies.sample(now, criticality, latency) {
+            self.limit.sample(ratio);
+        }
     }
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,3 +1,4 @@
 //! One binary for all integration tests of the library.
 
+mod test_admission;
 mod test_context;
