--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -3,7 +3,11 @@
 mod context;
 mod headers;
 pub mod idempotency;
+pub mod message;
 mod outcome;
+pub mod parent;
+mod refusal;
+pub mod retries;
 
 pub use context::Context;
 pub use context::ContextError;
@@ -11,3 +15,6 @@
 pub use headers::*;
 pub use outcome::Outcome;
 pub use outcome::ParseOutcomeError;
+pub use refusal::ParseReasonError;
+pub use refusal::Reason;
+pub use refusal::Refusal;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,3 +2,6 @@
 
 mod test_admission;
 mod test_context;
+mod test_idempotency;
+mod test_retries;
+mod test_settings;
