admission: prove the order of shedding

Cause: the order was tested on single cases only. Conclusion: the order holds on the state machine; not yet seen at daemons.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,3 +5,4 @@
 mod test_idempotency;
 mod test_retries;
 mod test_settings;
+mod test_shedding;
