--- a/cli/src/bin/endivescaled.rs
+++ b/cli/src/bin/endivescaled.rs
@@ -1,3 +1,71 @@
 //! The daemon that runs beside each upstream VM.
 
-fn main() {}
+use std::path::Path;
+use std::process::ExitCode;
+
+use endivescale::process::daemon::Daemon;
+use endivescale::process::daemon::StartError;
+use endivescale::process::settings::Settings;
+use endivescale::process::settings::SettingsError;
+use getopts::Options;
+use snafu::ResultExt as _;
+use snafu::Snafu;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Why the daemon ends with a failure.
+#[derive(Debug, Snafu)]
+enum RunError {
+    #[snafu(display("{source}\nHint: endivescaled --settings FILE"))]
+    Usage { source: getopts::Fail },
+    #[snafu(display("no settings file given\nHint: endivescaled --settings FILE"))]
+    NoSettings,
+    #[snafu(display("{source}\nHint: endivescale check FILE tells what is accepted"))]
+    Settings { source: SettingsError },
+    #[snafu(display("the runtime cannot start: {source}"))]
+    Runtime { source: std::io::Error },
+    #[snafu(display("{source}: {}", snafu::ErrorCompat::iter_chain(source).last().map_or_else(String::new, ToString::to_string)))]
+    Start { source: StartError },
+    #[snafu(display("cannot wait for signals: {source}"))]
+    Signal { source: std::io::Error },
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("endivescaled: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), RunError> {
+    let mut opts = Options::new();
+    opts.optopt("", "settings", "settings of this daemon, in TOML", "FILE");
+    opts.optflag("h", "help", "print this help");
+    let matches = opts.parse(std::env::args().skip(1)).context(UsageSnafu)?;
+    if matches.opt_present("help") {
+        print!("{}", opts.usage("Usage: endivescaled --settings FILE"));
+        return Ok(());
+    }
+    let Some(file) = matches.opt_str("settings") else { return NoSettingsSnafu.fail() };
+    let settings = Settings::load(Path::new(&file)).context(SettingsSnafu)?;
+    let runtime = tokio::runtime::Runtime::new().context(RuntimeSnafu)?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), RunError> {
+    spdlog::info!("starting: {settings}");
+    let daemon = Daemon::start(settings).await.context(StartSnafu)?;
+    let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = daemon.node().lifecycle.wait_leaving() => {}
+    }
+    let cut_off = daemon.stop().await;
+    spdlog::info!("stopped: cut_off={cut_off}");
+    Ok(())
+}
--- /dev/null
+++ b/lib/src/process/daemon.rs
@@ -0,0 +1,223 @@
+//! The daemon: its listeners, its tasks and its end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snafu::ResultExt as _;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tower::ServiceBuilder;
+use tower::service_fn;
+
+use super::config;
+use super::config::ConfigOptions;
+use super::node::Node;
+use super::routing::Place;
+use super::settings::Settings;
+use crate::connection::listener;
+use crate::connection::listener::BindError;
+use crate::connection::listener::Protocol;
+use crate::connection::strip::StripLayer;
+use crate::request;
+use crate::request::serve;
+
+/// Time for which a leaving daemon goes on to answer, so that peers and callers
+/// hear of it before its listeners close.
+const LEAVE_NOTICE: Duration = Duration::from_secs(3);
+/// Interval at which a pause of the process is looked for.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest gap between two checks that counts as a pause.
+const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
+
+/// Why a daemon cannot start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// A listener's address cannot be used.
+    #[snafu(display("the {listener} listener cannot start"))]
+    Bind {
+        /// Key of the listener in the settings.
+        listener: &'static str,
+        /// Why it cannot start.
+        source: BindError,
+    },
+}
+
+/// Addresses that a running daemon listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For outside callers.
+    pub caller: SocketAddr,
+    /// For the local upstream's own calls.
+    pub upstream: SocketAddr,
+    /// For other daemons' requests.
+    pub peer: SocketAddr,
+    /// For other daemons' control messages.
+    pub control: SocketAddr,
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    node: Arc<Node>,
+    addresses: Addresses,
+    /// Stops the listeners that bring new work from outside this VM.
+    stop_outside: CancellationToken,
+    /// Stops the listeners that requests in progress still need.
+    stop_inside: CancellationToken,
+    outside: JoinSet<()>,
+    inside: JoinSet<()>,
+    background: JoinSet<()>,
+}
+
+struct Listeners {
+    caller: TcpListener,
+    upstream: TcpListener,
+    peer: TcpListener,
+    control: TcpListener,
+}
+
+impl Daemon {
+    /// Opens the listeners and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of the addresses cannot be used.
+    pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let listeners = Listeners::bind(&settings).await?;
+        let addresses = listeners.addresses();
+        let config = config::spawn(ConfigOptions {
+            here: Place {
+                instance: settings.daemon.instance.clone(),
+                zone: settings.daemon.zone.clone(),
+                region: settings.daemon.region.clone(),
+            },
+            platform: settings.platform.address,
+            control: listeners.control,
+            seed: rand::random(),
+        });
+        let node = Node::new(settings, addresses.peer, config);
+        let mut daemon = Self {
+            node,
+            addresses,
+            stop_outside: CancellationToken::new(),
+            stop_inside: CancellationToken::new(),
+            outside: JoinSet::new(),
+            inside: JoinSet::new(),
+            background: JoinSet::new(),
+        };
+        daemon.serve_callers(listeners.caller);
+        daemon.serve_peers(listeners.peer);
+        daemon.serve_upstream(listeners.upstream);
+        daemon.spawn_background();
+        Ok(daemon)
+    }
+
+    /// Returns the shared tables.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Returns the addresses that the daemon listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Stops gracefully: no new work, then the end of all work in progress.
+    ///
+    /// Returns the number of requests that the settings' patience cut off.
+    pub async fn stop(mut self) -> usize {
+        self.node.lifecycle.leave();
+        let give_up = Instant::now() + self.node.settings.stop.patience;
+        tokio::time::sleep(LEAVE_NOTICE).await;
+        self.stop_outside.cancel();
+        let finished = tokio::time::timeout_at(give_up, self.finish()).await;
+        match finished {
+            Ok(()) => 0,
+            Err(_) => self.node.lifecycle.in_progress(),
+        }
+    }
+
+    async fn finish(&mut self) {
+        while self.outside.join_next().await.is_some() {}
+        self.node.lifecycle.wait_idle().await;
+        self.stop_inside.cancel();
+        while self.inside.join_next().await.is_some() {}
+    }
+
+    fn serve_callers(&mut self, listener: TcpListener) {
+        let node = Arc::clone(&self.node);
+        let service = ServiceBuilder::new()
+            .layer(StripLayer::new(&[request::TOKEN, request::DEADLINE_MS]))
+            .service(service_fn(move |req| serve::serve_caller(Arc::clone(&node), req)));
+        let stop = self.stop_outside.clone();
+        self.outside.spawn(listener::serve(listener, Protocol::Http1, service, stop));
+    }
+
+    fn serve_peers(&mut self, listener: TcpListener) {
+        let node = Arc::clone(&self.node);
+        let service = service_fn(move |req| serve::serve_peer(Arc::clone(&node), req));
+        let stop = self.stop_outside.clone();
+        self.outside.spawn(listener::serve(listener, Protocol::Http2, service, stop));
+    }
+
+    fn serve_upstream(&mut self, listener: TcpListener) {
+        let node = Arc::clone(&self.node);
+        let service = ServiceBuilder::new()
+            .layer(StripLayer::new(&[request::CONTEXT, request::TOKEN, request::DEADLINE_MS]))
+            .service(service_fn(move |req| serve::serve_upstream(Arc::clone(&node), req)));
+        let stop = self.stop_inside.clone();
+        self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop));
+    }
+
+    fn spawn_background(&mut self) {
+        self.background.spawn(Arc::clone(&self.node.gate).run_timer());
+        self.background.spawn(Arc::clone(&self.node).follow_vms());
+        self.background.spawn(watch_pauses(Arc::clone(&self.node)));
+    }
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self, StartError> {
+        let listen = &settings.listen;
+        Ok(Self {
+            caller: bind("caller", listen.caller).await?,
+            upstream: bind("upstream", listen.upstream).await?,
+            peer: bind("peer", listen.peer).await?,
+            control: bind("control", listen.control).await?,
+        })
+    }
+
+    fn addresses(&self) -> Addresses {
+        let local = |listener: &TcpListener| {
+            listener.local_addr().expect("a bound listener has a local address")
+        };
+        Addresses {
+            caller: local(&self.caller),
+            upstream: local(&self.upstream),
+            peer: local(&self.peer),
+            control: local(&self.control),
+        }
+    }
+}
+
+async fn bind(listener: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    listener::bind(address).await.context(BindSnafu { listener })
+}
+
+/// Treats what was seen of other daemons as out of date after a pause.
+async fn watch_pauses(node: Arc<Node>) {
+    let mut last = Instant::now();
+    loop {
+        tokio::time::sleep(PAUSE_CHECK_INTERVAL).await;
+        let gap = last.elapsed();
+        last = Instant::now();
+        if gap >= PAUSE_THRESHOLD {
+            spdlog::warn!("process paused: gap_ms={}", gap.as_millis());
+            node.router.lock().outdate(node.clock.now());
+        }
+    }
+}
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub mod burn;
 pub mod clock;
 pub mod config;
+pub mod daemon;
 mod ids;
 pub mod membership;
 pub mod metrics;
