--- /dev/null
+++ b/lib/src/process/config/version_id.rs
@@ -0,0 +1,52 @@
+//! What tells two versions of a text apart, and orders them.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Hash of a whole text, the same on every daemon.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct TextHash(pub u64);
+
+impl TextHash {
+    /// Returns the hash of a text.
+    pub fn of(text: &str) -> Self {
+        let hash = blake3::hash(text.as_bytes());
+        let (head, _) = hash.as_bytes().split_first_chunk().expect("a hash is longer than 8 bytes");
+        Self(u64::from_le_bytes(*head))
+    }
+}
+
+impl fmt::Display for TextHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Identity of a version: the platform's number, then the hash of its text.
+///
+/// The order is total, so any two daemons that hear of the same versions settle
+/// on the same one. The hash decides only between two texts that the platform
+/// published under one number.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct VersionId {
+    /// Number by which the platform orders versions.
+    pub number: u64,
+    /// Hash of the text.
+    pub hash: TextHash,
+}
+
+impl VersionId {
+    /// Returns the identity of a text that the platform numbered.
+    pub fn of(number: u64, text: &str) -> Self {
+        Self { number, hash: TextHash::of(text) }
+    }
+}
+
+impl fmt::Display for VersionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.number, self.hash)
+    }
+}
--- a/lib/src/process/membership/members.rs
+++ b/lib/src/process/membership/members.rs
@@ -6,7 +6,6 @@
 use indexmap::IndexMap;
 use rand::Rng;
 
-use super::Level;
 use super::Observation;
 use super::Vm;
 use super::VmList;
@@ -14,6 +13,7 @@
 use super::standing::Standing;
 use crate::process::InstanceId;
 use crate::process::ServiceName;
+use crate::process::admission::Level;
 
 /// Whether an instance may get work.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/lib/src/process/membership/mod.rs
+++ b/lib/src/process/membership/mod.rs
@@ -1,11 +1,9 @@
 //! Which instances exist and which of them work; see `docs/design/membership.md`.
 
-mod level;
 mod members;
 mod standing;
 mod vm;
 
-pub use level::Level;
 pub use members::Health;
 pub use members::Membership;
 pub use standing::Observation;
--- a/lib/src/process/membership/standing.rs
+++ b/lib/src/process/membership/standing.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use rand::RngExt as _;
 
-use super::Level;
+use crate::process::admission::Level;
 
 /// First wait before a suspected instance is probed.
 const PROBE_INTERVAL_MIN: Duration = Duration::from_millis(100);
