daemon: serve the whole path from caller to deepest upstream

Cause: the parts existed, the path between them did not.

The entry mints deadline and retry tokens and sends a request to an instance of its service; the owner admits it and hands it to the upstream; the upstream's own calls go out through its daemon under the same deadline and retry account. Non-idempotent requests run under a token whose issuer alone decides; the run goes on when its caller goes away.

--- a/lib/src/process/config/active.rs
+++ b/lib/src/process/config/active.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::VersionId;
+use crate::version::rules::Rules;
 
 /// A version of the rules that is in force.
 #[derive(Debug)]
@@ -11,6 +12,8 @@
     pub id: VersionId,
     /// The text as the platform published it.
     pub text: Arc<str>,
+    /// The rules that the text holds.
+    pub rules: Rules,
 }
 
 impl ActiveRules {
--- a/lib/src/process/config/driver.rs
+++ b/lib/src/process/config/driver.rs
@@ -64,10 +64,11 @@
 pub fn spawn(options: ConfigOptions) -> ConfigHandle {
     let shared = Arc::new(Shared::new());
     let (ready_tx, ready) = watch::channel(false);
-    let client = PlatformClient::new(options.platform);
+    let ConfigOptions { platform, seed, .. } = options;
+    let client = PlatformClient::new(platform);
     let mut tasks = JoinSet::new();
     for kind in [Kind::Rules, Kind::Vms] {
-        let rng = ChaCha8Rng::seed_from_u64(options.seed);
+        let rng = ChaCha8Rng::seed_from_u64(seed);
         tasks.spawn(read_platform(shared.clone(), client, kind, rng));
     }
     tasks.spawn(announce_ready(shared.clone(), ready_tx));
--- a/lib/src/process/config/shared.rs
+++ b/lib/src/process/config/shared.rs
@@ -14,6 +14,7 @@
 use super::document::Kind;
 use super::vm_text;
 use crate::process::membership::VmList;
+use crate::version::rules::Rules;
 
 /// The texts in force and those who wait for newer ones.
 #[derive(Debug)]
@@ -62,11 +63,20 @@
 
     fn take_rules(&self, document: &Document) {
         let id = document.id;
-        let rules = Arc::new(ActiveRules { id, text: document.text.clone() });
+        let parsed = Rules::parse("rules", &document.text);
         let mut holder = self.rules.lock();
-        if holder.accept(id) {
-            self.note_accepted("rules", id);
-            self.rules_tx.send_replace(Some(rules));
+        match parsed {
+            Ok(rules) if holder.accept(id) => {
+                self.note_accepted("rules", id);
+                let text = document.text.clone();
+                self.rules_tx.send_replace(Some(Arc::new(ActiveRules { id, text, rules })));
+            }
+            Ok(_) => {}
+            Err(err) => {
+                holder.refuse(id);
+                self.counters.refused.add_one();
+                spdlog::error!("rules {id} refused, the last good version stays: {err}");
+            }
         }
     }
 
--- a/lib/src/process/daemon.rs
+++ b/lib/src/process/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderName;
 use snafu::ResultExt as _;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -33,6 +34,11 @@
 /// Shortest gap between two checks that counts as a pause.
 const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 
+/// Headers of ours that an outside caller may send.
+static CALLER_HEADERS: [HeaderName; 2] = [request::TOKEN, request::DEADLINE_MS];
+/// Headers of ours that the local upstream may send.
+static UPSTREAM_HEADERS: [HeaderName; 3] = [request::CONTEXT, request::TOKEN, request::DEADLINE_MS];
+
 /// Why a daemon cannot start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -151,7 +157,7 @@
     fn serve_callers(&mut self, listener: TcpListener) {
         let node = Arc::clone(&self.node);
         let service = ServiceBuilder::new()
-            .layer(StripLayer::new(&[request::TOKEN, request::DEADLINE_MS]))
+            .layer(StripLayer::new(&CALLER_HEADERS))
             .service(service_fn(move |req| serve::serve_caller(Arc::clone(&node), req)));
         let stop = self.stop_outside.clone();
         self.outside.spawn(listener::serve(listener, Protocol::Http1, service, stop));
@@ -167,7 +173,7 @@
     fn serve_upstream(&mut self, listener: TcpListener) {
         let node = Arc::clone(&self.node);
         let service = ServiceBuilder::new()
-            .layer(StripLayer::new(&[request::CONTEXT, request::TOKEN, request::DEADLINE_MS]))
+            .layer(StripLayer::new(&UPSTREAM_HEADERS))
             .service(service_fn(move |req| serve::serve_upstream(Arc::clone(&node), req)));
         let stop = self.stop_inside.clone();
         self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop));
--- a/lib/src/process/node/gate.rs
+++ b/lib/src/process/node/gate.rs
@@ -91,7 +91,8 @@
         rx: oneshot::Receiver<Verdict>,
     ) -> Result<Permit, Shed> {
         let mut waiting = Waiting { gate: Arc::clone(self), ticket: Some(ticket) };
-        let verdict = rx.await.expect("the verdict on a queued ticket is sent before it is dropped");
+        let verdict =
+            rx.await.expect("the verdict on a queued ticket is sent before it is dropped");
         waiting.ticket = None;
         match verdict {
             Verdict::Admitted => Ok(Permit { gate: Arc::clone(self), ticket: Some(ticket) }),
--- a/lib/src/process/node/home.rs
+++ b/lib/src/process/node/home.rs
@@ -19,8 +19,8 @@
 use crate::request::Refusal;
 use crate::request::idempotency;
 use crate::request::idempotency::Begin;
-use crate::request::idempotency::Finished;
 use crate::request::idempotency::Fingerprint;
+use crate::request::idempotency::Finished;
 use crate::request::idempotency::Issuer;
 use crate::request::idempotency::IssuerConfig;
 use crate::request::idempotency::Secret;
@@ -192,7 +192,9 @@
         };
         self.issuer.finish(sequence, finished);
         match end {
-            RunEnd::Refused(refusal) => RunEnd::Refused(with_fresh_token(refusal, &mut self.issuer)),
+            RunEnd::Refused(refusal) => {
+                RunEnd::Refused(with_fresh_token(refusal, &mut self.issuer))
+            }
             RunEnd::Answered(_) => end,
         }
     }
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -95,8 +95,14 @@
         })
     }
 
-    /// Returns the rules in force; `None` before the first are heard of.
+    /// Returns the rules in force.
+    ///
+    /// There are none while the daemon does not know whether it holds the
+    /// newest version, at the start and after a pause.
     pub fn rules(&self) -> Option<Arc<ActiveRules>> {
+        if !*self.config.ready.borrow() {
+            return None;
+        }
         self.config.rules.borrow().clone()
     }
 
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -17,6 +17,7 @@
 pub use self::error::Problem;
 pub use self::error::SettingsError;
 use super::InstanceId;
+use super::Region;
 use super::ServiceName;
 use super::Zone;
 use super::units::DurationText;
@@ -58,7 +59,7 @@
     /// Availability zone of the VM.
     pub zone: Zone,
     /// Region of the availability zone.
-    pub region: String,
+    pub region: Region,
 }
 
 /// Addresses that a daemon listens on, one for each kind of client.
--- a/lib/src/process/settings/reader.rs
+++ b/lib/src/process/settings/reader.rs
@@ -21,6 +21,7 @@
 use super::Upstream;
 use super::error::Problem;
 use super::section::Section;
+use crate::process::Region;
 
 const KIB: u64 = 1024;
 const MIB: u64 = 1024 * KIB;
@@ -64,7 +65,7 @@
         instance: section.required("instance", NAME, "".into()),
         service: section.required("service", NAME, "".into()),
         zone: section.required("zone", NAME, "".into()),
-        region: section.required("region", NAME, String::new()),
+        region: section.required("region", NAME, Region::from("")),
     };
     section.finish();
     daemon
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -120,7 +120,7 @@
     }
 
     /// Returns the body for one more attempt; `None` if it was streamed already.
-    pub fn next(&mut self) -> Option<RelayBody> {
+    pub fn take_body(&mut self) -> Option<RelayBody> {
         match self {
             Self::Held(bytes) if bytes.is_empty() => Some(body::empty()),
             Self::Held(bytes) => Some(body::full(bytes.clone())),
@@ -128,7 +128,7 @@
         }
     }
 
-    /// Whether [`Self::next`] will return a body.
+    /// Whether [`Self::take_body`] will return a body.
     pub fn is_left(&self) -> bool {
         matches!(self, Self::Held(_) | Self::Streamed(Some(_)))
     }
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use http::Request;
 use http::Response;
 use http_body_util::BodyExt as _;
 use tokio::time::Instant;
@@ -32,6 +33,7 @@
 use crate::request::RULES_VERSION;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::message::Inbound;
 
 /// Counts one call as outstanding at an instance until it is dropped.
 #[derive(Debug)]
@@ -67,7 +69,7 @@
     vm: &Vm,
     call: &mut Call,
 ) -> Result<Response<RelayBody>, Refusal> {
-    let Some(body) = call.payload.next() else {
+    let Some(body) = call.payload.take_body() else {
         return Err(Refusal::not_run(Reason::BadBody));
     };
     let outstanding = Outstanding::begin(node, &vm.instance);
@@ -78,9 +80,13 @@
         ..call.cx.clone()
     };
     let is_local = vm.instance == node.settings.daemon.instance;
+    let give_up = call.give_up();
     let answered = match is_local {
         true => Ok(owner::serve(node, cx, &call.inbound, body).await),
-        false => send(node, vm.peer, &cx, call, body).await,
+        false => match peer_request(node, &cx, &call.inbound, body) {
+            Ok(req) => send(node, vm.peer, req, give_up).await,
+            Err(refusal) => Err(Failure::Malformed(refusal)),
+        },
     };
     let rsp = answered.inspect_err(|failure| observe_failure(node, vm, failure));
     let mut rsp = rsp.map_err(|failure| failure.refusal())?;
@@ -91,7 +97,6 @@
         return Err(refusal);
     }
     strip(rsp.headers_mut(), &[]);
-    let give_up = call.give_up();
     Ok(rsp.map(|body| GuardedBody::new(body, give_up, outstanding).boxed_unsync()))
 }
 
@@ -114,22 +119,30 @@
     }
 }
 
-async fn send(
-    node: &Arc<Node>,
-    peer: SocketAddr,
+fn peer_request(
+    node: &Node,
     cx: &Context,
-    call: &Call,
+    inbound: &Inbound,
     body: RelayBody,
-) -> Result<Response<RelayBody>, Failure> {
-    let mut req = call.inbound.to_request(body).map_err(Failure::Malformed)?;
+) -> Result<Request<RelayBody>, Refusal> {
+    let mut req = inbound.to_request(body)?;
     let headers = req.headers_mut();
     if let Ok(value) = HeaderValue::try_from(cx.to_string()) {
         headers.insert(CONTEXT, value);
     }
     if let Some(rules) = node.rules() {
-        headers.insert(RULES_VERSION, rules.version.into());
+        headers.insert(RULES_VERSION, rules.version().into());
     }
-    let sending = timeout_at(call.give_up(), node.peers.send(peer, req));
+    Ok(req)
+}
+
+async fn send(
+    node: &Node,
+    peer: SocketAddr,
+    req: Request<RelayBody>,
+    give_up: Instant,
+) -> Result<Response<RelayBody>, Failure> {
+    let sending = timeout_at(give_up, node.peers.send(peer, req));
     let rsp = sending.await.map_err(|_| Failure::TimedOut)?.map_err(Failure::Peer)?;
     Ok(rsp.map(body::relay))
 }
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -67,10 +67,7 @@
 /// # Errors
 ///
 /// The refusal's outcome speaks of all attempts together.
-pub(super) async fn call(
-    node: &Arc<Node>,
-    mut call: Call,
-) -> Result<Response<RelayBody>, Refusal> {
+pub(super) async fn call(node: &Arc<Node>, mut call: Call) -> Result<Response<RelayBody>, Refusal> {
     let mut tried: Vec<InstanceId> = Vec::new();
     let mut earlier: Option<Outcome> = None;
     loop {
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -103,9 +103,7 @@
 fn hand_out_token(node: &Node) -> Refusal {
     match node.lifecycle.is_leaving() {
         true => Refusal::not_run(Reason::Leaving).retry_after(Duration::from_secs(1)),
-        false => {
-            Refusal::not_run(Reason::TokenRequired).with_token(node.home.issue().to_string())
-        }
+        false => Refusal::not_run(Reason::TokenRequired).with_token(node.home.issue().to_string()),
     }
 }
 
--- a/lib/src/request/serve/once.rs
+++ b/lib/src/request/serve/once.rs
@@ -98,7 +98,7 @@
     if !is_listed(node, token.issuer) {
         return Err(Refusal::unknown(Reason::TokenIssuerGone));
     }
-    let body = payload.next().unwrap_or_else(body::empty);
+    let body = payload.take_body().unwrap_or_else(body::empty);
     let to_request = inbound.to_request(body);
     let mut req = to_request.map_err(|refusal| Refusal::unknown(refusal.reason))?;
     let headers = req.headers_mut();
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -93,7 +93,7 @@
     let non_idempotent = cx.non_idempotent;
     let parent = node.parents.open(cx, deadline);
     let req = upstream_request(node, inbound, body, &parent, deadline);
-    let exchange = Exchange { parent, permit, in_progress, deadline };
+    let exchange = Exchange { parent, permit, _in_progress: in_progress, deadline };
     match non_idempotent {
         true => run_detached(node, req, exchange).await,
         false => run_attached(node, req, exchange).await,
@@ -104,7 +104,7 @@
 struct Exchange {
     parent: OpenParent,
     permit: Permit,
-    in_progress: InProgress,
+    _in_progress: InProgress,
     deadline: Instant,
 }
 
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -19,6 +19,7 @@
 use crate::process::node::Node;
 use crate::request::CONTEXT;
 use crate::request::Context;
+use crate::request::Outcome;
 use crate::request::RULES_VERSION;
 use crate::request::Reason;
 use crate::request::Refusal;
@@ -82,6 +83,7 @@
 }
 
 /// A copy of the request may have run before this one was found unreadable.
-fn maybe_run_before(refusal: Refusal) -> Refusal {
-    Refusal::unknown(refusal.reason)
+fn maybe_run_before(mut refusal: Refusal) -> Refusal {
+    refusal.outcome = Outcome::Unknown;
+    refusal
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,8 +3,9 @@
 mod test_admission;
 mod test_context;
 mod test_idempotency;
+mod test_path;
 mod test_retries;
 mod test_rules;
 mod test_settings;
-mod test_standins;
 mod test_shedding;
+mod test_standins;
