--- a/lib/src/process/config/driver.rs
+++ b/lib/src/process/config/driver.rs
@@ -64,7 +64,7 @@
 pub fn spawn(options: ConfigOptions) -> ConfigHandle {
     let shared = Arc::new(Shared::new());
     let (ready_tx, ready) = watch::channel(false);
-    let ConfigOptions { platform, seed, .. } = options;
+    let ConfigOptions { here: _here, platform, control: _control, seed } = options;
     let client = PlatformClient::new(platform);
     let mut tasks = JoinSet::new();
     for kind in [Kind::Rules, Kind::Vms] {
