--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,7 @@
 //! One binary for all integration tests of the library.
 
+#![allow(clippy::needless_pass_by_value, reason = "quickcheck hands properties owned values")]
+
 mod test_admission;
 mod test_context;
 mod test_idempotency;
