--- a/lib/testutils/src/error.rs
+++ b/lib/testutils/src/error.rs
@@ -84,6 +84,12 @@
         /// Cause given by the system.
         source: std::io::Error,
     },
+    /// A process of a run ended other than as planned.
+    #[snafu(display("a process ended with {status}"))]
+    Ended {
+        /// How it ended.
+        status: std::process::ExitStatus,
+    },
     /// A process of a run did not become ready.
     #[snafu(display("{program} is not ready after {waited_s} s"))]
     NotReady {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -6,10 +6,13 @@
 //! processes.
 
 pub mod caller;
+pub mod demo;
 pub mod error;
 pub mod headers;
 pub mod http;
 pub mod mark;
+pub mod place;
 pub mod platform;
+pub mod process;
 pub mod program;
 pub mod upstream;
