--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -3,8 +3,12 @@
 mod context;
 mod headers;
 pub mod idempotency;
+pub mod message;
 mod outcome;
+pub mod parent;
 mod refusal;
+pub mod retries;
+pub mod serve;
 
 pub use context::Context;
 pub use context::ContextError;
