--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,6 +4,7 @@
 mod test_context;
 mod test_idempotency;
 mod test_metrics;
+mod test_path;
 mod test_retries;
 mod test_rules;
 mod test_settings;
