--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod daemon;
 mod ids;
+pub mod log;
 pub mod membership;
 pub mod metrics;
 pub mod node;
