--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,5 +2,7 @@
 
 mod test_context;
 mod test_idempotency;
+mod test_membership;
 mod test_retries;
+mod test_routing;
 mod test_settings;
--- /dev/null
+++ b/lib/tests/test_membership.rs
@@ -0,0 +1,192 @@
+use std::time::Duration;
+
+use endivescale::process::InstanceId;
+use endivescale::process::membership::Health;
+use endivescale::process::membership::Membership;
+use endivescale::process::membership::Observation;
+use endivescale::process::membership::Vm;
+use endivescale::process::membership::VmList;
+use endivescale::process::membership::VmState;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+const SEED: u64 = 7;
+
+/// Returns a VM whose name is `<service>-<zone>-<number>`.
+pub(crate) fn vm(name: &str) -> Vm {
+    let mut parts = name.split('-');
+    let service = parts.next().expect("a service");
+    let zone = parts.next().expect("a zone");
+    Vm {
+        instance: name.into(),
+        service: service.into(),
+        zone: zone.into(),
+        region: zone[..1].into(),
+        peer: "127.0.0.1:1".parse().expect("an address"),
+        control: "127.0.0.1:2".parse().expect("an address"),
+        state: VmState::Live,
+    }
+}
+
+pub(crate) fn list(version: u64, names: &[&str]) -> VmList {
+    VmList { version, vms: names.iter().map(|name| vm(name)).collect() }
+}
+
+pub(crate) fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+struct Setup {
+    members: Membership,
+    rng: ChaCha8Rng,
+    name: InstanceId,
+}
+
+impl Setup {
+    fn new() -> Self {
+        let mut members = Membership::new();
+        assert!(members.apply(ms(0), &list(1, &["a-x1-1"])));
+        Self { members, rng: ChaCha8Rng::seed_from_u64(SEED), name: "a-x1-1".into() }
+    }
+
+    fn see(&mut self, at: u64, seen: Observation) {
+        self.members.observe(ms(at), &self.name, seen, &mut self.rng);
+    }
+
+    fn probe(&mut self, at: u64) {
+        self.members.probe_sent(ms(at), &self.name, &mut self.rng);
+    }
+
+    fn health(&self, at: u64) -> Health {
+        self.members.health(ms(at), &self.name)
+    }
+
+    fn probe_at(&self, at: u64) -> u64 {
+        match self.health(at) {
+            Health::Probed { at } => at.as_millis() as u64,
+            health => panic!("not suspected: {health:?}"),
+        }
+    }
+}
+
+const WORKS: Health = Health::Working { share: 1.0 };
+
+macro_rules! cases {
+    ($($name:ident: |$s:ident| $body:block)*) => {
+        $(#[test]
+        fn $name() {
+            let mut $s = Setup::new();
+            $body
+        })*
+    };
+}
+
+cases! {
+    an_older_list_is_not_taken: |s| {
+        assert!(s.members.apply(ms(1), &list(3, &["a-x1-1", "a-x1-2"])));
+        assert!(!s.members.apply(ms(2), &list(2, &[])));
+        assert!(!s.members.apply(ms(2), &list(3, &[])));
+        assert_eq!(s.health(2), WORKS);
+    }
+
+    a_failed_connection_suspects_at_once: |s| {
+        s.see(0, Observation::ConnectFailed);
+        assert!((50..=100).contains(&s.probe_at(0)));
+    }
+
+    failures_of_probes_lengthen_the_wait_to_its_limit: |s| {
+        s.see(0, Observation::ConnectFailed);
+        let mut longest = 0;
+        let mut at = 0;
+        for _ in 0..12 {
+            let next = s.probe_at(at);
+            longest = longest.max(next - at);
+            at = next;
+            s.probe(at);
+            s.see(at, Observation::ConnectFailed);
+        }
+        assert!((5_000..=10_000).contains(&longest), "{longest}");
+    }
+
+    failures_of_older_calls_do_not_lengthen_the_wait: |s| {
+        for _ in 0..50 {
+            s.see(0, Observation::ConnectFailed);
+        }
+        assert!(s.probe_at(0) <= 100);
+    }
+
+    a_probe_out_delays_the_next_one: |s| {
+        s.see(0, Observation::ConnectFailed);
+        s.probe(200);
+        assert!(s.probe_at(200) > 200);
+    }
+
+    an_answer_brings_back_and_warms_up: |s| {
+        s.see(0, Observation::ConnectFailed);
+        s.probe(100);
+        s.see(110, Observation::Answered);
+        assert_eq!(s.health(110), Health::Working { share: 0.1 });
+        assert_eq!(s.health(5_110), Health::Working { share: 0.5 });
+        assert_eq!(s.health(10_110), WORKS);
+    }
+
+    three_timeouts_in_a_row_suspect: |s| {
+        s.see(0, Observation::TimedOut);
+        s.see(0, Observation::TimedOut);
+        s.see(0, Observation::Answered);
+        s.see(0, Observation::TimedOut);
+        s.see(0, Observation::TimedOut);
+        assert_eq!(s.health(0), WORKS);
+        s.see(0, Observation::TimedOut);
+        s.probe_at(0);
+    }
+
+    leaving_on_the_wire_goes_before_a_list_that_lags: |s| {
+        s.see(0, Observation::Leaving);
+        assert!(s.members.apply(ms(1), &list(2, &["a-x1-1"])));
+        assert!(s.probe_at(1) >= 30_000);
+    }
+
+    a_late_answer_does_not_end_leaving: |s| {
+        s.see(0, Observation::Leaving);
+        s.see(20, Observation::Answered);
+        s.see(30_020, Observation::Answered);
+        s.probe_at(30_020);
+    }
+
+    a_restarted_instance_is_found_by_a_probe: |s| {
+        s.see(0, Observation::Leaving);
+        s.probe(30_000);
+        s.see(30_010, Observation::Answered);
+        assert_eq!(s.health(30_010), Health::Working { share: 0.1 });
+    }
+
+    leaving_in_the_list_is_gone: |s| {
+        let mut newer = list(2, &["a-x1-1"]);
+        newer.vms[0].state = VmState::Leaving;
+        s.members.apply(ms(1), &newer);
+        assert_eq!(s.health(1), Health::Gone);
+    }
+
+    what_leaves_the_list_is_forgotten: |s| {
+        s.see(0, Observation::ConnectFailed);
+        assert_eq!(s.members.seen(), 1);
+        s.members.apply(ms(1), &list(2, &["a-x1-2"]));
+        s.see(1, Observation::ConnectFailed);
+        assert_eq!(s.members.seen(), 1);
+        assert_eq!(s.health(1), Health::Gone);
+    }
+
+    a_newly_listed_instance_is_cold: |s| {
+        s.members.apply(ms(500), &list(2, &["a-x1-1", "a-x1-2"]));
+        let health = s.members.health(ms(500), &"a-x1-2".into());
+        assert_eq!(health, Health::Working { share: 0.1 });
+        assert_eq!(s.health(500), WORKS);
+    }
+
+    after_a_pause_suspected_instances_are_probed_at_once: |s| {
+        s.see(0, Observation::Leaving);
+        s.members.outdate(ms(5_000));
+        assert_eq!(s.probe_at(5_000), 5_000);
+    }
+}
