--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,8 +1,12 @@
 //! One binary for all integration tests of the library.
 
+mod test_admission;
 mod test_context;
 mod test_idempotency;
 mod test_membership;
 mod test_retries;
 mod test_routing;
+mod test_rules;
 mod test_settings;
+mod test_standins;
+mod test_shedding;
