--- a/cli/src/bin/endivescaled.rs
+++ b/cli/src/bin/endivescaled.rs
@@ -5,6 +5,8 @@
 
 use endivescale::process::daemon::Daemon;
 use endivescale::process::daemon::StartError;
+use endivescale::process::log;
+use endivescale::process::log::LogError;
 use endivescale::process::settings::Settings;
 use endivescale::process::settings::SettingsError;
 use getopts::Options;
@@ -26,6 +28,10 @@
     Runtime { source: std::io::Error },
     #[snafu(display("{source}: {}", snafu::ErrorCompat::iter_chain(source).last().map_or_else(String::new, ToString::to_string)))]
     Start { source: StartError },
+    #[snafu(display("the log cannot be set up: {source}"))]
+    Log { source: LogError },
+    #[snafu(display("{cut_off} requests were cut off\nHint: raise stop.patience in the settings"))]
+    CutOff { cut_off: usize },
     #[snafu(display("cannot wait for signals: {source}"))]
     Signal { source: std::io::Error },
 }
@@ -56,7 +62,8 @@
 }
 
 async fn serve(settings: Settings) -> Result<(), RunError> {
-    spdlog::info!("starting: {settings}");
+    log::init(settings.log.level).context(LogSnafu)?;
+    spdlog::info!("event=settings\n{settings}");
     let daemon = Daemon::start(settings).await.context(StartSnafu)?;
     let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
@@ -65,7 +72,8 @@
         _ = interrupt.recv() => {}
         () = daemon.node().lifecycle.wait_leaving() => {}
     }
-    let cut_off = daemon.stop().await;
-    spdlog::info!("stopped: cut_off={cut_off}");
-    Ok(())
+    match daemon.stop().await {
+        0 => Ok(()),
+        cut_off => CutOffSnafu { cut_off }.fail(),
+    }
 }
--- a/lib/src/process/daemon.rs
+++ b/lib/src/process/daemon.rs
@@ -16,6 +16,12 @@
 
 use super::config;
 use super::config::ConfigOptions;
+use super::log;
+use super::log::DrainCause;
+use super::log::StateChange;
+use super::metrics::Counter;
+use super::metrics::Metrics;
+use super::metrics::StatsdError;
 use super::node::Node;
 use super::routing::Place;
 use super::settings::Settings;
@@ -39,6 +45,9 @@
 /// Headers of ours that the local upstream may send.
 static UPSTREAM_HEADERS: [HeaderName; 3] = [request::CONTEXT, request::TOKEN, request::DEADLINE_MS];
 
+/// Interval at which counters are sent to statsd.
+const METRICS_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Why a daemon cannot start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -50,6 +59,12 @@
         /// Why it cannot start.
         source: BindError,
     },
+    /// Counters cannot be sent.
+    #[snafu(display("counters cannot be sent to statsd"))]
+    Metrics {
+        /// Why they cannot be sent.
+        source: StatsdError,
+    },
 }
 
 /// Addresses that a running daemon listens on.
@@ -93,6 +108,7 @@
     ///
     /// Fails if one of the addresses cannot be used.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        let metrics = Metrics::new(settings.metrics.statsd).context(MetricsSnafu)?;
         let listeners = Listeners::bind(&settings).await?;
         let addresses = listeners.addresses();
         let config = config::spawn(ConfigOptions {
@@ -105,7 +121,7 @@
             control: listeners.control,
             seed: rand::random(),
         });
-        let node = Node::new(settings, addresses.peer, config);
+        let node = Node::new(settings, addresses.peer, metrics, config);
         let mut daemon = Self {
             node,
             addresses,
@@ -119,6 +135,10 @@
         daemon.serve_peers(listeners.peer);
         daemon.serve_upstream(listeners.upstream);
         daemon.spawn_background();
+        log::write(&StateChange::Started {
+            instance: daemon.node.settings.daemon.instance.clone(),
+            incarnation: daemon.node.incarnation,
+        });
         Ok(daemon)
     }
 
@@ -136,14 +156,21 @@
     ///
     /// Returns the number of requests that the settings' patience cut off.
     pub async fn stop(mut self) -> usize {
-        self.node.lifecycle.leave();
+        self.node.lifecycle.leave(DrainCause::Signal);
         let give_up = Instant::now() + self.node.settings.stop.patience;
         tokio::time::sleep(LEAVE_NOTICE).await;
         self.stop_outside.cancel();
         let finished = tokio::time::timeout_at(give_up, self.finish()).await;
         match finished {
-            Ok(()) => 0,
-            Err(_) => self.node.lifecycle.in_progress(),
+            Ok(()) => {
+                log::write(&StateChange::Drained);
+                0
+            }
+            Err(_) => {
+                let in_progress = self.node.lifecycle.in_progress();
+                log::write(&StateChange::PatienceEnded { in_progress });
+                in_progress
+            }
         }
     }
 
@@ -182,6 +209,7 @@
     fn spawn_background(&mut self) {
         self.background.spawn(Arc::clone(&self.node.gate).run_timer());
         self.background.spawn(Arc::clone(&self.node).follow_vms());
+        self.background.spawn(flush_metrics(Arc::clone(&self.node)));
         self.background.spawn(watch_pauses(Arc::clone(&self.node)));
     }
 }
@@ -214,6 +242,14 @@
     listener::bind(address).await.context(BindSnafu { listener })
 }
 
+/// Sends counters to statsd now and then.
+async fn flush_metrics(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(METRICS_INTERVAL).await;
+        node.metrics.flush();
+    }
+}
+
 /// Treats what was seen of other daemons as out of date after a pause.
 async fn watch_pauses(node: Arc<Node>) {
     let mut last = Instant::now();
@@ -222,7 +258,8 @@
         let gap = last.elapsed();
         last = Instant::now();
         if gap >= PAUSE_THRESHOLD {
-            spdlog::warn!("process paused: gap_ms={}", gap.as_millis());
+            log::write(&StateChange::PauseNoticed { gap });
+            node.metrics.count(Counter::Pauses);
             node.router.lock().outdate(node.clock.now());
         }
     }
--- a/lib/src/process/node/lifecycle.rs
+++ b/lib/src/process/node/lifecycle.rs
@@ -7,6 +7,10 @@
 
 use tokio::sync::Notify;
 
+use crate::process::log;
+use crate::process::log::DrainCause;
+use crate::process::log::StateChange;
+
 /// The daemon's way from serving to stopped; see `docs/design/stopping.md`.
 #[derive(Debug, Default)]
 pub struct Lifecycle {
@@ -23,11 +27,15 @@
 }
 
 impl Lifecycle {
-    /// Stops taking new work for the local upstream; returns whether this call did.
-    pub fn leave(&self) -> bool {
-        let first = !self.leaving.swap(true, Ordering::SeqCst);
+    /// Stops taking new work for the local upstream, for good.
+    ///
+    /// The line about it is written for the first cause only.
+    pub fn leave(&self, cause: DrainCause) {
+        if !self.leaving.swap(true, Ordering::SeqCst) {
+            let in_progress = self.in_progress();
+            log::write(&StateChange::Draining { cause, in_progress });
+        }
         self.left.notify_waiters();
-        first
     }
 
     /// Whether new work for the local upstream is refused.
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -29,7 +29,10 @@
 use super::clock::Clock;
 use super::config::ActiveRules;
 use super::config::ConfigHandle;
+use super::log::DrainCause;
 use super::membership::VmList;
+use super::membership::VmState;
+use super::metrics::Metrics;
 use super::routing::Place;
 use super::routing::Router;
 use super::settings::Settings;
@@ -63,12 +66,19 @@
     pub upstream: Arc<UpstreamPool>,
     /// Whether new work is taken.
     pub lifecycle: Arc<Lifecycle>,
+    /// Counters for operators.
+    pub metrics: Metrics,
     config: ConfigHandle,
 }
 
 impl Node {
     /// Creates the tables of a daemon whose peer listener is at `peer_addr`.
-    pub fn new(settings: Settings, peer_addr: SocketAddr, config: ConfigHandle) -> Arc<Self> {
+    pub fn new(
+        settings: Settings,
+        peer_addr: SocketAddr,
+        metrics: Metrics,
+        config: ConfigHandle,
+    ) -> Arc<Self> {
         let incarnation = Incarnation(rand::random());
         let clock = Clock::start();
         let place = Place {
@@ -90,6 +100,7 @@
             peers: PeerPool::default(),
             upstream,
             lifecycle: Arc::default(),
+            metrics,
             config,
             settings,
         })
@@ -116,6 +127,17 @@
         &self.config
     }
 
+    /// Whether the platform wants this VM to leave.
+    ///
+    /// An entry with another address belongs to a VM that had the name before.
+    fn is_listed_as_leaving(&self, list: &VmList) -> bool {
+        list.vms.iter().any(|vm| {
+            vm.instance == self.settings.daemon.instance
+                && vm.peer == self.peer_addr
+                && vm.state == VmState::Leaving
+        })
+    }
+
     /// Hands each new list of VMs to the router, for as long as lists come.
     pub async fn follow_vms(self: Arc<Self>) {
         let mut vms: watch::Receiver<_> = self.config.vms.clone();
@@ -123,6 +145,9 @@
             let list = vms.borrow_and_update().clone();
             if let Some(list) = list {
                 self.router.lock().apply(self.clock.now(), &list);
+                if self.is_listed_as_leaving(&list) {
+                    self.lifecycle.leave(DrainCause::Platform);
+                }
             }
             if vms.changed().await.is_err() {
                 return;
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -24,6 +24,7 @@
 use crate::process::InstanceId;
 use crate::process::membership::Observation;
 use crate::process::membership::Vm;
+use crate::process::metrics::Counter;
 use crate::process::node::Node;
 use crate::request::CONTEXT;
 use crate::request::Context;
@@ -142,6 +143,7 @@
     req: Request<RelayBody>,
     give_up: Instant,
 ) -> Result<Response<RelayBody>, Failure> {
+    node.metrics.count(Counter::Forwarded);
     let sending = timeout_at(give_up, node.peers.send(peer, req));
     let rsp = sending.await.map_err(|_| Failure::TimedOut)?.map_err(Failure::Peer)?;
     Ok(rsp.map(body::relay))
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -12,6 +12,7 @@
 use crate::connection::body::RelayBody;
 use crate::process::InstanceId;
 use crate::process::membership::Vm;
+use crate::process::metrics::Counter;
 use crate::process::node::Node;
 use crate::process::routing::NoRoute;
 use crate::process::routing::Pick;
@@ -85,6 +86,7 @@
         if !may_retry {
             return Err(refusal);
         }
+        node.metrics.count(Counter::RetriesSpent);
         earlier = Some(refusal.outcome);
         tried.push(vm.instance.clone());
     }
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -22,6 +22,7 @@
 use crate::connection::body::OnEnd;
 use crate::connection::body::RelayBody;
 use crate::connection::strip::strip;
+use crate::process::metrics::Counter;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
 use crate::request::Context;
@@ -39,8 +40,52 @@
 /// Time for which an answer in progress is relayed beyond its deadline.
 const BODY_GRACE: Duration = Duration::from_secs(60);
 
-impl OnEnd for InProgress {
-    fn on_end(&mut self, _end: BodyEnd) {}
+/// Follows one caller's request to the end of its answer.
+#[derive(Debug)]
+struct Tracked {
+    node: Arc<Node>,
+    /// What is counted when the answer ends whole.
+    on_whole: Option<Counter>,
+    ended: bool,
+    _in_progress: InProgress,
+}
+
+impl Tracked {
+    fn begin(node: &Arc<Node>) -> Self {
+        // Counted first: see `Lifecycle::begin`.
+        let in_progress = node.lifecycle.begin();
+        node.metrics.count(Counter::CallerRequests);
+        let on_whole = Some(Counter::WholeAnswers);
+        Self { node: Arc::clone(node), on_whole, ended: false, _in_progress: in_progress }
+    }
+
+    fn refuse(&mut self, refusal: Refusal) -> Response<RelayBody> {
+        self.on_whole = None;
+        self.node.metrics.count(Counter::Refused(refusal.reason));
+        refusal.into_response()
+    }
+}
+
+impl OnEnd for Tracked {
+    fn on_end(&mut self, end: BodyEnd) {
+        self.ended = true;
+        let counter = match end {
+            BodyEnd::Whole => self.on_whole,
+            BodyEnd::Failed => Some(Counter::TruncatedAnswers),
+            BodyEnd::Dropped => Some(Counter::Cancelled),
+        };
+        if let Some(counter) = counter {
+            self.node.metrics.count(counter);
+        }
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.node.metrics.count(Counter::Cancelled);
+        }
+    }
 }
 
 /// Answers one request of an outside caller.
@@ -52,15 +97,15 @@
     node: Arc<Node>,
     req: Request<Incoming>,
 ) -> Result<Response<RelayBody>, Infallible> {
-    let in_progress = node.lifecycle.begin();
+    let mut tracked = Tracked::begin(&node);
     let served = try_serve(&node, req).await;
-    let mut rsp = served.unwrap_or_else(Refusal::into_response);
+    let mut rsp = served.unwrap_or_else(|refusal| tracked.refuse(refusal));
     if node.lifecycle.is_leaving() {
         let close = header::HeaderValue::from_static("close");
         rsp.headers_mut().insert(header::CONNECTION, close);
     }
     let latest = Instant::now() + node.settings.limits.max_deadline + BODY_GRACE;
-    Ok(rsp.map(|body| GuardedBody::new(body, latest, in_progress).boxed_unsync()))
+    Ok(rsp.map(|body| GuardedBody::new(body, latest, tracked).boxed_unsync()))
 }
 
 async fn try_serve(
@@ -103,7 +148,10 @@
 fn hand_out_token(node: &Node) -> Refusal {
     match node.lifecycle.is_leaving() {
         true => Refusal::not_run(Reason::Leaving).retry_after(Duration::from_secs(1)),
-        false => Refusal::not_run(Reason::TokenRequired).with_token(node.home.issue().to_string()),
+        false => {
+            node.metrics.count(Counter::TokensIssued);
+            Refusal::not_run(Reason::TokenRequired).with_token(node.home.issue().to_string())
+        }
     }
 }
 
--- a/lib/src/request/serve/once.rs
+++ b/lib/src/request/serve/once.rs
@@ -14,6 +14,7 @@
 use super::owner::MAX_HELD_ANSWER_BYTES;
 use crate::connection::body;
 use crate::connection::body::RelayBody;
+use crate::process::metrics::Counter;
 use crate::process::node::Answer;
 use crate::process::node::Node;
 use crate::process::node::RunEnd;
@@ -41,9 +42,16 @@
     let deadline = request.deadline;
     let fingerprint = request.inbound.fingerprint();
     let mut rx = match node.home.begin(token, fingerprint) {
-        Start::Ended(end) => return end.into_result(),
-        Start::Attach(rx) => rx,
+        Start::Ended(end) => {
+            node.metrics.count(Counter::TokensReplayed);
+            return end.into_result();
+        }
+        Start::Attach(rx) => {
+            node.metrics.count(Counter::TokensReplayed);
+            rx
+        }
         Start::Run(run, rx) => {
+            node.metrics.count(Counter::TokensUsed);
             let node = Arc::clone(node);
             let in_progress = node.lifecycle.begin();
             tokio::spawn(async move {
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -15,6 +15,7 @@
 use super::once;
 use crate::connection::body::RelayBody;
 use crate::connection::strip::strip;
+use crate::process::metrics::Counter;
 use crate::process::node::Node;
 use crate::request::CONTEXT;
 use crate::request::Context;
@@ -46,8 +47,12 @@
     if !req.headers().contains_key(CONTEXT) {
         return serve_caller(node, req).await;
     }
+    node.metrics.count(Counter::UpstreamCalls);
     let served = serve_child(&node, req).await;
-    Ok(served.unwrap_or_else(Refusal::into_response))
+    Ok(served.unwrap_or_else(|refusal| {
+        node.metrics.count(Counter::Refused(refusal.reason));
+        refusal.into_response()
+    }))
 }
 
 async fn serve_child(
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -25,6 +25,7 @@
 use crate::process::admission::Shed;
 use crate::process::admission::ShedReason;
 use crate::process::admission::Work;
+use crate::process::metrics::Counter;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
 use crate::process::node::Permit;
@@ -57,7 +58,10 @@
     body: RelayBody,
 ) -> Response<RelayBody> {
     let served = try_serve(node, cx, inbound, body).await;
-    let mut rsp = served.unwrap_or_else(Refusal::into_response);
+    let mut rsp = served.unwrap_or_else(|refusal| {
+        node.metrics.count(Counter::Refused(refusal.reason));
+        refusal.into_response()
+    });
     let level = node.gate.level();
     if level != Level::OPEN
         && let Ok(value) = HeaderValue::try_from(level.to_string())
@@ -176,6 +180,7 @@
     exchange: Exchange,
     give_up: Instant,
 ) -> Result<(Response<Incoming>, Lease, Exchange), Refusal> {
+    node.metrics.count(Counter::Handed);
     let (mut rsp, lease) = match timeout_at(give_up, node.upstream.send(req)).await {
         Ok(Ok(answered)) => answered,
         Ok(Err(err)) if err.is_unsent() => {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,8 +5,8 @@
 mod test_admission;
 mod test_context;
 mod test_idempotency;
-mod test_metrics;
 mod test_membership;
+mod test_metrics;
 mod test_path;
 mod test_retries;
 mod test_routing;
