--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,6 +2,7 @@
 
 mod test_admission;
 mod test_context;
+mod test_examples;
 mod test_idempotency;
 mod test_metrics;
 mod test_path;
