--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,6 +4,7 @@
 
 mod test_admission;
 mod test_context;
+mod test_examples;
 mod test_idempotency;
 mod test_membership;
 mod test_metrics;
