--- a/lib/src/request/idempotency/issuer.rs
+++ b/lib/src/request/idempotency/issuer.rs
@@ -8,7 +8,7 @@
 use super::fingerprint::Fingerprint;
 use super::marks::Mark;
 use super::marks::Marks;
-use super::refusal::Refusal;
+use super::refusal::TokenRefusal;
 use super::token::Secret;
 use super::token::Sequence;
 use super::token::Token;
@@ -68,7 +68,7 @@
     /// else.
     Elsewhere(SocketAddr),
     /// The request is not run.
-    Refused(Refusal),
+    Refused(TokenRefusal),
 }
 
 /// How a running request ended.
@@ -164,13 +164,13 @@
         if let Some(bound) = self.running.get(&sequence) {
             return match *bound == fingerprint {
                 true => Begin::Attach(sequence),
-                false => Begin::Refused(Refusal::BoundToOther),
+                false => Begin::Refused(TokenRefusal::BoundToOther),
             };
         }
         if let Some((bound, _)) = self.answers.get(sequence)
             && bound != fingerprint
         {
-            return Begin::Refused(Refusal::BoundToOther);
+            return Begin::Refused(TokenRefusal::BoundToOther);
         }
         match self.marks.get(sequence) {
             Some(Mark::Unused) => self.first_use(sequence, fingerprint),
@@ -219,14 +219,14 @@
     }
 
     /// Tells why a token with this daemon's address is not one of its own.
-    fn disowned(&self, token: &Token) -> Option<Refusal> {
+    fn disowned(&self, token: &Token) -> Option<TokenRefusal> {
         if token.incarnation != self.incarnation {
-            return Some(Refusal::OtherIncarnation);
+            return Some(TokenRefusal::OtherIncarnation);
         }
         // A sequence that was never issued can't carry a true MAC; it is
         // refused all the same, before any memory is taken for it.
         let issued = token.sequence < self.next || self.next == Sequence(u64::MAX);
-        (!issued || !token.is_signed_by(&self.secret)).then_some(Refusal::Forged)
+        (!issued || !token.is_signed_by(&self.secret)).then_some(TokenRefusal::Forged)
     }
 
     fn first_use(&mut self, sequence: Sequence, fingerprint: Fingerprint) -> Begin<'_, A> {
@@ -234,7 +234,7 @@
             return Begin::Refused(self.void(sequence));
         }
         if !self.marks.set(sequence, Mark::Used) {
-            return Begin::Refused(Refusal::BelowWindow);
+            return Begin::Refused(TokenRefusal::BelowWindow);
         }
         self.running.insert(sequence, fingerprint);
         Begin::Run(sequence)
@@ -242,10 +242,10 @@
 
     /// Marks an unused token so that a delayed copy of its request, which is
     /// about to be answered `not-run`, never runs.
-    fn void(&mut self, sequence: Sequence) -> Refusal {
+    fn void(&mut self, sequence: Sequence) -> TokenRefusal {
         match self.marks.set(sequence, Mark::NotRun) {
-            true => Refusal::TooManyRunning,
-            false => Refusal::BelowWindow,
+            true => TokenRefusal::TooManyRunning,
+            false => TokenRefusal::BelowWindow,
         }
     }
 
@@ -254,10 +254,10 @@
             return Begin::Kept(answer);
         }
         Begin::Refused(match mark {
-            None => Refusal::BelowWindow,
-            Some(Mark::NotRun) => Refusal::NotRun,
-            Some(Mark::Ran) => Refusal::Ran,
-            Some(Mark::Unused | Mark::Used) => Refusal::Unknown,
+            None => TokenRefusal::BelowWindow,
+            Some(Mark::NotRun) => TokenRefusal::NotRun,
+            Some(Mark::Ran) => TokenRefusal::Ran,
+            Some(Mark::Unused | Mark::Used) => TokenRefusal::Unknown,
         })
     }
 }
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod headers;
 pub mod idempotency;
 mod outcome;
+mod refusal;
 pub mod retries;
 
 pub use context::Context;
@@ -12,3 +13,6 @@
 pub use headers::*;
 pub use outcome::Outcome;
 pub use outcome::ParseOutcomeError;
+pub use refusal::ParseReasonError;
+pub use refusal::Reason;
+pub use refusal::Refusal;
