model: explore the at-most-once protocol over the real issuer

Three daemons, two requests, two restarts, with resends, loss, delay, partition and window overrun. Eleven broken variants are kept as cases that must be found.

Issuer states are stored once and referred to by number, which keeps a model state small.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,4 +2,5 @@
 
 mod test_context;
 mod test_idempotency;
+mod test_model_once;
 mod test_retries;
--- /dev/null
+++ b/lib/tests/test_model_once/mod.rs
@@ -0,0 +1,71 @@
+//! Exhaustive search of the core protocol; specified in `docs/spec/once.md`.
+
+mod fault;
+mod issuers;
+mod search;
+mod state;
+mod step;
+
+use fault::Fault;
+use issuers::Room;
+use search::Search;
+use state::Phase;
+use state::Tok;
+use state::Violation;
+
+macro_rules! holds {
+    ($($name:ident: $room:ident;)*) => {
+        $(#[test]
+        fn $name() {
+            search::holds(Room::$room);
+        })*
+    };
+}
+
+macro_rules! broken {
+    ($($name:ident: $fault:ident in $room:ident breaks $violation:ident;)*) => {
+        $(#[test]
+        fn $name() {
+            search::broken(Fault::$fault, Room::$room, Violation::$violation);
+        })*
+    };
+}
+
+holds! {
+    holds_once_model_with_room: Ample;
+    holds_once_model_window_overrun: OneMark;
+    holds_once_model_one_running: OneRunning;
+}
+
+broken! {
+    holds_once_fails_mark_after_send: MarkAfterSend in Ample breaks RanTwice;
+    holds_once_fails_incarnation_ignored: IgnoreIncarnation in Ample breaks RanTwice;
+    holds_once_fails_floor_forgotten: ForgetFloor in OneMark breaks RanTwice;
+    holds_once_fails_unknown_retried: RetryUnknown in Ample breaks RanTwice;
+    holds_once_fails_work_repeated: RepeatWork in Ample breaks RanTwice;
+    holds_once_fails_token_dropped_by_caller: DropToken in Ample breaks RanTwice;
+    holds_once_fails_resend_after_answer: IgnoreIncarnation in Ample breaks RanAfterAnswer;
+    holds_not_run_fails_token_freed: FreeNotRun in Ample breaks NotRunRan;
+    holds_not_run_fails_entry_guesses: EntryClaimsNotRun in Ample breaks NotRunRan;
+    holds_not_run_fails_timeout_guessed: TimeoutIsNotRun in Ample breaks NotRunRan;
+    holds_not_run_fails_write_half_way: NotRunAfterWrite in Ample breaks NotRunRan;
+    holds_not_run_fails_no_room_not_voided: NoRoomNotVoided in OneRunning breaks NotRunRan;
+}
+
+/// A model in which nothing happens holds everything; these are reached.
+#[test]
+fn holds_once_model_reaches_what_it_is_about() {
+    let mut search = Search::new(Room::Ample, None);
+    search.reaches("both requests ran and were answered", |state| {
+        state.requests.iter().all(|req| req.runs() == 1 && req.tokens().any(|t| t.told_ran))
+    });
+    search.reaches("a fresh token ran after not-run, twice restarted", |state| {
+        let [req, _] = &state.requests;
+        let told = req.tokens().next().is_some_and(|t| t.told_not_run);
+        told && req.runs() == 1 && state.restarts_left == 0
+    });
+    search.reaches("an upstream ran after its daemons restarted", |state| {
+        let lost = |t: &Tok| t.runs == 1 && t.phase == Phase::Over && !t.told_ran;
+        state.restarts_left < 2 && state.requests[0].tokens().any(lost)
+    });
+}
--- /dev/null
+++ b/lib/tests/test_model_once/state.rs
@@ -0,0 +1,155 @@
+//! State of the model and the properties it must have.
+
+use super::issuers::IssuerId;
+use super::issuers::TokenId;
+
+pub(super) const DAEMONS: usize = 3;
+pub(super) const REQUESTS: usize = 2;
+const RESTARTS: u8 = 2;
+/// Tokens that one request may go through, the first and a fresh one.
+pub(super) const TOKENS: usize = 2;
+/// Times that a home may send one token's request to an owner.
+pub(super) const ATTEMPTS: usize = 2;
+
+/// What became of one sending of a request to an owner.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) enum Stage {
+    /// On the wire to the owner, or waiting in its queue.
+    Sent,
+    /// The owner proved that it did not run, and says so to the home.
+    NotRun,
+    /// Bytes went to the upstream.
+    Handed,
+    /// As `Handed`, and nobody waits for the answer any more.
+    Orphaned,
+    /// The upstream ran it, and the answer is on its way to the home.
+    Ran,
+    /// Nothing can come of it any more.
+    Over,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Attempt {
+    pub(super) owner: u8,
+    pub(super) stage: Stage,
+}
+
+/// What the home holds of a token's request besides its issuer.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) enum Phase {
+    /// Not begun.
+    Idle,
+    /// Waiting for the owner.
+    Waiting,
+    /// Answered `unknown`; the owner may still be heard.
+    GaveUp,
+    /// Ended, or the home has restarted.
+    Over,
+}
+
+/// A token and what has happened under it.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Tok {
+    pub(super) id: TokenId,
+    pub(super) home: u8,
+    pub(super) phase: Phase,
+    pub(super) attempts: [Option<Attempt>; ATTEMPTS],
+    pub(super) runs: u8,
+    pub(super) told_not_run: bool,
+    pub(super) told_ran: bool,
+}
+
+/// One submission of a caller, which goes through one or more tokens.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub(super) struct Request {
+    tokens: [Option<Tok>; TOKENS],
+    /// Tokens that the caller has sent.
+    pub(super) sent: u8,
+    ran_after_answer: bool,
+}
+
+impl Request {
+    pub(super) fn tokens(&self) -> impl Iterator<Item = &Tok> {
+        self.tokens.iter().flatten()
+    }
+
+    pub(super) fn token(&self, at: usize) -> Option<&Tok> {
+        self.tokens.get(at)?.as_ref()
+    }
+
+    pub(super) fn token_mut(&mut self, at: usize) -> &mut Tok {
+        self.tokens[at].as_mut().expect("the token was handed out")
+    }
+
+    pub(super) fn has_room(&self) -> bool {
+        self.tokens[TOKENS - 1].is_none()
+    }
+
+    pub(super) fn push(&mut self, id: TokenId, home: u8) {
+        let tok = Tok {
+            id,
+            home,
+            phase: Phase::Idle,
+            attempts: [None; ATTEMPTS],
+            runs: 0,
+            told_not_run: false,
+            told_ran: false,
+        };
+        let free = self.tokens.iter_mut().find(|slot| slot.is_none());
+        *free.expect("room was checked") = Some(tok);
+    }
+
+    pub(super) fn runs(&self) -> u8 {
+        self.tokens().map(|tok| tok.runs).sum()
+    }
+
+    /// Enters one run into the upstream's ledger.
+    pub(super) fn run(&mut self, at: usize) {
+        let answered = self.tokens().any(|tok| tok.told_ran);
+        self.ran_after_answer |= answered;
+        let tok = self.token_mut(at);
+        tok.runs = tok.runs.saturating_add(1).min(2);
+    }
+}
+
+/// A property that doesn't hold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Violation {
+    /// A request ran twice.
+    RanTwice,
+    /// A request that is told `not-run` has run.
+    NotRunRan,
+    /// A request ran again after it was answered.
+    RanAfterAnswer,
+    /// A request that is told `ran` has not run.
+    RanDidNot,
+}
+
+impl Violation {
+    pub(super) const ALL: [Self; 4] =
+        [Self::RanTwice, Self::NotRunRan, Self::RanAfterAnswer, Self::RanDidNot];
+
+    pub(super) fn stands(self, state: &State) -> bool {
+        state.requests.iter().any(|req| match self {
+            Self::RanTwice => req.runs() > 1,
+            Self::NotRunRan => req.tokens().any(|tok| tok.told_not_run && tok.runs > 0),
+            Self::RanAfterAnswer => req.ran_after_answer,
+            Self::RanDidNot => req.tokens().any(|tok| tok.told_ran && tok.runs == 0),
+        })
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct State {
+    pub(super) issuers: [IssuerId; DAEMONS],
+    /// Number of each daemon's present run.
+    pub(super) runs: [u8; DAEMONS],
+    pub(super) restarts_left: u8,
+    pub(super) requests: [Request; REQUESTS],
+}
+
+impl State {
+    pub(super) fn new(issuers: [IssuerId; DAEMONS]) -> Self {
+        Self { issuers, runs: [0; DAEMONS], restarts_left: RESTARTS, requests: Default::default() }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_model_once/step.rs
@@ -0,0 +1,403 @@
+//! Every step that can follow a state.
+
+use endivescale::request::Outcome;
+use endivescale::request::idempotency::Finished;
+use endivescale::request::idempotency::TokenRefusal;
+
+use super::fault::Fault;
+use super::issuers::Issuers;
+use super::issuers::Verdict;
+use super::state::Attempt;
+use super::state::DAEMONS;
+use super::state::Phase;
+use super::state::REQUESTS;
+use super::state::Stage;
+use super::state::State;
+use super::state::TOKENS;
+use super::state::Tok;
+
+/// One atomic step. `req` and `tok` are positions in the state, `to`, `at`
+/// and `daemon` are daemons.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[allow(dead_code, reason = "the fields are printed with a path")]
+pub(super) enum Action {
+    /// A caller without a token is answered 428 with one.
+    AskToken { req: usize, at: u8 },
+    /// A caller takes the fresh token of a `not-run` answer, or drops a token.
+    TakeFresh { req: usize },
+    /// A copy of a tokened request arrives at its home through any entry.
+    Deliver { req: usize, tok: usize, to: Option<u8> },
+    /// An owner refuses.
+    OwnerRefuses { req: usize, tok: usize, attempt: usize },
+    /// An owner begins to write to its upstream.
+    OwnerHands { req: usize, tok: usize, attempt: usize },
+    /// An upstream runs the request.
+    UpstreamRuns { req: usize, tok: usize, attempt: usize },
+    /// The home learns what an owner says.
+    HomeLearns { req: usize, tok: usize, attempt: usize },
+    /// The home sends a refused request to another owner.
+    HomeRetries { req: usize, tok: usize, to: u8 },
+    /// The home stops waiting: its deadline passed or the connection is cut.
+    HomeGivesUp { req: usize, tok: usize },
+    /// A daemon is killed and starts anew.
+    Restart { daemon: u8 },
+    /// An entry can't reach the home and makes up an answer.
+    EntryGuesses { req: usize, tok: usize, at: u8 },
+}
+
+pub(super) struct Stepper {
+    pub(super) issuers: Issuers,
+    pub(super) fault: Option<Fault>,
+}
+
+type Steps = Vec<(Action, State)>;
+
+impl Stepper {
+    pub(super) fn steps(&mut self, state: &State) -> Steps {
+        let mut steps = Vec::new();
+        for req in 0..REQUESTS {
+            self.ask_token(state, req, &mut steps);
+            self.take_fresh(state, req, &mut steps);
+            for tok in 0..TOKENS {
+                if state.requests[req].token(tok).is_some() {
+                    self.under_token(state, req, tok, &mut steps);
+                }
+            }
+        }
+        self.restart(state, &mut steps);
+        steps
+    }
+
+    /// Daemons and requests are alike at the start, so a run may be renamed:
+    /// the request that first gets a token is 0 and its home 0, and the home
+    /// of the other is 0 or 1.
+    fn ask_token(&mut self, state: &State, req: usize, steps: &mut Steps) {
+        let asked = state.requests[req].token(0).is_some();
+        let first = state.requests[0].token(0).is_none();
+        if asked || first && req > 0 {
+            return;
+        }
+        for at in 0..=req as u8 {
+            let mut next = *state;
+            self.hand_out(&mut next, req, at);
+            next.requests[req].sent = 1;
+            steps.push((Action::AskToken { req, at }, next));
+        }
+    }
+
+    fn hand_out(&mut self, state: &mut State, req: usize, at: u8) {
+        let (issuer, id) = self.issuers.issue(state.issuers[usize::from(at)]);
+        state.issuers[usize::from(at)] = issuer;
+        state.requests[req].push(id, at);
+    }
+
+    fn take_fresh(&mut self, state: &State, req: usize, steps: &mut Steps) {
+        let request = &state.requests[req];
+        let next_tok = usize::from(request.sent);
+        let told = next_tok > 0 && request.token(next_tok - 1).is_some_and(|t| t.told_not_run);
+        let mut next = *state;
+        if told && request.token(next_tok).is_some() {
+            next.requests[req].sent += 1;
+        } else if self.fault == Some(Fault::DropToken) && next_tok == 1 && request.has_room() {
+            self.hand_out(&mut next, req, 2);
+            next.requests[req].sent += 1;
+        } else {
+            return;
+        }
+        steps.push((Action::TakeFresh { req }, next));
+    }
+
+    fn under_token(&mut self, state: &State, req: usize, tok: usize, steps: &mut Steps) {
+        if tok < usize::from(state.requests[req].sent) {
+            self.deliver(state, req, tok, steps);
+            self.entry_guesses(state, req, tok, steps);
+        }
+        let token = *state.requests[req].token(tok).expect("checked by the caller");
+        for (at, attempt) in token.attempts.iter().enumerate() {
+            if let Some(attempt) = attempt {
+                self.attempt(state, req, tok, at, *attempt, steps);
+            }
+        }
+        if token.phase == Phase::Waiting {
+            self.give_up(state, req, tok, steps);
+        }
+    }
+
+    fn deliver(&mut self, state: &State, req: usize, tok: usize, steps: &mut Steps) {
+        let token = *state.requests[req].token(tok).expect("checked by the caller");
+        let home = usize::from(token.home);
+        let (issuer, verdict) = self.issuers.begin(&state.issuers, token.home, token.id, req as u8);
+        let mut next = *state;
+        next.issuers[home] = issuer;
+        if self.runs_wrongly(&token, verdict) {
+            self.send(&next, req, tok, steps, |to| Action::Deliver { req, tok, to: Some(to) });
+            return;
+        }
+        let action = Action::Deliver { req, tok, to: None };
+        match verdict {
+            Verdict::Run if self.fault == Some(Fault::MarkAfterSend) => {
+                next.issuers[home] = state.issuers[home];
+                self.send(&next, req, tok, steps, |to| Action::Deliver { req, tok, to: Some(to) });
+            }
+            Verdict::Run => {
+                self.send(&next, req, tok, steps, |to| Action::Deliver { req, tok, to: Some(to) });
+            }
+            Verdict::Attach => {}
+            Verdict::Kept => {
+                next.requests[req].token_mut(tok).told_ran = true;
+                steps.push((action, next));
+            }
+            Verdict::Refused(refusal) => {
+                if self.fault == Some(Fault::NoRoomNotVoided) {
+                    next.issuers[home] = state.issuers[home];
+                }
+                self.answer(&mut next, req, tok, refusal.outcome());
+                steps.push((action, next));
+            }
+        }
+    }
+
+    fn runs_wrongly(&self, token: &Tok, verdict: Verdict) -> bool {
+        match (self.fault, verdict) {
+            (Some(Fault::FreeNotRun), Verdict::Refused(TokenRefusal::NotRun)) => true,
+            (Some(Fault::ForgetFloor), Verdict::Refused(TokenRefusal::BelowWindow)) => true,
+            (Some(Fault::IgnoreIncarnation), Verdict::Refused(TokenRefusal::OtherIncarnation)) => {
+                token.phase == Phase::Over
+            }
+            _ => false,
+        }
+    }
+
+    /// Tells the caller; a `not-run` answer carries a fresh token.
+    fn answer(&mut self, state: &mut State, req: usize, tok: usize, outcome: Outcome) {
+        let token = state.requests[req].token_mut(tok);
+        match outcome {
+            Outcome::Ran => token.told_ran = true,
+            Outcome::Unknown => {}
+            Outcome::NotRun => {
+                token.told_not_run = true;
+                let home = token.home;
+                if state.requests[req].token(tok + 1).is_none() && state.requests[req].has_room() {
+                    self.hand_out(state, req, home);
+                }
+            }
+        }
+    }
+
+    /// Sends a token's request to each possible owner.
+    fn send(
+        &self,
+        state: &State,
+        req: usize,
+        tok: usize,
+        steps: &mut Steps,
+        action: impl Fn(u8) -> Action,
+    ) {
+        let sendings = if self.fault == Some(Fault::RepeatWork) { 2 } else { 1 };
+        for owner in 0..DAEMONS as u8 {
+            let mut next = *state;
+            let token = next.requests[req].token_mut(tok);
+            let free = token.attempts.iter_mut().filter(|slot| slot.is_none());
+            let mut sent = false;
+            for slot in free.take(sendings) {
+                *slot = Some(Attempt { owner, stage: Stage::Sent });
+                sent = true;
+            }
+            if sent {
+                token.phase = Phase::Waiting;
+                steps.push((action(owner), next));
+            }
+        }
+    }
+
+    fn attempt(
+        &mut self,
+        state: &State,
+        req: usize,
+        tok: usize,
+        attempt: usize,
+        now: Attempt,
+        steps: &mut Steps,
+    ) {
+        let mut step = |action, stage| {
+            let mut next = *state;
+            set_stage(&mut next, req, tok, attempt, stage);
+            steps.push((action, next));
+        };
+        match now.stage {
+            Stage::Sent => {
+                step(Action::OwnerRefuses { req, tok, attempt }, Stage::NotRun);
+                step(Action::OwnerHands { req, tok, attempt }, Stage::Handed);
+            }
+            Stage::Handed | Stage::Orphaned => {
+                if self.fault == Some(Fault::NotRunAfterWrite) && now.stage == Stage::Handed {
+                    step(Action::OwnerRefuses { req, tok, attempt }, Stage::NotRun);
+                    // The bytes are with the upstream all the same.
+                    let (_, next) = steps.last_mut().expect("just pushed");
+                    let token = next.requests[req].token_mut(tok);
+                    if let Some(slot) = token.attempts.iter_mut().find(|slot| slot.is_none()) {
+                        *slot = Some(Attempt { owner: now.owner, stage: Stage::Orphaned });
+                    }
+                }
+                self.upstream_runs(state, req, tok, attempt, now, steps);
+            }
+            Stage::NotRun | Stage::Ran => self.home_learns(state, req, tok, attempt, now, steps),
+            Stage::Over => {}
+        }
+    }
+
+    fn upstream_runs(
+        &self,
+        state: &State,
+        req: usize,
+        tok: usize,
+        attempt: usize,
+        now: Attempt,
+        steps: &mut Steps,
+    ) {
+        let mut next = *state;
+        next.requests[req].run(tok);
+        let heard = now.stage == Stage::Handed;
+        let stage = if heard { Stage::Ran } else { Stage::Over };
+        set_stage(&mut next, req, tok, attempt, stage);
+        steps.push((Action::UpstreamRuns { req, tok, attempt }, next));
+    }
+
+    fn home_learns(
+        &mut self,
+        state: &State,
+        req: usize,
+        tok: usize,
+        attempt: usize,
+        now: Attempt,
+        steps: &mut Steps,
+    ) {
+        let token = *state.requests[req].token(tok).expect("checked by the caller");
+        let waiting = token.phase == Phase::Waiting;
+        let mut next = *state;
+        set_stage(&mut next, req, tok, attempt, Stage::Over);
+        if now.stage == Stage::NotRun && waiting {
+            self.send(&next, req, tok, steps, |to| Action::HomeRetries { req, tok, to });
+        }
+        let (outcome, finished) = match now.stage {
+            Stage::NotRun => (Outcome::NotRun, Finished::NotRun),
+            _ => (Outcome::Ran, Finished::Ran { answer: Some((req as u8, 1)) }),
+        };
+        self.finish(&mut next, req, tok, finished);
+        next.requests[req].token_mut(tok).phase = Phase::Over;
+        if waiting {
+            self.answer(&mut next, req, tok, outcome);
+        }
+        disconnect(&mut next, req, tok);
+        steps.push((Action::HomeLearns { req, tok, attempt }, next));
+    }
+
+    fn finish(&mut self, state: &mut State, req: usize, tok: usize, finished: Finished<u8>) {
+        let token = *state.requests[req].token(tok).expect("checked by the caller");
+        if self.fault == Some(Fault::MarkAfterSend) {
+            let begun = self.issuers.begin(&state.issuers, token.home, token.id, req as u8);
+            state.issuers[usize::from(token.home)] = begun.0;
+        }
+        let issuer = &mut state.issuers[usize::from(token.home)];
+        *issuer = self.issuers.finish(*issuer, token.id, finished);
+    }
+
+    fn give_up(&mut self, state: &State, req: usize, tok: usize, steps: &mut Steps) {
+        let mut next = *state;
+        if self.fault == Some(Fault::RetryUnknown) {
+            self.send(&next, req, tok, steps, |to| Action::HomeRetries { req, tok, to });
+        }
+        if self.fault == Some(Fault::TimeoutIsNotRun) {
+            self.finish(&mut next, req, tok, Finished::NotRun);
+            self.answer(&mut next, req, tok, Outcome::NotRun);
+        } else {
+            self.finish(&mut next, req, tok, Finished::Unknown);
+            self.answer(&mut next, req, tok, Outcome::Unknown);
+        }
+        next.requests[req].token_mut(tok).phase = Phase::GaveUp;
+        steps.push((Action::HomeGivesUp { req, tok }, next));
+    }
+
+    fn entry_guesses(&mut self, state: &State, req: usize, tok: usize, steps: &mut Steps) {
+        // The true answer, `unknown`, changes nothing.
+        if self.fault != Some(Fault::EntryClaimsNotRun) {
+            return;
+        }
+        let mut next = *state;
+        self.answer(&mut next, req, tok, Outcome::NotRun);
+        steps.push((Action::EntryGuesses { req, tok, at: 2 }, next));
+    }
+
+    fn restart(&mut self, state: &State, steps: &mut Steps) {
+        if state.restarts_left == 0 {
+            return;
+        }
+        for daemon in 0..DAEMONS as u8 {
+            let at = usize::from(daemon);
+            let mut next = *state;
+            next.restarts_left -= 1;
+            next.runs[at] += 1;
+            next.issuers[at] = self.issuers.start(daemon, next.runs[at]);
+            for req in 0..REQUESTS {
+                for tok in 0..TOKENS {
+                    forget(&mut next, req, tok, daemon);
+                }
+            }
+            steps.push((Action::Restart { daemon }, next));
+        }
+    }
+}
+
+fn set_stage(state: &mut State, req: usize, tok: usize, attempt: usize, stage: Stage) {
+    let token = state.requests[req].token_mut(tok);
+    let waiting = matches!(token.phase, Phase::Waiting | Phase::GaveUp);
+    let slot = token.attempts[attempt].as_mut().expect("the attempt was made");
+    *slot = Attempt { owner: slot.owner, stage: if waiting { stage } else { unheard(stage) } };
+    forget_owner(slot);
+}
+
+/// What is left of a stage when the home no longer listens.
+fn unheard(stage: Stage) -> Stage {
+    match stage {
+        Stage::Sent => Stage::Sent,
+        Stage::Handed | Stage::Orphaned => Stage::Orphaned,
+        Stage::NotRun | Stage::Ran | Stage::Over => Stage::Over,
+    }
+}
+
+/// An owner matters only while its restart can change the attempt.
+fn forget_owner(attempt: &mut Attempt) {
+    if matches!(attempt.stage, Stage::Orphaned | Stage::Over | Stage::NotRun) {
+        attempt.owner = 0;
+    }
+}
+
+fn disconnect(state: &mut State, req: usize, tok: usize) {
+    for attempt in state.requests[req].token_mut(tok).attempts.iter_mut().flatten() {
+        attempt.stage = unheard(attempt.stage);
+        forget_owner(attempt);
+    }
+}
+
+/// Takes from a token what was lost with a killed daemon.
+fn forget(state: &mut State, req: usize, tok: usize, daemon: u8) {
+    let Some(token) = state.requests[req].token(tok) else { return };
+    let home_lost = token.home == daemon;
+    let token = state.requests[req].token_mut(tok);
+    for attempt in token.attempts.iter_mut().flatten() {
+        if attempt.owner != daemon {
+            continue;
+        }
+        attempt.stage = match attempt.stage {
+            Stage::Sent | Stage::Ran | Stage::Over => Stage::Over,
+            Stage::Handed | Stage::Orphaned => Stage::Orphaned,
+            // The answer may have left before the kill.
+            Stage::NotRun => Stage::NotRun,
+        };
+        forget_owner(attempt);
+    }
+    if home_lost {
+        token.phase = Phase::Over;
+        disconnect(state, req, tok);
+    }
+}
