--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -2,12 +2,17 @@
 
 pub mod admission;
 pub mod burn;
+pub mod clock;
 pub mod config;
+pub mod daemon;
 mod ids;
+pub mod log;
 pub mod membership;
 pub mod metrics;
+pub mod node;
 pub mod routing;
 pub mod settings;
+mod units;
 
 pub use ids::Incarnation;
 pub use ids::InstanceId;
@@ -15,3 +20,5 @@
 pub use ids::Region;
 pub use ids::ServiceName;
 pub use ids::Zone;
+pub use units::DurationText;
+pub use units::ParseDurationError;
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -3,9 +3,14 @@
 mod context;
 mod headers;
 pub mod idempotency;
+pub mod message;
 mod outcome;
+pub mod parent;
 mod refusal;
+mod refusal;
+pub mod retries;
 pub mod retries;
+pub mod serve;
 
 pub use context::Context;
 pub use context::ContextError;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,17 @@
 //! One binary for all integration tests of the library.
 
+#![allow(clippy::needless_pass_by_value, reason = "quickcheck hands properties owned values")]
+
+mod test_admission;
 mod test_context;
 mod test_idempotency;
+mod test_membership;
+mod test_metrics;
 mod test_model_once;
+mod test_path;
 mod test_retries;
+mod test_routing;
+mod test_rules;
+mod test_settings;
+mod test_shedding;
+mod test_standins;
