--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_idempotency;
 mod test_membership;
 mod test_metrics;
+mod test_model_once;
 mod test_path;
 mod test_retries;
 mod test_routing;
