answers, leaving: prove both promises at the daemons

Seen failing on two relays kept in the tests: one that uses a connection again with an unread answer, one that takes a cut for an end.

Cause of the one fault found: an answer with neither a length nor chunks ends with its connection, so a cut reached the caller as a whole answer. The owner now refuses such an answer as ran, answer-undelimited.

Ruled out: bytes after an answer's end (hyper closes the connection), a cut answer kept under a token (the second and third caller are told ran).

Leaving: no new work reached the upstream later than 3 s after the daemon was told, with a list that lags, answers to peers lost, and peers cut off; seen failing without the daemon being told.

testutils: a TCP link that loses one or both directions; the stand-in upstream says not-run when it sheds; a caller tells the upstream's own failures from unknown outcomes.

--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -79,6 +79,8 @@
     PeerUnreachable = "peer-unreachable", BAD_GATEWAY;
     /// Another daemon failed before it answered.
     PeerFailed = "peer-failed", BAD_GATEWAY;
+    /// The upstream's answer has no length, so that a cut would not show.
+    AnswerUndelimited = "answer-undelimited", BAD_GATEWAY;
     /// The answer to a non-idempotent request is too long to be kept.
     AnswerTooLong = "answer-too-long", BAD_GATEWAY;
     /// The request needs an idempotency token, which this answer hands out.
@@ -134,6 +136,7 @@
             | Self::BadBody
             | Self::Expired
             | Self::DeadlineExceeded
+            | Self::AnswerUndelimited
             | Self::AnswerTooLong
             | Self::TokenRequired
             | Self::TokenMalformed
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -7,7 +7,9 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::BodyExt as _;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -200,6 +202,10 @@
         exchange.complete(Completion::Overloaded);
         return Err(Refusal::not_run(Reason::UpstreamShed));
     }
+    if !is_delimited(&rsp) {
+        exchange.complete(Completion::Failed);
+        return Err(Refusal::ran(Reason::AnswerUndelimited));
+    }
     exchange.permit.answer_started();
     remove_hop_by_hop(rsp.headers_mut());
     strip(rsp.headers_mut(), &[]);
@@ -217,6 +223,15 @@
         && !exchange.parent.parent().has_child_that_may_have_run()
 }
 
+/// Whether the end of the answer's body can be told from a cut; see
+/// `docs/design/answers.md`.
+fn is_delimited(rsp: &Response<Incoming>) -> bool {
+    let body = rsp.body();
+    let codings = rsp.headers().get_all(header::TRANSFER_ENCODING);
+    let is_chunked = || codings.iter().any(|coding| coding.as_bytes().ends_with(b"chunked"));
+    body.is_end_stream() || body.size_hint().exact().is_some() || is_chunked()
+}
+
 /// Ends the exchange with the body of its answer.
 struct Guard {
     exchange: Option<Exchange>,
@@ -272,7 +287,7 @@
     strip(headers, &[]);
     let host = HeaderValue::from_str(node.settings.daemon.service.as_str());
     if let Ok(host) = host {
-        headers.insert(http::header::HOST, host);
+        headers.insert(header::HOST, host);
     }
     if let Ok(handle) = HeaderValue::try_from(parent.handle().to_string()) {
         headers.insert(CONTEXT, handle);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,11 +1,13 @@
 //! One binary for all integration tests of the library.
 
-#![allow(clippy::needless_pass_by_value, reason = "quickcheck hands properties owned values")]
-
+mod broken_relay;
+mod cluster;
 mod test_admission;
+mod test_answers;
 mod test_context;
 mod test_examples;
 mod test_idempotency;
+mod test_leaving;
 mod test_membership;
 mod test_metrics;
 mod test_model_once;
--- a/lib/tests/test_standins.rs
+++ b/lib/tests/test_standins.rs
@@ -71,9 +71,9 @@
     let upstream =
         upstream(Behaviour { shed: true, service_ms: 100.0, ..Behaviour::default() }).await;
     let report = seen(plan(&upstream)).await;
-    assert_eq!(report.whole + report.unknown, 100);
-    assert_eq!(ended_as(&upstream, State::Shed).await as u64, report.unknown);
-    assert!(report.unknown > 0);
+    assert_eq!(report.whole + report.not_run, 100);
+    assert_eq!(ended_as(&upstream, State::Shed).await as u64, report.not_run);
+    assert!(report.not_run > 0);
 }
 
 #[tokio::test]
--- a/lib/testutils/src/caller/exchange.rs
+++ b/lib/testutils/src/caller/exchange.rs
@@ -151,6 +151,7 @@
     let seen = match outcome {
         "not-run" => Seen::NotRun,
         "ran" => Seen::Ran,
+        "no-outcome" => Seen::Failed,
         _ => Seen::Unknown,
     };
     if seen == Seen::NotRun {
--- a/lib/testutils/src/caller/report.rs
+++ b/lib/testutils/src/caller/report.rs
@@ -22,8 +22,10 @@
     Whole,
     /// Refused as provably not run.
     NotRun,
-    /// Failed with the outcome unknown, or without a word on it.
+    /// Failed with the outcome unknown, or the connection was lost.
     Unknown,
+    /// The upstream itself answered that it failed.
+    Failed,
     /// Failed after it ran.
     Ran,
     /// The answer broke off in a way that the caller could notice.
@@ -58,6 +60,8 @@
     pub not_run: u64,
     /// Outcome unknown.
     pub unknown: u64,
+    /// Failures that the upstream itself answered.
+    pub failed: u64,
     /// Failed after running.
     pub ran: u64,
     /// Broken answers.
@@ -134,6 +138,7 @@
                 refused.saturating_record(finished.took_us);
             }
             Seen::Unknown => report.unknown += 1,
+            Seen::Failed => report.failed += 1,
             Seen::Ran => report.ran += 1,
             Seen::Broken => report.broken += 1,
             Seen::Wrong => report.wrong += 1,
--- a/lib/testutils/src/demo/table.rs
+++ b/lib/testutils/src/demo/table.rs
@@ -68,12 +68,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:<12} {:>7} {:>7} {:>8} {:>8} {:>6} {:>7} {:>6} {:>10} {:>8} {:>8} {:>9}",
+            "{:<12} {:>7} {:>7} {:>8} {:>8} {:>7} {:>6} {:>7} {:>6} {:>10} {:>8} {:>8} {:>9}",
             "class",
             "asked",
             "whole",
             "not-run",
             "unknown",
+            "failed",
             "ran",
             "broken",
             "late",
@@ -92,12 +93,13 @@
     let recovery = row.recovery_s.map_or("never".to_owned(), |seconds| format!("{seconds:.1}"));
     writeln!(
         f,
-        "{:<12} {:>7} {:>7} {:>8} {:>8} {:>6} {:>7} {:>6} {:>10} {:>8.1} {:>8.1} {:>9}",
+        "{:<12} {:>7} {:>7} {:>8} {:>8} {:>7} {:>6} {:>7} {:>6} {:>10} {:>8.1} {:>8.1} {:>9}",
         row.class,
         seen.asked,
         seen.whole,
         seen.not_run,
         seen.unknown,
+        seen.failed,
         seen.ran,
         seen.broken,
         seen.gave_up,
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod headers;
 pub mod http;
+pub mod link;
 pub mod mark;
 pub mod place;
 pub mod platform;
--- /dev/null
+++ b/lib/testutils/src/link.rs
@@ -0,0 +1,134 @@
+//! A TCP link that can be cut, or lose one direction, between two processes.
+
+use std::net::SocketAddr;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::ReadHalf;
+use tokio::io::WriteHalf;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::sync::DropGuard;
+
+use crate::error::StandInError;
+use crate::http::bind;
+use crate::program::ANY;
+
+/// Bytes that a link moves at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// What a link does with the bytes that reach it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkMode {
+    /// Passes everything on.
+    Pass,
+    /// Passes what clients send and loses what servers send.
+    LoseAnswers,
+    /// Loses everything and keeps connections open, as a partition does.
+    LoseAll,
+    /// Closes every connection.
+    Cut,
+}
+
+/// Which way a part of the link moves bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Direction {
+    ToServer,
+    ToClient,
+}
+
+/// A running link; dropping it closes its connections.
+#[derive(Debug)]
+pub struct Link {
+    addr: SocketAddr,
+    mode: watch::Sender<LinkMode>,
+    _stop: DropGuard,
+}
+
+impl Link {
+    /// Starts a link to `target` on an address that the system picks.
+    pub async fn start(target: SocketAddr) -> Result<Self, StandInError> {
+        let (listener, addr) = bind(ANY).await?;
+        let (mode, rx) = watch::channel(LinkMode::Pass);
+        let stop = CancellationToken::new();
+        tokio::spawn(accept(listener, target, rx, stop.clone()));
+        Ok(Self { addr, mode, _stop: stop.drop_guard() })
+    }
+
+    /// Address of the link.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Changes what the link does, on open connections as well.
+    pub fn set(&self, mode: LinkMode) {
+        self.mode.send_replace(mode);
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    mode: watch::Receiver<LinkMode>,
+    stop: CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((client, _)) = accepted else { continue };
+        let (mode, stop) = (mode.clone(), stop.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = join(client, target, mode) => {}
+            }
+        });
+    }
+}
+
+/// Moves bytes both ways until one side closes or the link is cut.
+async fn join(client: TcpStream, target: SocketAddr, mut mode: watch::Receiver<LinkMode>) {
+    if *mode.borrow() == LinkMode::Cut {
+        return;
+    }
+    let Ok(server) = TcpStream::connect(target).await else { return };
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let (client_rx, client_tx) = tokio::io::split(client);
+    let (server_rx, server_tx) = tokio::io::split(server);
+    let there = pump(client_rx, server_tx, mode.clone(), Direction::ToServer);
+    let back = pump(server_rx, client_tx, mode.clone(), Direction::ToClient);
+    tokio::select! {
+        _ = there => {}
+        _ = back => {}
+        _ = mode.wait_for(|mode| *mode == LinkMode::Cut) => {}
+    }
+}
+
+async fn pump(
+    mut from: ReadHalf<TcpStream>,
+    mut to: WriteHalf<TcpStream>,
+    mode: watch::Receiver<LinkMode>,
+    direction: Direction,
+) -> std::io::Result<()> {
+    let mut buf = vec![0; CHUNK_BYTES];
+    loop {
+        let len = from.read(&mut buf).await?;
+        if len == 0 {
+            return to.shutdown().await;
+        }
+        let mode = *mode.borrow();
+        let loses = match mode {
+            LinkMode::Pass => false,
+            LinkMode::LoseAnswers => direction == Direction::ToClient,
+            LinkMode::LoseAll | LinkMode::Cut => true,
+        };
+        if !loses {
+            to.write_all(&buf[..len]).await?;
+        }
+    }
+}
--- a/lib/testutils/src/upstream/work.rs
+++ b/lib/testutils/src/upstream/work.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -17,6 +18,7 @@
 use crate::error::StandInError;
 use crate::headers;
 use crate::http::Answer;
+use crate::http::AnswerBody;
 use crate::http::full;
 use crate::http::text;
 use crate::mark::MarkBody;
@@ -39,8 +41,8 @@
 struct Job {
     mark: String,
     path: String,
-    context: Option<http::HeaderValue>,
-    attempt: Option<http::HeaderValue>,
+    context: Option<HeaderValue>,
+    attempt: Option<HeaderValue>,
     answer_bytes: Option<u64>,
     answer_rate: Option<u64>,
     deadline_ms: Option<u64>,
@@ -279,6 +281,9 @@
     Response::builder().header(headers::MARK, &job.mark).body(body).context(BuildSnafu)
 }
 
-fn refusal(reason: &'static str) -> Response<crate::http::AnswerBody> {
-    text(StatusCode::SERVICE_UNAVAILABLE, reason)
+/// Refuses without any work, and says so in the way that the daemon believes.
+fn refusal(reason: &'static str) -> Response<AnswerBody> {
+    let mut refusal = text(StatusCode::SERVICE_UNAVAILABLE, reason);
+    refusal.headers_mut().insert(headers::OUTCOME, HeaderValue::from_static("not-run"));
+    refusal
 }
