serve: keep not-run to what the issuer says, and close queues when leaving

Cause, found by reading the path against the promises: a tokened request that its entry could not prepare (no rules yet, unreadable body) was answered not-run although another copy of it might run at its issuer; queued work was still handed to an upstream long after it began to leave; retry tokens lent to an attempt that never left the daemon were lost.

Now every refusal of a tokened request before its issuer decided is unknown, the queue of a leaving daemon is closed after 2 s, and unspent tokens go back.

--- a/lib/src/process/node/home.rs
+++ b/lib/src/process/node/home.rs
@@ -219,6 +219,6 @@
         TokenRefusal::BelowWindow => Reason::TokenExpired,
         TokenRefusal::TooManyRunning => Reason::Overloaded,
     };
-    let answer = Refusal { outcome: refusal.outcome(), reason, retry_after: None, token: None };
+    let answer = Refusal::new(refusal.outcome(), reason);
     RunEnd::Refused(with_fresh_token(answer, issuer))
 }
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -18,6 +18,8 @@
 use crate::connection::body;
 use crate::connection::body::RelayBody;
 use crate::process::ServiceName;
+use crate::version::rules::Rule;
+use crate::version::rules::Rules;
 
 /// Longest request body that is held so that the request can be sent again.
 const HELD_BODY_BYTES: u64 = 64 * 1024;
@@ -75,6 +77,11 @@
         Ok((Self { service, method: parts.method, path, headers }, body))
     }
 
+    /// Returns the rule that serves the request.
+    pub fn rule<'a>(&self, rules: &'a Rules) -> &'a Rule {
+        rules.find(self.service.as_str(), &self.method, self.path.path())
+    }
+
     /// Returns what an idempotency token is bound to.
     pub fn fingerprint(&self) -> Fingerprint {
         let key = self.headers.get(super::IDEMPOTENCY_KEY).map(|key| key.as_bytes());
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -16,6 +16,7 @@
 use super::OUTCOME;
 use super::Outcome;
 use super::REASON;
+use super::RETRIES_LEFT;
 use super::RETRY_AFTER_MS;
 use super::TOKEN;
 use crate::connection::body;
@@ -187,22 +188,29 @@
     pub retry_after: Option<Duration>,
     /// A fresh idempotency token for the next try.
     pub token: Option<String>,
+    /// Retry tokens that go back to the daemon that sent the request.
+    pub retries_left: Option<u32>,
 }
 
 impl Refusal {
+    /// Creates a refusal without further advice.
+    pub fn new(outcome: Outcome, reason: Reason) -> Self {
+        Self { outcome, reason, retry_after: None, token: None, retries_left: None }
+    }
+
     /// Creates a refusal of a request that was handed to no upstream.
     pub fn not_run(reason: Reason) -> Self {
-        Self { outcome: Outcome::NotRun, reason, retry_after: None, token: None }
+        Self::new(Outcome::NotRun, reason)
     }
 
     /// Creates a failure of a request that may have reached an upstream.
     pub fn unknown(reason: Reason) -> Self {
-        Self { outcome: Outcome::Unknown, reason, retry_after: None, token: None }
+        Self::new(Outcome::Unknown, reason)
     }
 
     /// Creates a failure of a request that an upstream ran.
     pub fn ran(reason: Reason) -> Self {
-        Self { outcome: Outcome::Ran, reason, retry_after: None, token: None }
+        Self::new(Outcome::Ran, reason)
     }
 
     /// Tells the caller when to come back.
@@ -211,12 +219,23 @@
         self
     }
 
+    /// Hands retry tokens back to the sender.
+    pub fn with_retries(mut self, retries: u32) -> Self {
+        self.retries_left = Some(retries);
+        self
+    }
+
     /// Hands out a token for the next try.
     pub fn with_token(mut self, token: String) -> Self {
         self.token = Some(token);
         self
     }
 
+    /// Speaks of a request of which another copy may have run.
+    pub fn unless_run_before(self) -> Self {
+        self.after(Some(Outcome::Unknown))
+    }
+
     /// Makes the outcome claim no more than `earlier` attempts support.
     pub fn after(mut self, earlier: Option<Outcome>) -> Self {
         if let Some(earlier) = earlier {
@@ -238,6 +257,7 @@
             reason: reason.unwrap_or(Reason::Other),
             retry_after: retry_after.map(Duration::from_millis),
             token: text(TOKEN).map(str::to_owned),
+            retries_left: None,
         })
     }
 
@@ -255,6 +275,9 @@
             headers.insert(RETRY_AFTER, ms.div_ceil(1000).into());
             headers.insert(RETRY_AFTER_MS, ms.into());
         }
+        if let Some(retries) = self.retries_left {
+            headers.insert(RETRIES_LEFT, retries.into());
+        }
         if let Some(token) = self.token.and_then(|token| HeaderValue::try_from(token).ok()) {
             headers.insert(TOKEN, token);
         }
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -30,6 +30,7 @@
 use crate::request::Context;
 use crate::request::LEAVING;
 use crate::request::LEVEL;
+use crate::request::Outcome;
 use crate::request::RETRIES_LEFT;
 use crate::request::RULES_VERSION;
 use crate::request::Reason;
@@ -90,7 +91,18 @@
         },
     };
     let rsp = answered.inspect_err(|failure| observe_failure(node, vm, failure));
-    let mut rsp = rsp.map_err(|failure| failure.refusal())?;
+    let mut rsp = match rsp {
+        Ok(rsp) => rsp,
+        Err(failure) => {
+            let refusal = failure.refusal();
+            // Tokens that never left this daemon aren't lost.
+            if refusal.outcome == Outcome::NotRun {
+                let lent = grant.tokens();
+                call.account.lock().give_back(grant, Some(lent));
+            }
+            return Err(refusal);
+        }
+    };
     let unused = read_header(rsp.headers(), &RETRIES_LEFT);
     call.account.lock().give_back(grant, unused);
     observe_answer(node, vm, rsp.headers());
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -112,34 +112,43 @@
     node: &Arc<Node>,
     req: Request<Incoming>,
 ) -> Result<Response<RelayBody>, Refusal> {
+    let has_token = req.headers().contains_key(TOKEN);
+    let prepared = prepare(node, req).await;
+    // Only the issuer knows what became of other copies of a tokened request.
+    let prepared = match has_token {
+        true => prepared.map_err(Refusal::unless_run_before)?,
+        false => prepared?,
+    };
+    let Prepared { token, call: request } = prepared;
+    match token {
+        Some(token) if token.issuer == node.peer_addr => {
+            once::run_under_token(node, &token, request).await
+        }
+        Some(token) => once::send_to_issuer(node, &token, request).await,
+        None if request.cx.non_idempotent => Err(hand_out_token(node)),
+        None => call(node, request).await,
+    }
+}
+
+/// A caller's request that was read and found its rule.
+struct Prepared {
+    token: Option<Token>,
+    call: Call,
+}
+
+async fn prepare(node: &Node, req: Request<Incoming>) -> Result<Prepared, Refusal> {
     let (mut inbound, body) = Inbound::read(req)?;
     let token = take_token(&mut inbound.headers)?;
     let wanted = take_deadline(&mut inbound.headers)?;
     strip(&mut inbound.headers, &[]);
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
-    let (method, path) = (&inbound.method, inbound.path.path());
-    let rule = rules.rules.find(inbound.service.as_str(), method, path);
-    let allowed = rule.deadline.min(node.settings.limits.max_deadline);
-    let deadline = Instant::now() + wanted.unwrap_or(allowed).min(allowed);
-    match token {
-        Some(token) if token.issuer == node.peer_addr => {
-            let payload = Payload::read(body).await;
-            let payload = payload.map_err(|refusal| Refusal::unknown(refusal.reason))?;
-            let call = root_call(node, inbound, payload, rule, deadline, token.sequence.0);
-            once::run_under_token(node, &token, call).await
-        }
-        Some(token) => {
-            let payload = Payload::read(body).await;
-            let payload = payload.map_err(|refusal| Refusal::unknown(refusal.reason))?;
-            once::send_to_issuer(node, &token, &inbound, payload, deadline).await
-        }
-        None if !rule.idempotent => Err(hand_out_token(node)),
-        None => {
-            let payload = Payload::read(body).await?;
-            let id: u64 = rand::random();
-            call(node, root_call(node, inbound, payload, rule, deadline, id)).await
-        }
-    }
+    let rule = inbound.rule(&rules.rules);
+    let payload = Payload::read(body).await?;
+    let seed = token.as_ref().map_or_else(rand::random, |token| token.sequence.0);
+    let mut call = root_call(node, inbound, payload, rule, wanted, seed);
+    // Whatever the rule says now, the token promises one run at most.
+    call.cx.non_idempotent |= token.is_some();
+    Ok(Prepared { token, call })
 }
 
 /// Refuses a request that needs a token, with a token for the next try.
@@ -161,9 +170,11 @@
     inbound: Inbound,
     payload: Payload,
     rule: &Rule,
-    deadline: Instant,
+    wanted: Option<Duration>,
     seed: u64,
 ) -> Call {
+    let allowed = rule.deadline.min(node.settings.limits.max_deadline);
+    let deadline = Instant::now() + wanted.unwrap_or(allowed).min(allowed);
     let id = RequestId(u128::from(node.incarnation.0) << 64 | u128::from(seed));
     let cx = Context {
         id,
--- a/lib/src/request/serve/once.rs
+++ b/lib/src/request/serve/once.rs
@@ -24,8 +24,6 @@
 use crate::request::Refusal;
 use crate::request::TOKEN;
 use crate::request::idempotency::Token;
-use crate::request::message::Inbound;
-use crate::request::message::Payload;
 
 /// Pause told to a caller whose request is still in progress at its deadline.
 const STILL_RUNNING_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -99,15 +97,14 @@
 pub(super) async fn send_to_issuer(
     node: &Arc<Node>,
     token: &Token,
-    inbound: &Inbound,
-    mut payload: Payload,
-    deadline: Instant,
+    mut request: Call,
 ) -> Result<Response<RelayBody>, Refusal> {
     if !is_listed(node, token.issuer) {
         return Err(Refusal::unknown(Reason::TokenIssuerGone));
     }
-    let body = payload.take_body().unwrap_or_else(body::empty);
-    let to_request = inbound.to_request(body);
+    let deadline = request.deadline;
+    let body = request.payload.take_body().unwrap_or_else(body::empty);
+    let to_request = request.inbound.to_request(body);
     let mut req = to_request.map_err(|refusal| Refusal::unknown(refusal.reason))?;
     let headers = req.headers_mut();
     if let Ok(value) = HeaderValue::try_from(token.to_string()) {
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -66,9 +66,8 @@
     strip(&mut inbound.headers, &[]);
     let earlier = pay_for_repeat(&parent, &inbound)?;
     let payload = Payload::read(incoming).await.map_err(|refusal| refusal.after(earlier))?;
-    let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
-    let (method, path) = (&inbound.method, inbound.path.path());
-    let rule = rules.rules.find(inbound.service.as_str(), method, path);
+    let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration).after(earlier))?;
+    let rule = inbound.rule(&rules.rules);
     let call = child_call(node, &parent, inbound, payload, rule);
     parent.child_may_run();
     let served = run_child(node, &parent, call).await;
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -35,6 +35,7 @@
 use crate::request::LEAVING;
 use crate::request::LEVEL;
 use crate::request::OUTCOME;
+use crate::request::Outcome;
 use crate::request::RETRIES_LEFT;
 use crate::request::Reason;
 use crate::request::Refusal;
@@ -47,6 +48,8 @@
 /// Time beyond the deadline for which a non-idempotent request that has begun
 /// is left to finish.
 const LATE_FINISH_GRACE: Duration = Duration::from_secs(30);
+/// Time for which a leaving daemon still hands queued requests to its upstream.
+const QUEUE_NOTICE: Duration = Duration::from_secs(2);
 /// Longest whole answer to a non-idempotent request, in bytes.
 pub(super) const MAX_HELD_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
@@ -57,10 +60,16 @@
     inbound: &Inbound,
     body: RelayBody,
 ) -> Response<RelayBody> {
+    let retries = cx.retries;
     let served = try_serve(node, cx, inbound, body).await;
     let mut rsp = served.unwrap_or_else(|refusal| {
         node.metrics.count(Counter::Refused(refusal.reason));
-        refusal.into_response()
+        // What was refused before it began has spent nothing.
+        let left = match refusal.outcome {
+            Outcome::NotRun => refusal.retries_left.unwrap_or(retries),
+            Outcome::Unknown | Outcome::Ran => refusal.retries_left.unwrap_or(0),
+        };
+        refusal.with_retries(left).into_response()
     });
     let level = node.gate.level();
     if level != Level::OPEN
@@ -89,7 +98,10 @@
     }
     let deadline = Instant::now() + cx.remaining;
     let work = work(node, &cx);
-    let permit = node.gate.enter(work).await.map_err(shed)?;
+    let permit = tokio::select! {
+        entered = node.gate.enter(work) => entered.map_err(shed)?,
+        () = queue_closed(node) => return Err(Refusal::not_run(Reason::Leaving)),
+    };
     // The process may have been paused while the request waited.
     if Instant::now() >= deadline {
         return Err(Refusal::not_run(Reason::Expired));
@@ -104,6 +116,12 @@
     }
 }
 
+/// Waits until queued requests are to be refused because the daemon leaves.
+async fn queue_closed(node: &Node) {
+    node.lifecycle.wait_leaving().await;
+    tokio::time::sleep(QUEUE_NOTICE).await;
+}
+
 /// One request at the upstream, with all that must be held until it ends.
 struct Exchange {
     parent: OpenParent,
@@ -197,8 +215,9 @@
         }
     };
     if is_shed(&rsp, &exchange) {
+        let retries = exchange.parent.parent().take_retries();
         exchange.complete(Completion::Overloaded);
-        return Err(Refusal::not_run(Reason::UpstreamShed));
+        return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
     }
     exchange.permit.answer_started();
     remove_hop_by_hop(rsp.headers_mut());
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -6,9 +6,9 @@
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
-use tokio::time::Instant;
 
 use super::attempt::read_header;
+use super::call::Call;
 use super::entry::root_call;
 use super::entry::take_deadline;
 use super::entry::take_token;
@@ -20,11 +20,11 @@
 use crate::process::node::Node;
 use crate::request::CONTEXT;
 use crate::request::Context;
-use crate::request::Outcome;
 use crate::request::RULES_VERSION;
 use crate::request::Reason;
 use crate::request::Refusal;
 use crate::request::TOKEN;
+use crate::request::idempotency::Token;
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
 
@@ -68,24 +68,21 @@
     node: &Arc<Node>,
     req: Request<Incoming>,
 ) -> Result<Response<RelayBody>, Refusal> {
-    let (mut inbound, incoming) = Inbound::read(req).map_err(maybe_run_before)?;
+    let prepared = prepare_tokened(node, req).await;
+    let (token, call) = prepared.map_err(Refusal::unless_run_before)?;
+    once::run_under_token(node, &token, call).await
+}
+
+async fn prepare_tokened(node: &Node, req: Request<Incoming>) -> Result<(Token, Call), Refusal> {
+    let (mut inbound, incoming) = Inbound::read(req)?;
     let token = take_token(&mut inbound.headers)?;
     let token = token.ok_or(Refusal::unknown(Reason::TokenMalformed))?;
-    let wanted = take_deadline(&mut inbound.headers).map_err(maybe_run_before)?;
-    let payload = Payload::read(incoming).await.map_err(maybe_run_before)?;
-    let rules = node.rules().ok_or(Refusal::unknown(Reason::NoConfiguration))?;
-    let (method, path) = (&inbound.method, inbound.path.path());
-    let rule = rules.rules.find(inbound.service.as_str(), method, path);
-    let allowed = rule.deadline.min(node.settings.limits.max_deadline);
-    let deadline = Instant::now() + wanted.unwrap_or(allowed).min(allowed);
-    let mut call = root_call(node, inbound, payload, rule, deadline, token.sequence.0);
+    let wanted = take_deadline(&mut inbound.headers)?;
+    let payload = Payload::read(incoming).await?;
+    let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
+    let rule = inbound.rule(&rules.rules);
+    let mut call = root_call(node, inbound, payload, rule, wanted, token.sequence.0);
     // Whatever the rule says now, the token promises one run at most.
     call.cx.non_idempotent = true;
-    once::run_under_token(node, &token, call).await
-}
-
-/// A copy of the request may have run before this one was found unreadable.
-fn maybe_run_before(mut refusal: Refusal) -> Refusal {
-    refusal.outcome = Outcome::Unknown;
-    refusal
+    Ok((token, call))
 }
