burn: count service-level burn per class, and answer operators

Cause: during a surge operators need to see which class burns its budget, why and where in the chain, over several daemons.

Ruled out: a list of recent requests (memory grows with the rate), decaying averages and per-daemon quantiles (neither adds up over daemons).

The operator listener's answers are typed; the daemon has yet to serve them.

--- /dev/null
+++ b/lib/src/process/burn/class.rs
@@ -0,0 +1,104 @@
+//! What is kept of one class of requests.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use super::Cause;
+use super::CauseReport;
+use super::Ending;
+use super::Tally;
+use super::Window;
+use super::WindowReport;
+use super::latency::Latencies;
+use super::ring::Ring;
+
+/// Buckets of each ring; the windows are multiples of its interval.
+const BUCKETS: usize = 60;
+/// Interval of the ring that serves windows up to a minute.
+const FINE: Duration = Duration::from_secs(1);
+/// Interval of the ring that serves five minutes.
+const MEDIUM: Duration = Duration::from_secs(5);
+/// Interval of the ring that serves an hour.
+const COARSE: Duration = Duration::from_secs(60);
+
+/// Interval and number of the buckets that count one cause.
+const CAUSE_INTERVAL: Duration = Duration::from_secs(30);
+const CAUSE_BUCKETS: usize = 10;
+const CAUSE_WINDOW: Duration = Duration::from_secs(300);
+
+/// Counts, causes and latencies of one class.
+#[derive(Clone, Debug)]
+pub(super) struct ClassTable {
+    fine: Ring<Tally>,
+    medium: Ring<Tally>,
+    coarse: Ring<Tally>,
+    causes: IndexMap<Cause, Ring<u32>>,
+    latencies: Latencies,
+}
+
+impl ClassTable {
+    pub(super) fn new() -> Self {
+        Self {
+            fine: Ring::new(FINE, BUCKETS),
+            medium: Ring::new(MEDIUM, BUCKETS),
+            coarse: Ring::new(COARSE, BUCKETS),
+            causes: IndexMap::new(),
+            latencies: Latencies::default(),
+        }
+    }
+
+    pub(super) fn record(&mut self, now: Duration, weight: u32, ending: Ending) {
+        let tally = tally(weight, ending);
+        self.fine.add(now, tally);
+        self.medium.add(now, tally);
+        self.coarse.add(now, tally);
+        match ending {
+            Ending::Whole(latency) => self.latencies.record(now, latency),
+            Ending::Failed(cause) => {
+                let ring = || Ring::new(CAUSE_INTERVAL, CAUSE_BUCKETS);
+                self.causes.entry(cause).or_insert_with(ring).add(now, 1);
+            }
+            Ending::Cancelled => {}
+        }
+    }
+
+    pub(super) fn windows(&self, now: Duration) -> Vec<WindowReport> {
+        let report = |window: Window| {
+            let ring = match window {
+                Window::FiveSeconds | Window::Minute => &self.fine,
+                Window::FiveMinutes => &self.medium,
+                Window::Hour => &self.coarse,
+            };
+            let length = window.length();
+            WindowReport { window: length, tally: ring.sum(now, length) }
+        };
+        Window::ALL.into_iter().map(report).collect()
+    }
+
+    pub(super) fn causes(&self, now: Duration) -> Vec<CauseReport> {
+        let report = |(cause, ring): (&Cause, &Ring<u32>)| CauseReport {
+            fault: cause.fault,
+            outcome: cause.outcome,
+            origin: cause.origin,
+            count: u64::from(ring.sum(now, CAUSE_WINDOW)),
+        };
+        self.causes.iter().map(report).filter(|cause| cause.count > 0).collect()
+    }
+
+    pub(super) fn latency(&self, now: Duration) -> Option<Vec<u8>> {
+        self.latencies.serialize(now)
+    }
+}
+
+fn tally(weight: u32, ending: Ending) -> Tally {
+    let counted = Tally { requests: 1, weight: weight.into(), ..Tally::default() };
+    match ending {
+        Ending::Whole(_) => counted,
+        Ending::Failed(cause) if cause.fault.spends_budget() => {
+            Tally { failed: 1, weight_failed: weight.into(), ..counted }
+        }
+        Ending::Failed(_) => Tally::default(),
+        Ending::Cancelled => Tally { cancelled: 1, ..Tally::default() },
+    }
+}
--- a/lib/src/process/metrics/counter.rs
+++ b/lib/src/process/metrics/counter.rs
@@ -68,18 +68,6 @@
     Connections = "connections.accepted";
     /// Connections refused because too many were open.
     ConnectionsRefused = "connections.refused";
-    /// Versions of the rules put in force.
-    RulesAccepted = "rules.accepted";
-    /// Versions of the rules refused for a fault in them.
-    RulesRefused = "rules.refused";
-    /// Versions of the rules ignored because a newer one was in force.
-    RulesStale = "rules.stale";
-    /// Versions of the list of VMs put in force.
-    VmListsAccepted = "vms.accepted";
-    /// Calls at the platform, a waiting watch counted as one.
-    PlatformCalls = "platform.calls";
-    /// Calls at the platform that failed.
-    PlatformFailures = "platform.failures";
     /// Bytes of control messages sent to other daemons.
     ControlBytesSent = "control.bytes-sent";
     /// Bytes of control messages received from other daemons.
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -12,6 +12,7 @@
 pub mod node;
 pub mod routing;
 pub mod settings;
+pub mod status;
 mod units;
 
 pub use ids::Incarnation;
--- a/lib/src/process/settings/check.rs
+++ b/lib/src/process/settings/check.rs
@@ -4,6 +4,7 @@
 
 use super::Settings;
 use super::error::Problem;
+use crate::version::Criticality;
 
 /// Adds every contradiction between two keys to `problems`.
 pub(super) fn contradictions(settings: &Settings, problems: &mut Vec<Problem>) {
@@ -14,6 +15,7 @@
     connections(settings, problems);
     admission_limit(settings, problems);
     kept_answer(settings, problems);
+    objectives(settings, problems);
 }
 
 fn names(settings: &Settings, problems: &mut Vec<Problem>) {
@@ -116,6 +118,23 @@
     }
 }
 
+/// A class that is shed later cannot be allowed more failures.
+fn objectives(settings: &Settings, problems: &mut Vec<Problem>) {
+    let objectives = &settings.objectives;
+    for pair in Criticality::ALL.windows(2) {
+        let [stricter, looser] = [pair[0], pair[1]].map(|c| (c, objectives.allowed_per_10k(c)));
+        if stricter.1 > looser.1 {
+            problems.push(contradiction(
+                &format!("objectives.{}", stricter.0),
+                &stricter.1,
+                &format!("objectives.{}", looser.0),
+                &looser.1,
+                &format!("1 to {}", looser.1),
+            ));
+        }
+    }
+}
+
 /// Port 0 asks the system for a free port, so two of them never clash.
 fn same_port(left: SocketAddr, right: SocketAddr) -> bool {
     let overlaps =
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -20,6 +20,7 @@
 use super::Region;
 use super::ServiceName;
 use super::Zone;
+use super::burn::Objectives;
 use super::units::DurationText;
 
 /// Everything that a daemon learns from its settings file.
@@ -47,6 +48,8 @@
     pub spread: SpreadSettings,
     /// Bounds on what one request may take.
     pub limits: Limits,
+    /// How many requests of each criticality may fail.
+    pub objectives: Objectives,
 }
 
 /// Who a daemon is and where it runs.
--- a/lib/src/process/settings/reader.rs
+++ b/lib/src/process/settings/reader.rs
@@ -22,6 +22,7 @@
 use super::error::Problem;
 use super::section::Section;
 use crate::process::Region;
+use crate::process::burn::Objectives;
 
 const KIB: u64 = 1024;
 const MIB: u64 = 1024 * KIB;
@@ -30,7 +31,7 @@
 const HOUR: Duration = Duration::from_secs(60 * 60);
 
 const SECTIONS: &str = "daemon, listen, upstream, platform, stop, metrics, log, admission, \
-                        idempotency, spread, limits";
+                        idempotency, spread, limits, objectives";
 
 const NAME: &str = "a name of letters, digits, '-', '_' and '.'";
 const ADDRESS: &str = "an IP address and port, such as \"127.0.0.1:7001\"";
@@ -52,6 +53,7 @@
         idempotency: idempotency(Section::take(&mut file, "idempotency", &mut problems)),
         spread: spread(Section::take(&mut file, "spread", &mut problems)),
         limits: limits(Section::take(&mut file, "limits", &mut problems)),
+        objectives: objectives(Section::take(&mut file, "objectives", &mut problems)),
     };
     for key in file.keys() {
         let expected = SECTIONS.to_owned();
@@ -156,3 +158,16 @@
     section.finish();
     limits
 }
+
+/// Reads the failures allowed of 10,000 requests.
+fn objectives(mut section: Section<'_>) -> Objectives {
+    let usual = Objectives::default();
+    let objectives = Objectives {
+        critical: section.number("critical", 1..=5_000, usual.critical),
+        high: section.number("high", 1..=5_000, usual.high),
+        normal: section.number("normal", 1..=5_000, usual.normal),
+        deferrable: section.number("deferrable", 1..=5_000, usual.deferrable),
+    };
+    section.finish();
+    objectives
+}
--- /dev/null
+++ b/lib/src/process/status/mod.rs
@@ -0,0 +1,30 @@
+//! What operators see of a daemon and may ask of it, as JSON over HTTP/1.1.
+//!
+//! | Request | Answer |
+//! |---------|--------|
+//! | `GET /status` | [`StatusReport`] |
+//! | `GET /burn` | [`BurnReport`](super::burn::BurnReport) |
+//! | `GET /counters` | names and values |
+//! | `GET /rules` | [`RulesReport`] |
+//! | `POST /drain` | [`DrainReport`] |
+//!
+//! `docs/operators.md` says how to read them.
+
+mod report;
+mod service;
+
+pub use self::report::AdmissionStatus;
+pub use self::report::CauseOfRefusal;
+pub use self::report::DrainReport;
+pub use self::report::ErrorReport;
+pub use self::report::PeerStanding;
+pub use self::report::PeerStatus;
+pub use self::report::QueueStatus;
+pub use self::report::RulesReport;
+pub use self::report::RulesStatus;
+pub use self::report::State;
+pub use self::report::StatusReport;
+pub use self::report::TokenStatus;
+pub use self::report::VmsStatus;
+pub use self::service::Operated;
+pub use self::service::serve;
--- a/lib/src/version/criticality.rs
+++ b/lib/src/version/criticality.rs
@@ -1,6 +1,10 @@
 //! How much a request matters when capacity is short.
 
 use std::fmt;
+use std::str::FromStr;
+
+use snafu::OptionExt as _;
+use snafu::Snafu;
 
 /// Order in which requests are shed: the last variant goes first.
 ///
@@ -48,3 +52,19 @@
         f.write_str(self.as_str())
     }
 }
+
+/// A word that is no criticality.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("'{found}' is no criticality; expected critical, high, normal or deferrable"))]
+pub struct ParseCriticalityError {
+    found: String,
+}
+
+impl FromStr for Criticality {
+    type Err = ParseCriticalityError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let known = Self::ALL.into_iter().find(|criticality| criticality.as_str() == s);
+        known.context(ParseCriticalitySnafu { found: s })
+    }
+}
--- a/lib/src/version/mod.rs
+++ b/lib/src/version/mod.rs
@@ -4,3 +4,4 @@
 pub mod rules;
 
 pub use criticality::Criticality;
+pub use criticality::ParseCriticalityError;
--- a/lib/src/version/rules/attributes.rs
+++ b/lib/src/version/rules/attributes.rs
@@ -130,8 +130,7 @@
 }
 
 fn criticality(value: &str) -> Result<Criticality, ProblemKind> {
-    let found = Criticality::ALL.into_iter().find(|criticality| criticality.as_str() == value);
-    found.ok_or_else(|| ProblemKind::InvalidValue {
+    value.parse().map_err(|_| ProblemKind::InvalidValue {
         attribute: "criticality",
         found: value.to_owned(),
         accepted: "critical, high, normal, deferrable",
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! One binary for all integration tests of the library.
 
 mod test_admission;
+mod test_burn;
 mod test_context;
 mod test_examples;
 mod test_idempotency;
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -81,7 +81,7 @@
 refused! {
     unknown_section: "[stop]" => "[halt]\n[stop]",
         "halt: unknown key; expected one of daemon, listen, upstream, platform, stop, metrics, \
-         log, admission, idempotency, spread, limits";
+         log, admission, idempotency, spread, limits, objectives";
     wrong_type: "slots = 40" => "slots = \"forty\"",
         "upstream.slots: \"forty\" cannot be used; expected a whole number from 1 to 100000";
     host_name_in_place_of_address: "127.0.0.1:8500" => "platform:8500",
@@ -104,6 +104,8 @@
          is the address of the upstream's own process";
     fewer_connections_than_slots: "connections = 320" => "connections = 30",
         "upstream.connections: 30 contradicts upstream.slots = 40; accepted is 40 to 100000";
+    looser_objective_for_critical: "[stop]" => "[objectives]\ncritical = 60\n[stop]",
+        "objectives.critical: 60 contradicts objectives.high = 50; accepted is 1 to 50";
     limit_above_slots: "[stop]" => "[admission]\nmin_limit = 50\n[stop]",
         "admission.min_limit: 50 contradicts upstream.slots = 40; accepted is 1 to 40";
 }
