--- a/lib/src/request/idempotency/mod.rs
+++ b/lib/src/request/idempotency/mod.rs
@@ -18,7 +18,7 @@
 pub use issuer::Finished;
 pub use issuer::Issuer;
 pub use issuer::IssuerConfig;
-pub use refusal::Refusal;
+pub use refusal::TokenRefusal;
 pub use token::ParseTokenError;
 pub use token::Secret;
 pub use token::Sequence;
