--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::needless_pass_by_value, reason = "quickcheck hands properties owned values")]
 
 mod test_admission;
+mod test_burn;
 mod test_context;
 mod test_examples;
 mod test_idempotency;
