idempotency: give the issuer's refusals the reasons of all answers

The issuer had words of its own for the reason header beside the daemon's `Reason`; the mapping stood twice. Its refusals now name a `Reason`, and the type is called `TokenRefusal` so that it isn't taken for the daemon's answer.

--- a/lib/src/process/node/home.rs
+++ b/lib/src/process/node/home.rs
@@ -17,7 +17,6 @@
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
-use crate::request::idempotency;
 use crate::request::idempotency::Begin;
 use crate::request::idempotency::Fingerprint;
 use crate::request::idempotency::Finished;
@@ -26,6 +25,7 @@
 use crate::request::idempotency::Secret;
 use crate::request::idempotency::Sequence;
 use crate::request::idempotency::Token;
+use crate::request::idempotency::TokenRefusal;
 
 /// Longest answer that is kept for resends, in bytes of its body.
 const KEPT_ANSWER_BYTES: usize = 64 * 1024;
@@ -137,7 +137,7 @@
             }
             Begin::Attach(sequence) => match table.runs.get(&sequence) {
                 Some(rx) => Start::Attach(rx.clone()),
-                None => Start::Ended(refused(idempotency::Refusal::Unknown, &mut table.issuer)),
+                None => Start::Ended(refused(TokenRefusal::Unknown, &mut table.issuer)),
             },
             Begin::Kept(answer) => Start::Ended(RunEnd::Answered(Arc::clone(answer))),
             Begin::Elsewhere(_) => {
@@ -208,17 +208,8 @@
     }
 }
 
-fn refused(refusal: idempotency::Refusal, issuer: &mut Issuer<Arc<Answer>>) -> RunEnd {
-    let reason = match refusal {
-        idempotency::Refusal::OtherIncarnation => Reason::TokenIssuerGone,
-        idempotency::Refusal::Forged => Reason::TokenForged,
-        idempotency::Refusal::BoundToOther => Reason::TokenMismatch,
-        idempotency::Refusal::Ran => Reason::AlreadyRan,
-        idempotency::Refusal::NotRun => Reason::TokenVoid,
-        idempotency::Refusal::Unknown => Reason::OutcomeUnknown,
-        idempotency::Refusal::BelowWindow => Reason::TokenExpired,
-        idempotency::Refusal::TooManyRunning => Reason::Overloaded,
-    };
-    let answer = Refusal { outcome: refusal.outcome(), reason, retry_after: None, token: None };
+fn refused(refusal: TokenRefusal, issuer: &mut Issuer<Arc<Answer>>) -> RunEnd {
+    let (outcome, reason) = (refusal.outcome(), refusal.reason());
+    let answer = Refusal { outcome, reason, retry_after: None, token: None };
     RunEnd::Refused(with_fresh_token(answer, issuer))
 }
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -7,8 +7,6 @@
 mod outcome;
 pub mod parent;
 mod refusal;
-mod refusal;
-pub mod retries;
 pub mod retries;
 pub mod serve;
 
