--- a/lib/src/process/node/home.rs
+++ b/lib/src/process/node/home.rs
@@ -209,16 +209,6 @@
 }
 
 fn refused(refusal: TokenRefusal, issuer: &mut Issuer<Arc<Answer>>) -> RunEnd {
-    let reason = match refusal {
-        TokenRefusal::OtherIncarnation => Reason::TokenIssuerGone,
-        TokenRefusal::Forged => Reason::TokenForged,
-        TokenRefusal::BoundToOther => Reason::TokenMismatch,
-        TokenRefusal::Ran => Reason::AlreadyRan,
-        TokenRefusal::NotRun => Reason::TokenVoid,
-        TokenRefusal::Unknown => Reason::OutcomeUnknown,
-        TokenRefusal::BelowWindow => Reason::TokenExpired,
-        TokenRefusal::TooManyRunning => Reason::Overloaded,
-    };
-    let answer = Refusal::new(refusal.outcome(), reason);
+    let answer = Refusal::new(refusal.outcome(), refusal.reason());
     RunEnd::Refused(with_fresh_token(answer, issuer))
 }
