--- /dev/null
+++ b/lib/src/process/admission/path_levels.rs
@@ -0,0 +1,131 @@
+//! Applies at the root of a call chain the levels heard from deeper hops.
+
+use std::hash::Hash;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rustc_hash::FxBuildHasher;
+
+use super::Level;
+use super::Shed;
+use super::ShedReason;
+use super::latency::DrainRate;
+use super::pacing::ReturnPacing;
+use crate::version::Criticality;
+
+/// Time after which a level that was not heard again is forgotten.
+///
+/// Nothing is heard of a path whose requests are all refused at the root, so a
+/// level that never expired could refuse them for ever.
+const EXPIRY: Duration = Duration::from_secs(1);
+
+/// Time between two measurements of a path's drain rate.
+const WINDOW: Duration = Duration::from_millis(100);
+
+/// Least and greatest time that a refused caller is told to stay away.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
+
+/// What a daemon has heard of one path through the services.
+#[derive(Clone, Debug)]
+struct Path {
+    level: Level,
+    heard: Duration,
+    window_start: Duration,
+    drain: DrainRate,
+    pacing: ReturnPacing,
+}
+
+/// Levels heard on answers, by the path that the requests took.
+///
+/// A path is whatever the key tells apart: the daemon uses the service and the
+/// rule, because requests of one rule visit the same deeper services. An answer
+/// carries the strictest level of the hops that its request visited, so a
+/// request that a deep hop would refuse is refused before any work is spent.
+#[derive(Clone, Debug)]
+pub struct PathLevels<K> {
+    paths: IndexMap<K, Path, FxBuildHasher>,
+}
+
+impl<K> Default for PathLevels<K> {
+    fn default() -> Self {
+        Self { paths: IndexMap::default() }
+    }
+}
+
+impl<K: Eq + Hash + Clone> PathLevels<K> {
+    /// Notes a whole answer and the level that it carried, if any.
+    pub fn answered(&mut self, now: Duration, key: &K, level: Option<Level>) {
+        if let Some(path) = self.paths.get_mut(key) {
+            path.roll(now);
+            path.drain.completed();
+        }
+        if let Some(level) = level {
+            self.heard(now, key, level);
+        }
+    }
+
+    /// Notes the level that a refusal or failure carried.
+    pub fn heard(&mut self, now: Duration, key: &K, level: Level) {
+        match self.paths.get_mut(key) {
+            Some(path) => {
+                path.level = level;
+                path.heard = now;
+            }
+            None if level != Level::OPEN => {
+                self.paths.insert(key.clone(), Path::new(now, level));
+            }
+            None => {}
+        }
+    }
+
+    /// Returns the level in force for a path.
+    pub fn level(&self, now: Duration, key: &K) -> Level {
+        match self.paths.get(key) {
+            Some(path) if now.saturating_sub(path.heard) < EXPIRY => path.level,
+            _ => Level::OPEN,
+        }
+    }
+
+    /// Lets a request pass, or refuses it on behalf of a deeper hop.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal with the time after which coming back helps.
+    pub fn check(
+        &mut self,
+        now: Duration,
+        key: &K,
+        criticality: Criticality,
+        hash: u16,
+    ) -> Result<(), Shed> {
+        if self.level(now, key).admits(criticality, hash) {
+            return Ok(());
+        }
+        let Some(path) = self.paths.get_mut(key) else { return Ok(()) };
+        path.roll(now);
+        let rate = path.drain.per_second();
+        let retry_after = path.pacing.refuse(criticality, hash, 0, rate, RETRY_AFTER);
+        Err(Shed { retry_after, reason: ShedReason::Level })
+    }
+}
+
+impl Path {
+    fn new(now: Duration, level: Level) -> Self {
+        Self {
+            level,
+            heard: now,
+            window_start: now,
+            drain: DrainRate::default(),
+            pacing: ReturnPacing::default(),
+        }
+    }
+
+    fn roll(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.window_start);
+        if elapsed >= WINDOW {
+            self.window_start = now;
+            self.drain.roll(elapsed);
+            self.pacing.roll(self.drain.per_second() * elapsed.as_secs_f64());
+        }
+    }
+}
