cli: operators' client with check, explain, status, burn and drain

Cause: operators need one program that checks files, tells which rule serves a request and shows what daemons are doing, for people and for scripts.

Ruled out: a client that reads the platform's list of VMs, since the list has no operator addresses and lags; reports built in the program, since the library must serve other front ends.

--- /dev/null
+++ b/cli/src/commands/arguments.rs
@@ -0,0 +1,113 @@
+//! Reads the options and arguments that commands share.
+
+use std::net::SocketAddr;
+
+use getopts::Matches;
+use getopts::Options;
+use serde::Serialize;
+use snafu::ResultExt as _;
+
+use super::CommandError;
+use super::Finding;
+use super::Reply;
+use super::error::ArgumentProblem;
+use super::error::ArgumentsSnafu;
+use super::error::OptionsSnafu;
+
+/// What `--help` of a command says besides its options.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Help {
+    /// Name of the command.
+    pub(super) command: &'static str,
+    /// Arguments and options in brief.
+    pub(super) usage: &'static str,
+    /// What the command does.
+    pub(super) about: &'static str,
+    /// What is worth knowing besides, with examples.
+    pub(super) notes: &'static str,
+}
+
+/// The parsed arguments of one command.
+pub(super) struct Arguments {
+    help: Help,
+    matches: Matches,
+}
+
+impl Arguments {
+    /// Parses the arguments after the command; the reply is its help, if asked.
+    pub(super) fn parse(
+        help: Help,
+        mut opts: Options,
+        args: &[String],
+    ) -> Result<Result<Self, Reply>, CommandError> {
+        opts.optflag("", "json", "print JSON for scripts");
+        opts.optflag("h", "help", "print this help");
+        let command = help.command;
+        let matches = opts.parse(args).context(OptionsSnafu { command })?;
+        if matches.opt_present("help") {
+            return Ok(Err(Reply::good(help_text(help, &opts))));
+        }
+        Ok(Ok(Self { help, matches }))
+    }
+
+    /// Tells whether a flag was given.
+    pub(super) fn has(&self, name: &str) -> bool {
+        self.matches.opt_present(name)
+    }
+
+    /// Returns the value of an option.
+    pub(super) fn value(&self, name: &str) -> Option<String> {
+        self.matches.opt_str(name)
+    }
+
+    /// Returns every value of an option.
+    pub(super) fn values(&self, name: &str) -> Vec<String> {
+        self.matches.opt_strs(name)
+    }
+
+    /// Returns the arguments that are no options.
+    pub(super) fn free(&self) -> &[String] {
+        &self.matches.free
+    }
+
+    /// Returns the arguments as addresses of daemons, at least one.
+    pub(super) fn daemons(&self) -> Result<Vec<SocketAddr>, CommandError> {
+        if self.free().is_empty() {
+            return Err(self.wrong(ArgumentProblem::NoDaemon));
+        }
+        self.free().iter().map(|text| self.address(text)).collect()
+    }
+
+    /// Reads the address of a daemon.
+    pub(super) fn address(&self, text: &str) -> Result<SocketAddr, CommandError> {
+        let no_address = |_| self.wrong(ArgumentProblem::NoAddress { found: text.to_owned() });
+        text.parse().map_err(no_address)
+    }
+
+    /// Returns the error of a command whose arguments do not fit.
+    pub(super) fn wrong(&self, problem: ArgumentProblem) -> CommandError {
+        ArgumentsSnafu { command: self.help.command, problem }.build()
+    }
+
+    /// Renders a report as text or, if asked, as JSON.
+    pub(super) fn reply<T>(&self, report: &T, finding: Finding) -> Reply
+    where
+        T: Serialize + std::fmt::Display,
+    {
+        let text = match self.has("json") {
+            true => json(report),
+            false => report.to_string(),
+        };
+        Reply { text, finding }
+    }
+}
+
+fn json(report: &impl Serialize) -> String {
+    let text = serde_json::to_string_pretty(report);
+    text.expect("a report has only names as keys, which JSON can hold") + "\n"
+}
+
+fn help_text(help: Help, opts: &Options) -> String {
+    let brief = format!("{}\n\nUsage: endivescale {} {}", help.about, help.command, help.usage);
+    format!("{}\n{}", opts.usage(&brief), help.notes)
+}
--- /dev/null
+++ b/cli/src/commands/burn.rs
@@ -0,0 +1,55 @@
+//! `endivescale burn`: tells how fast each class spends its budget.
+
+use endivescale::operators;
+use endivescale::operators::BurnSummary;
+use endivescale::process::burn::Role;
+use getopts::Options;
+use snafu::ResultExt as _;
+
+use super::Arguments;
+use super::CommandError;
+use super::Finding;
+use super::Help;
+use super::Reply;
+use super::error::ArgumentProblem;
+use super::error::MergeSnafu;
+use super::runtime;
+
+const HELP: Help = Help {
+    command: "burn",
+    usage: "[--role ROLE] ADDRESS...",
+    about: "Tells how fast each class of requests spends the failures that it may have.",
+    notes: "\
+The reports of all daemons are added up. ROLE 'entry' is what callers
+experience, 'outbound' the upstreams' own calls, 'owner' the work at the
+upstreams; without it, all three are shown.
+
+A burn of 1 spends the budget exactly, 10 ten times as fast. REQUESTS, FAILED
+and CANCELLED count the last hour, P50 and P99 the last one to two minutes.
+ORIGIN tells whether this role decided (here) or a part further down the chain
+(below).
+
+Exit codes: 0 every daemon answered, 2 wrong usage, 3 a daemon did not answer.
+",
+};
+
+pub(super) fn run(args: &[String]) -> Result<Reply, CommandError> {
+    let mut opts = Options::new();
+    opts.optopt("", "role", "show only entry, outbound or owner", "ROLE");
+    let args = match Arguments::parse(HELP, opts, args)? {
+        Ok(args) => args,
+        Err(help) => return Ok(help),
+    };
+    let role = role(&args)?;
+    let daemons = args.daemons()?;
+    let answers = runtime()?.block_on(operators::ask_all(&daemons, "/burn"));
+    let summary = BurnSummary::new(answers, role).context(MergeSnafu)?;
+    let finding = if summary.is_complete() { Finding::Good } else { Finding::Incomplete };
+    Ok(args.reply(&summary, finding))
+}
+
+fn role(args: &Arguments) -> Result<Option<Role>, CommandError> {
+    let Some(found) = args.value("role") else { return Ok(None) };
+    let role = found.parse().map_err(|_| args.wrong(ArgumentProblem::NoRole { found }))?;
+    Ok(Some(role))
+}
--- /dev/null
+++ b/cli/src/commands/check.rs
@@ -0,0 +1,63 @@
+//! `endivescale check`: checks rules and settings files.
+
+use std::path::Path;
+
+use endivescale::operators::CheckReport;
+use endivescale::operators::FileReport;
+use endivescale::operators::check_rules;
+use endivescale::operators::check_settings;
+use getopts::Options;
+
+use super::Arguments;
+use super::CommandError;
+use super::Finding;
+use super::Help;
+use super::Reply;
+use super::error::ArgumentProblem;
+
+const HELP: Help = Help {
+    command: "check",
+    usage: "[--rules FILE]... [--settings FILE]... [FILE]...",
+    about: "Checks rules and settings files and lists every fault.",
+    notes: "\
+A FILE without option is a settings file if its name ends in '.toml', and a
+rules file otherwise. Nothing is changed and no daemon is asked.
+
+Exit codes: 0 all files are sound, 1 a file has faults, 2 wrong usage, 3 a file
+cannot be read.
+",
+};
+
+pub(super) fn run(args: &[String]) -> Result<Reply, CommandError> {
+    let mut opts = Options::new();
+    opts.optmulti("", "rules", "check a rules file", "FILE");
+    opts.optmulti("", "settings", "check the settings file of a daemon", "FILE");
+    let args = match Arguments::parse(HELP, opts, args)? {
+        Ok(args) => args,
+        Err(help) => return Ok(help),
+    };
+    let mut files: Vec<_> = args.values("rules").iter().map(rules).collect();
+    files.extend(args.values("settings").iter().map(settings));
+    files.extend(args.free().iter().map(|file| match file.ends_with(".toml") {
+        true => settings(file),
+        false => rules(file),
+    }));
+    if files.is_empty() {
+        return Err(args.wrong(ArgumentProblem::NoFile));
+    }
+    let report = CheckReport { files };
+    let finding = match (report.is_readable(), report.is_sound()) {
+        (false, _) => Finding::Incomplete,
+        (true, false) => Finding::Bad,
+        (true, true) => Finding::Good,
+    };
+    Ok(args.reply(&report, finding))
+}
+
+fn rules(file: &String) -> FileReport {
+    check_rules(Path::new(file))
+}
+
+fn settings(file: &String) -> FileReport {
+    check_settings(Path::new(file))
+}
--- /dev/null
+++ b/cli/src/commands/error.rs
@@ -0,0 +1,74 @@
+//! Why a command could not run.
+
+use std::net::SocketAddr;
+
+use endivescale::operators::ClientError;
+use endivescale::process::burn::MergeError;
+use endivescale::version::rules::RulesError;
+use snafu::Snafu;
+
+const WRONG_USAGE: u8 = 2;
+const NOT_DONE: u8 = 3;
+
+/// A command that did not run to its end.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub(super) enum CommandError {
+    #[snafu(display("no command given\nHint: 'endivescale help' lists the commands"))]
+    NoCommand,
+    #[snafu(display("'{command}' is no command\nHint: 'endivescale help' lists the commands"))]
+    UnknownCommand { command: String },
+    #[snafu(display("{source}\nHint: 'endivescale {command} --help' describes the options"))]
+    Options { command: &'static str, source: getopts::Fail },
+    #[snafu(display("{problem}\nHint: 'endivescale {command} --help' describes the arguments"))]
+    Arguments { command: &'static str, problem: ArgumentProblem },
+    #[snafu(display("cannot read {file}: {source}"))]
+    ReadFile { file: String, source: std::io::Error },
+    #[snafu(display("{source}\nHint: 'endivescale check --rules FILE' checks a file"))]
+    Rules { source: RulesError },
+    #[snafu(display("{address}: {source}"))]
+    Daemon { address: SocketAddr, source: ClientError },
+    #[snafu(display("the reports cannot be put together: {source}"))]
+    Merge { source: MergeError },
+    #[snafu(display("the runtime cannot start: {source}"))]
+    Runtime { source: std::io::Error },
+}
+
+/// What is wrong with the arguments of a command.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub(super) enum ArgumentProblem {
+    #[snafu(display("no file given"))]
+    NoFile,
+    #[snafu(display("no daemon given"))]
+    NoDaemon,
+    #[snafu(display("'{found}' is no address; expected an IP address and port"))]
+    NoAddress { found: String },
+    #[snafu(display("expected SERVICE METHOD PATH, found {found} arguments"))]
+    NoRequest { found: usize },
+    #[snafu(display("'{found}' is no HTTP method"))]
+    NoMethod { found: String },
+    #[snafu(display("'{found}' is no path; it begins with '/'"))]
+    NoPath { found: String },
+    #[snafu(display("'{found}' is no role; expected entry, outbound or owner"))]
+    NoRole { found: String },
+    #[snafu(display("give one of --rules and --daemon"))]
+    OneSource,
+}
+
+impl CommandError {
+    /// Returns the exit code of the program.
+    pub(super) fn exit_code(&self) -> u8 {
+        match self {
+            Self::NoCommand
+            | Self::UnknownCommand { .. }
+            | Self::Options { .. }
+            | Self::Arguments { .. } => WRONG_USAGE,
+            Self::Rules { .. } => super::code(super::Finding::Bad),
+            Self::ReadFile { .. }
+            | Self::Daemon { .. }
+            | Self::Merge { .. }
+            | Self::Runtime { .. } => NOT_DONE,
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/commands/explain.rs
@@ -0,0 +1,83 @@
+//! `endivescale explain`: tells which rule serves a request.
+
+use endivescale::operators;
+use endivescale::operators::Request;
+use endivescale::operators::explain;
+use endivescale::process::status::RulesReport;
+use endivescale::version::rules::Rules;
+use getopts::Options;
+use http::Method;
+use snafu::ResultExt as _;
+
+use super::Arguments;
+use super::CommandError;
+use super::Finding;
+use super::Help;
+use super::Reply;
+use super::error::ArgumentProblem;
+use super::error::DaemonSnafu;
+use super::error::ReadFileSnafu;
+use super::error::RulesSnafu;
+use super::runtime;
+
+const HELP: Help = Help {
+    command: "explain",
+    usage: "(--rules FILE | --daemon ADDRESS) SERVICE METHOD PATH",
+    about: "Tells which rule serves a request, where it stands and who asked for it.",
+    notes: "\
+Example:
+  endivescale explain --rules examples/tsagaan.rules submission POST /expressions/17
+
+Exit codes: 0 a rule matches, 1 no rule matches or the rules have faults, 2
+wrong usage, 3 the file cannot be read or the daemon does not answer.
+",
+};
+
+/// Rules and where they come from.
+struct Source {
+    name: String,
+    version: Option<u64>,
+    rules: Rules,
+}
+
+pub(super) fn run(args: &[String]) -> Result<Reply, CommandError> {
+    let mut opts = Options::new();
+    opts.optopt("", "rules", "look the request up in a rules file", "FILE");
+    opts.optopt("", "daemon", "look it up in the rules in force at a daemon", "ADDRESS");
+    let args = match Arguments::parse(HELP, opts, args)? {
+        Ok(args) => args,
+        Err(help) => return Ok(help),
+    };
+    let [service, method, path] = args.free() else {
+        return Err(args.wrong(ArgumentProblem::NoRequest { found: args.free().len() }));
+    };
+    let no_method = |_| args.wrong(ArgumentProblem::NoMethod { found: method.clone() });
+    let method = &Method::from_bytes(method.as_bytes()).map_err(no_method)?;
+    if !path.starts_with('/') {
+        return Err(args.wrong(ArgumentProblem::NoPath { found: path.clone() }));
+    }
+    let source = match (args.value("rules"), args.value("daemon")) {
+        (Some(file), None) => from_file(file)?,
+        (None, Some(address)) => from_daemon(&args, &address)?,
+        _ => return Err(args.wrong(ArgumentProblem::OneSource)),
+    };
+    let req = Request { service, method, path };
+    let report = explain(&source.name, source.version, &source.rules, req);
+    let finding = if report.matched { Finding::Good } else { Finding::Bad };
+    Ok(args.reply(&report, finding))
+}
+
+fn from_file(file: String) -> Result<Source, CommandError> {
+    let text = std::fs::read_to_string(&file).context(ReadFileSnafu { file: &file })?;
+    let rules = Rules::parse(&file, &text).context(RulesSnafu)?;
+    Ok(Source { name: file, version: None, rules })
+}
+
+fn from_daemon(args: &Arguments, address: &str) -> Result<Source, CommandError> {
+    let address = args.address(address)?;
+    let asked = runtime()?.block_on(operators::ask::<RulesReport>(address, "/rules"));
+    let report = asked.context(DaemonSnafu { address })?;
+    let name = format!("rules of {address}");
+    let rules = Rules::parse(&name, &report.text).context(RulesSnafu)?;
+    Ok(Source { name, version: Some(report.version), rules })
+}
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -1,1 +1,10 @@
 //! One binary for all integration tests of the programs.
+
+mod command_line;
+mod fake_daemon;
+mod test_burn_command;
+mod test_check_command;
+mod test_drain_command;
+mod test_explain_command;
+mod test_help_command;
+mod test_status_command;
--- /dev/null
+++ b/cli/tests/test_drain_command.rs
@@ -0,0 +1,51 @@
+use insta::assert_snapshot;
+
+use crate::command_line::endivescale;
+use crate::fake_daemon::FakeDaemon;
+use crate::fake_daemon::Nobody;
+
+#[test]
+fn drain_that_is_asked_for_twice() {
+    let address = FakeDaemon::start("submission-a", 7).to_string();
+    assert_snapshot!(endivescale(&["drain", &address]).text(&[]), @r#"
+    exit code: 0
+    INSTANCE      STATE     BEGAN NOW  IN PROGRESS
+    submission-a  draining  yes        43
+    "#);
+    assert_snapshot!(endivescale(&["drain", &address]).text(&[]), @r#"
+    exit code: 0
+    INSTANCE      STATE     BEGAN NOW  IN PROGRESS
+    submission-a  draining  no         43
+    "#);
+}
+
+#[test]
+fn drain_as_json() {
+    let address = FakeDaemon::start("submission-a", 7);
+    let ran = endivescale(&["drain", "--json", &address.to_string()]);
+    assert_snapshot!(ran.text(&[(address, "ADDRESS")]), @r#"
+    exit code: 0
+    [
+      {
+        "address": "ADDRESS",
+        "report": {
+          "instance": "submission-a",
+          "state": "draining",
+          "began": true,
+          "in_progress": 43
+        }
+      }
+    ]
+    "#);
+}
+
+#[test]
+fn drain_of_a_daemon_that_is_down() {
+    let nobody = Nobody::new();
+    let address = nobody.address();
+    let ran = endivescale(&["drain", &address.to_string()]);
+    assert_snapshot!(ran.text(&[(address, "ADDRESS")]), @r#"
+    exit code: 3
+    ADDRESS: cannot connect: Connection refused (os error 111); is the daemon running, and is this the address of its operator listener?
+    "#);
+}
--- /dev/null
+++ b/cli/tests/test_help_command.rs
@@ -0,0 +1,65 @@
+use insta::assert_snapshot;
+
+use crate::command_line::endivescale;
+
+#[test]
+fn overview() {
+    assert_snapshot!(endivescale(&["help"]).text(&[]), @r#"
+    exit code: 0
+    The operators' client of endivescale.
+
+    Usage: endivescale COMMAND [OPTIONS] [ARGUMENTS]
+
+    Commands:
+      check    check rules and settings files
+      explain  tell which rule serves a request, and who asked for it
+      status   tell what daemons are doing, and why they refuse what they refuse
+      burn     tell how fast each class spends the failures that it may have
+      drain    tell daemons to finish what is in progress and stop
+
+    'endivescale COMMAND --help' describes the options of a command.
+
+    Exit codes:
+      0  done, and nothing is wrong
+      1  done, and something is wrong: a fault in a file, no rule that matches
+      2  wrong usage
+      3  not done: a file cannot be read, a daemon does not answer
+    "#);
+}
+
+#[test]
+fn unknown_command() {
+    assert_snapshot!(endivescale(&["restart"]).text(&[]), @r#"
+    exit code: 2
+    endivescale: 'restart' is no command
+    Hint: 'endivescale help' lists the commands
+    "#);
+}
+
+#[test]
+fn no_command() {
+    assert_snapshot!(endivescale(&[]).text(&[]), @r#"
+    exit code: 2
+    endivescale: no command given
+    Hint: 'endivescale help' lists the commands
+    "#);
+}
+
+macro_rules! help {
+    ($($name:ident: $command:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let ran = endivescale(&[$command, "--help"]);
+            assert_eq!(ran.code, 0);
+            assert_snapshot!(stringify!($name), ran.stdout);
+        }
+    )*};
+}
+
+help! {
+    help_of_check: "check";
+    help_of_explain: "explain";
+    help_of_status: "status";
+    help_of_burn: "burn";
+    help_of_drain: "drain";
+}
--- /dev/null
+++ b/cli/tests/test_status_command.rs
@@ -0,0 +1,141 @@
+use insta::assert_snapshot;
+
+use crate::command_line::endivescale;
+use crate::fake_daemon::FakeDaemon;
+use crate::fake_daemon::Nobody;
+
+#[test]
+fn one_daemon_with_its_peers() {
+    let address = FakeDaemon::start("submission-a", 7);
+    let ran = endivescale(&["status", &address.to_string()]);
+    assert_snapshot!(ran.text(&[(address, "ADDRESS")]), @r#"
+    exit code: 0
+    INSTANCE      SERVICE     ZONE       STATE    UP    RULES  VMS  LIMIT  BUSY  WAITING     LEVEL        TOKENS  PEERS
+    submission-a  submission  central-a  serving  116m  7      3    31/40  31    2 critical  normal:8000  57      2 (1 lost)
+
+    Refused or failed in the last 5m:
+    INSTANCE      ROLE   SERVICE     CRITICALITY  REASON      OUTCOME  ORIGIN  COUNT
+    submission-a  owner  submission  normal       overloaded  not-run  here    812
+
+    Peers:
+    INSTANCE      PEER        SERVICE   STANDING  OUTSTANDING  LEVEL
+    submission-a  matching-a  matching  working   4            high:ffff
+    submission-a  matching-b  matching  lost      0            -
+    "#);
+}
+
+#[test]
+fn several_daemons_with_different_versions_and_one_down() {
+    let nobody = Nobody::new();
+    let addresses = [
+        FakeDaemon::start("submission-a", 7),
+        FakeDaemon::start("submission-b", 6),
+        nobody.address(),
+    ];
+    let [a, b, c] = addresses.map(|address| address.to_string());
+    let ran = endivescale(&["status", &a, &b, &c]);
+    assert_snapshot!(ran.text(&[(addresses[2], "ADDRESS")]), @r#"
+    exit code: 3
+    INSTANCE      SERVICE     ZONE       STATE    UP    RULES  VMS  LIMIT  BUSY  WAITING     LEVEL        TOKENS  PEERS
+    submission-a  submission  central-a  serving  116m  7      3    31/40  31    2 critical  normal:8000  57      2 (1 lost)
+    submission-b  submission  central-a  serving  116m  6      3    31/40  31    2 critical  normal:8000  57      2 (1 lost)
+
+    Rules of different versions are in force: 7, 6
+
+    Refused or failed in the last 5m:
+    INSTANCE      ROLE   SERVICE     CRITICALITY  REASON      OUTCOME  ORIGIN  COUNT
+    submission-a  owner  submission  normal       overloaded  not-run  here    812
+    submission-b  owner  submission  normal       overloaded  not-run  here    812
+    ADDRESS: cannot connect: Connection refused (os error 111); is the daemon running, and is this the address of its operator listener?
+    "#);
+}
+
+#[test]
+fn status_as_json() {
+    let address = FakeDaemon::start("submission-a", 7);
+    let ran = endivescale(&["status", "--json", &address.to_string()]);
+    assert_snapshot!(ran.text(&[(address, "ADDRESS")]), @r#"
+    exit code: 0
+    [
+      {
+        "address": "ADDRESS",
+        "report": {
+          "instance": "submission-a",
+          "service": "submission",
+          "zone": "central-a",
+          "region": "central",
+          "incarnation": "000000000000feed",
+          "program": "0.1.0",
+          "uptime_ms": 7000000,
+          "state": "serving",
+          "in_progress": 43,
+          "rules": {
+            "version": 7,
+            "rules": 10
+          },
+          "vms": {
+            "version": 3,
+            "vms": 12
+          },
+          "admission": {
+            "limit": 31,
+            "slots": 40,
+            "in_progress": 31,
+            "queues": [
+              {
+                "criticality": "critical",
+                "waiting": 2
+              },
+              {
+                "criticality": "normal",
+                "waiting": 0
+              }
+            ],
+            "level": "normal:8000"
+          },
+          "tokens": {
+            "used": 57,
+            "kept_answers": 50,
+            "bytes": 40000
+          },
+          "peers": [
+            {
+              "instance": "matching-a",
+              "service": "matching",
+              "standing": "working",
+              "outstanding": 4,
+              "level": "high:ffff"
+            },
+            {
+              "instance": "matching-b",
+              "service": "matching",
+              "standing": "lost",
+              "outstanding": 0,
+              "level": null
+            }
+          ],
+          "refusals": [
+            {
+              "role": "owner",
+              "service": "submission",
+              "criticality": "normal",
+              "fault": "overloaded",
+              "outcome": "not-run",
+              "origin": "here",
+              "count": 812
+            }
+          ]
+        }
+      }
+    ]
+    "#);
+}
+
+#[test]
+fn address_that_cannot_be_read() {
+    assert_snapshot!(endivescale(&["status", "submission-a"]).text(&[]), @r#"
+    exit code: 2
+    endivescale: 'submission-a' is no address; expected an IP address and port
+    Hint: 'endivescale status --help' describes the arguments
+    "#);
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,7 @@
 //! them is drawn in `docs/architecture.md`.
 
 pub mod connection;
+pub mod operators;
 pub mod process;
 pub mod request;
 pub mod version;
--- /dev/null
+++ b/lib/src/operators/burn.rs
@@ -0,0 +1,219 @@
+//! Renders service-level burn.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde_with::DisplayFromStr;
+use serde_with::serde_as;
+
+use super::Answer;
+use super::Table;
+use super::status::unanswered;
+use crate::process::DurationText;
+use crate::process::InstanceId;
+use crate::process::ServiceName;
+use crate::process::burn::BurnReport;
+use crate::process::burn::CauseReport;
+use crate::process::burn::ClassReport;
+use crate::process::burn::MergeError;
+use crate::process::burn::Role;
+use crate::process::burn::Tally;
+use crate::process::burn::WindowReport;
+use crate::process::burn::merge;
+use crate::version::Criticality;
+
+/// Burn of one daemon or several, with the figures worked out.
+#[derive(Clone, Debug, Serialize)]
+pub struct BurnSummary {
+    /// The daemons that the figures speak of.
+    pub instances: Vec<InstanceId>,
+    /// Each class.
+    pub classes: Vec<ClassRow>,
+    /// Why requests failed in the last five minutes.
+    pub causes: Vec<CauseRow>,
+    /// The daemons that gave no answer.
+    pub unanswered: Vec<Answer<()>>,
+}
+
+/// Burn of one class.
+#[serde_as]
+#[derive(Clone, Debug, Serialize)]
+pub struct ClassRow {
+    /// Role in which the requests were served.
+    pub role: Role,
+    /// Service that they were for.
+    pub service: ServiceName,
+    /// Their criticality.
+    #[serde_as(as = "DisplayFromStr")]
+    pub criticality: Criticality,
+    /// Failures allowed of 10,000 requests.
+    pub allowed_per_10k: u32,
+    /// Counts and burn for each window.
+    pub windows: Vec<WindowRow>,
+    /// Median latency of recent whole answers, in microseconds.
+    pub p50_us: Option<u64>,
+    /// Latency that 99 of 100 recent whole answers kept, in microseconds.
+    pub p99_us: Option<u64>,
+}
+
+/// Burn of one class over one window.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct WindowRow {
+    /// Length of the window.
+    #[serde_as(as = "DurationText")]
+    pub window: Duration,
+    /// Counts.
+    #[serde(flatten)]
+    pub tally: Tally,
+    /// Speed at which the budget is spent; 1 spends it exactly.
+    pub burn_rate: f64,
+}
+
+/// How often one cause ended requests of one class.
+#[serde_as]
+#[derive(Clone, Debug, Serialize)]
+pub struct CauseRow {
+    /// Role in which the requests were served.
+    pub role: Role,
+    /// Service that they were for.
+    pub service: ServiceName,
+    /// Their criticality.
+    #[serde_as(as = "DisplayFromStr")]
+    pub criticality: Criticality,
+    /// Why, and how often.
+    #[serde(flatten)]
+    pub cause: CauseReport,
+}
+
+impl BurnSummary {
+    /// Adds up the answers of daemons, for one role or all.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a histogram cannot be read.
+    pub fn new(answers: Vec<Answer<BurnReport>>, role: Option<Role>) -> Result<Self, MergeError> {
+        let (mut reports, mut unanswered) = (Vec::new(), Vec::new());
+        for answer in answers {
+            match answer.report {
+                Some(report) => reports.push(report),
+                None => unanswered.push(Answer {
+                    address: answer.address,
+                    report: None,
+                    error: answer.error,
+                }),
+            }
+        }
+        let mut merged = merge(reports)?;
+        merged.classes.retain(|class| role.is_none_or(|role| class.role == role));
+        Ok(Self {
+            instances: merged.instances,
+            classes: merged.classes.iter().map(ClassRow::new).collect(),
+            causes: merged.classes.iter().flat_map(CauseRow::all).collect(),
+            unanswered,
+        })
+    }
+
+    /// Tells whether every daemon answered.
+    pub fn is_complete(&self) -> bool {
+        self.unanswered.is_empty()
+    }
+}
+
+impl ClassRow {
+    fn new(class: &ClassReport) -> Self {
+        let micros = |share| {
+            let latency = class.latency_at(share).ok().flatten()?;
+            u64::try_from(latency.as_micros()).ok()
+        };
+        let window = |report: &WindowReport| WindowRow {
+            window: report.window,
+            tally: report.tally,
+            burn_rate: report.tally.burn_rate(class.allowed_per_10k),
+        };
+        Self {
+            role: class.role,
+            service: class.service.clone(),
+            criticality: class.criticality,
+            allowed_per_10k: class.allowed_per_10k,
+            windows: class.windows.iter().map(window).collect(),
+            p50_us: micros(0.5),
+            p99_us: micros(0.99),
+        }
+    }
+
+    fn cells(&self) -> Vec<String> {
+        let longest = self.windows.last().map(|window| window.tally).unwrap_or_default();
+        let mut cells = vec![
+            self.role.as_str().to_owned(),
+            self.service.to_string(),
+            self.criticality.to_string(),
+            longest.requests.to_string(),
+            longest.failed.to_string(),
+            longest.cancelled.to_string(),
+        ];
+        cells.extend(self.windows.iter().map(|window| format!("{:.2}", window.burn_rate)));
+        cells.extend([millis(self.p50_us), millis(self.p99_us)]);
+        cells
+    }
+}
+
+impl CauseRow {
+    fn all(class: &ClassReport) -> impl Iterator<Item = Self> {
+        class.causes.iter().map(|cause| Self {
+            role: class.role,
+            service: class.service.clone(),
+            criticality: class.criticality,
+            cause: *cause,
+        })
+    }
+
+    fn cells(&self) -> Vec<String> {
+        vec![
+            self.role.as_str().to_owned(),
+            self.service.to_string(),
+            self.criticality.to_string(),
+            self.cause.fault.to_string(),
+            self.cause.outcome.to_string(),
+            self.cause.origin.as_str().to_owned(),
+            self.cause.count.to_string(),
+        ]
+    }
+}
+
+fn millis(micros: Option<u64>) -> String {
+    micros.map_or("-".to_owned(), |micros| format!("{:.1}ms", micros as f64 / 1_000.0))
+}
+
+impl fmt::Display for BurnSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut classes = Table::new(&[
+            "ROLE",
+            "SERVICE",
+            "CRITICALITY",
+            "REQUESTS",
+            "FAILED",
+            "CANCELLED",
+            "BURN 5s",
+            "BURN 1m",
+            "BURN 5m",
+            "BURN 1h",
+            "P50",
+            "P99",
+        ]);
+        self.classes.iter().for_each(|class| classes.push(class.cells()));
+        let mut causes =
+            Table::new(&["ROLE", "SERVICE", "CRITICALITY", "REASON", "OUTCOME", "ORIGIN", "COUNT"]);
+        self.causes.iter().for_each(|cause| causes.push(cause.cells()));
+        match (self.instances.is_empty(), classes.is_empty()) {
+            (true, _) => {}
+            (false, true) => writeln!(f, "No requests in the last 1h.")?,
+            (false, false) => write!(f, "{classes}")?,
+        }
+        if !causes.is_empty() {
+            write!(f, "\nRefused or failed in the last 5m:\n{causes}")?;
+        }
+        unanswered(f, &self.unanswered)
+    }
+}
--- /dev/null
+++ b/lib/src/operators/check.rs
@@ -0,0 +1,177 @@
+//! Checks rules and settings files.
+
+use std::fmt;
+use std::path::Path;
+
+use serde::Serialize;
+
+use crate::process::settings::Problem;
+use crate::process::settings::Settings;
+use crate::process::settings::SettingsError;
+use crate::version::rules::Rules;
+
+/// What a file is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum FileKind {
+    /// Rules.
+    Rules,
+    /// Settings of one daemon.
+    Settings,
+}
+
+/// What is wrong with the files that were checked.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct CheckReport {
+    /// One report for each file.
+    pub files: Vec<FileReport>,
+}
+
+/// What is wrong with one file.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct FileReport {
+    /// Name of the file.
+    pub file: String,
+    /// What the file is for.
+    pub kind: FileKind,
+    /// Whether the file could be read at all.
+    pub readable: bool,
+    /// What the file holds, in a few words, if nothing is wrong.
+    pub holds: Option<String>,
+    /// Every problem.
+    pub problems: Vec<ProblemReport>,
+}
+
+/// One problem of a file.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct ProblemReport {
+    /// Line, counted from 1, if the problem has one.
+    pub line: Option<usize>,
+    /// Column in characters, counted from 1, if the problem has one.
+    pub column: Option<usize>,
+    /// The words at fault, or the key.
+    pub words: String,
+    /// What is wrong.
+    pub message: String,
+    /// What to do about it.
+    pub hint: Option<String>,
+}
+
+/// Reads and checks a rules file.
+pub fn check_rules(path: &Path) -> FileReport {
+    let file = path.display().to_string();
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(err) => return FileReport::unreadable(file, FileKind::Rules, &err),
+    };
+    match Rules::parse(&file, &text) {
+        Ok(rules) => {
+            let holds = format!("{} rules", rules.iter().len());
+            FileReport::sound(file, FileKind::Rules, holds)
+        }
+        Err(err) => {
+            let problems = err.problems.iter().map(|problem| ProblemReport {
+                line: Some(problem.line),
+                column: Some(problem.column),
+                words: problem.words.clone(),
+                message: problem.kind.to_string(),
+                hint: Some(problem.kind.hint()),
+            });
+            FileReport::faulty(file, FileKind::Rules, problems.collect())
+        }
+    }
+}
+
+/// Reads and checks a settings file.
+pub fn check_settings(path: &Path) -> FileReport {
+    let file = path.display().to_string();
+    match Settings::load(path) {
+        Ok(settings) => {
+            let daemon = &settings.daemon;
+            let holds = format!("settings of {} for service {}", daemon.instance, daemon.service);
+            FileReport::sound(file, FileKind::Settings, holds)
+        }
+        Err(SettingsError::Read { source, .. }) => {
+            FileReport::unreadable(file, FileKind::Settings, &source)
+        }
+        Err(SettingsError::Syntax { source, .. }) => {
+            let message = source.to_string().trim_end().to_owned();
+            let problem = ProblemReport { message, ..ProblemReport::default() };
+            FileReport::faulty(file, FileKind::Settings, vec![problem])
+        }
+        Err(SettingsError::Invalid { problems, .. }) => {
+            let problems = problems.iter().map(settings_problem).collect();
+            FileReport::faulty(file, FileKind::Settings, problems)
+        }
+    }
+}
+
+fn settings_problem(problem: &Problem) -> ProblemReport {
+    let words = problem.key().to_owned();
+    ProblemReport { words, message: problem.to_string(), ..ProblemReport::default() }
+}
+
+impl CheckReport {
+    /// Tells whether every file was read and is without fault.
+    pub fn is_sound(&self) -> bool {
+        self.files.iter().all(|file| file.problems.is_empty())
+    }
+
+    /// Tells whether every file could be read.
+    pub fn is_readable(&self) -> bool {
+        self.files.iter().all(|file| file.readable)
+    }
+}
+
+impl FileReport {
+    fn sound(file: String, kind: FileKind, holds: String) -> Self {
+        Self { file, kind, readable: true, holds: Some(holds), problems: Vec::new() }
+    }
+
+    fn faulty(file: String, kind: FileKind, problems: Vec<ProblemReport>) -> Self {
+        Self { file, kind, readable: true, holds: None, problems }
+    }
+
+    fn unreadable(file: String, kind: FileKind, err: &std::io::Error) -> Self {
+        let message = format!("cannot be read: {err}");
+        let problem = ProblemReport { message, ..ProblemReport::default() };
+        Self { file, kind, readable: false, holds: None, problems: vec![problem] }
+    }
+}
+
+impl fmt::Display for CheckReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.files.iter().try_for_each(|file| write!(f, "{file}"))
+    }
+}
+
+impl fmt::Display for FileReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(holds) = &self.holds {
+            return writeln!(f, "{}: ok, {holds}", self.file);
+        }
+        for problem in &self.problems {
+            writeln!(f, "{}{problem}", self.file)?;
+        }
+        let count = self.problems.len();
+        let noun = if count == 1 { "problem" } else { "problems" };
+        writeln!(f, "{}: {count} {noun}", self.file)
+    }
+}
+
+impl fmt::Display for ProblemReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let (Some(line), Some(column)) = (self.line, self.column) {
+            write!(f, ":{line}:{column}")?;
+        }
+        write!(f, ": {}", self.message)?;
+        // The message of a settings problem begins with the key already.
+        if self.line.is_some() && !self.words.is_empty() {
+            write!(f, ": '{}'", self.words)?;
+        }
+        match &self.hint {
+            Some(hint) => write!(f, "\n  hint: {hint}"),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/operators/drain.rs
@@ -0,0 +1,43 @@
+//! Renders what a request to drain has done.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use super::Answer;
+use super::Table;
+use super::status::unanswered;
+use crate::process::status::DrainReport;
+
+/// What several daemons answered to a request to drain.
+#[derive(Clone, Debug, Serialize)]
+#[serde(transparent)]
+pub struct DrainSummary {
+    /// The daemons' answers.
+    pub daemons: Vec<Answer<DrainReport>>,
+}
+
+impl DrainSummary {
+    /// Tells whether every daemon answered.
+    pub fn is_complete(&self) -> bool {
+        self.daemons.iter().all(|daemon| daemon.report.is_some())
+    }
+}
+
+impl fmt::Display for DrainSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut table = Table::new(&["INSTANCE", "STATE", "BEGAN NOW", "IN PROGRESS"]);
+        for report in self.daemons.iter().filter_map(|daemon| daemon.report.as_ref()) {
+            table.push(vec![
+                report.instance.to_string(),
+                report.state.to_string(),
+                if report.began { "yes" } else { "no" }.to_owned(),
+                report.in_progress.to_string(),
+            ]);
+        }
+        if !table.is_empty() {
+            write!(f, "{table}")?;
+        }
+        unanswered(f, &self.daemons)
+    }
+}
--- /dev/null
+++ b/lib/src/operators/mod.rs
@@ -0,0 +1,35 @@
+//! What the operators' command line does, without a terminal.
+//!
+//! Each report is a type of its own that renders as a table for people and
+//! serialises for scripts; `docs/operators.md` shows both.
+
+mod burn;
+mod check;
+mod client;
+mod drain;
+mod explain;
+mod status;
+mod table;
+
+pub use self::burn::BurnSummary;
+pub use self::burn::CauseRow;
+pub use self::burn::ClassRow;
+pub use self::burn::WindowRow;
+pub use self::check::CheckReport;
+pub use self::check::FileKind;
+pub use self::check::FileReport;
+pub use self::check::ProblemReport;
+pub use self::check::check_rules;
+pub use self::check::check_settings;
+pub use self::client::Answer;
+pub use self::client::ClientError;
+pub use self::client::ask;
+pub use self::client::ask_all;
+pub use self::client::drain;
+pub use self::drain::DrainSummary;
+pub use self::explain::ExplainReport;
+pub use self::explain::Request;
+pub use self::explain::RuleReport;
+pub use self::explain::explain;
+pub use self::status::StatusSummary;
+pub use self::table::Table;
--- /dev/null
+++ b/lib/src/operators/status.rs
@@ -0,0 +1,180 @@
+//! Renders what daemons are doing.
+
+use std::fmt;
+
+use indexmap::IndexSet;
+use serde::Serialize;
+
+use super::Answer;
+use super::Table;
+use crate::process::DurationText;
+use crate::process::status::PeerStanding;
+use crate::process::status::QueueStatus;
+use crate::process::status::StatusReport;
+
+/// What one daemon or several are doing.
+#[derive(Clone, Debug, Serialize)]
+#[serde(transparent)]
+pub struct StatusSummary {
+    /// The daemons' answers.
+    pub daemons: Vec<Answer<StatusReport>>,
+    #[serde(skip)]
+    with_peers: bool,
+}
+
+impl StatusSummary {
+    /// Puts the answers of daemons together; peers are listed on request, and
+    /// always for a single daemon.
+    pub fn new(daemons: Vec<Answer<StatusReport>>, with_peers: bool) -> Self {
+        let with_peers = with_peers || daemons.len() == 1;
+        Self { daemons, with_peers }
+    }
+
+    /// Tells whether every daemon answered.
+    pub fn is_complete(&self) -> bool {
+        self.daemons.iter().all(|daemon| daemon.report.is_some())
+    }
+
+    fn reports(&self) -> impl Iterator<Item = &StatusReport> {
+        self.daemons.iter().filter_map(|daemon| daemon.report.as_ref())
+    }
+
+    fn daemons_table(&self) -> Table {
+        let mut table = Table::new(&[
+            "INSTANCE", "SERVICE", "ZONE", "STATE", "UP", "RULES", "VMS", "LIMIT", "BUSY",
+            "WAITING", "LEVEL", "TOKENS", "PEERS",
+        ]);
+        for daemon in self.reports() {
+            table.push(daemon_row(daemon));
+        }
+        table
+    }
+
+    fn refusals_table(&self) -> Table {
+        let mut table = Table::new(&[
+            "INSTANCE",
+            "ROLE",
+            "SERVICE",
+            "CRITICALITY",
+            "REASON",
+            "OUTCOME",
+            "ORIGIN",
+            "COUNT",
+        ]);
+        for daemon in self.reports() {
+            for refusal in &daemon.refusals {
+                table.push(vec![
+                    daemon.instance.to_string(),
+                    refusal.role.as_str().to_owned(),
+                    refusal.service.to_string(),
+                    refusal.criticality.to_string(),
+                    refusal.cause.fault.to_string(),
+                    refusal.cause.outcome.to_string(),
+                    refusal.cause.origin.as_str().to_owned(),
+                    refusal.cause.count.to_string(),
+                ]);
+            }
+        }
+        table
+    }
+
+    fn peers_table(&self) -> Table {
+        let mut table =
+            Table::new(&["INSTANCE", "PEER", "SERVICE", "STANDING", "OUTSTANDING", "LEVEL"]);
+        for daemon in self.reports() {
+            for peer in &daemon.peers {
+                table.push(vec![
+                    daemon.instance.to_string(),
+                    peer.instance.to_string(),
+                    peer.service.to_string(),
+                    peer.standing.to_string(),
+                    peer.outstanding.to_string(),
+                    peer.level.clone().unwrap_or_else(|| "-".to_owned()),
+                ]);
+            }
+        }
+        table
+    }
+
+    /// Returns the versions of the rules that are in force, if they differ.
+    fn versions(&self) -> Option<String> {
+        let version = |daemon: &StatusReport| daemon.rules.as_ref().map(|rules| rules.version);
+        let versions: IndexSet<_> = self.reports().map(version).collect();
+        let show = |version: &Option<u64>| version.map_or("none".to_owned(), |v| v.to_string());
+        let shown: Vec<_> = versions.iter().map(show).collect();
+        (versions.len() > 1).then(|| shown.join(", "))
+    }
+}
+
+fn daemon_row(daemon: &StatusReport) -> Vec<String> {
+    let or_dash = |version: Option<u64>| version.map_or("-".to_owned(), |v| v.to_string());
+    let admission = &daemon.admission;
+    let lost = daemon.peers.iter().filter(|peer| peer.standing == PeerStanding::Lost).count();
+    let peers = match lost {
+        0 => daemon.peers.len().to_string(),
+        lost => format!("{} ({lost} lost)", daemon.peers.len()),
+    };
+    vec![
+        daemon.instance.to_string(),
+        daemon.service.to_string(),
+        daemon.zone.to_string(),
+        daemon.state.to_string(),
+        uptime(daemon),
+        or_dash(daemon.rules.as_ref().map(|rules| rules.version)),
+        or_dash(daemon.vms.as_ref().map(|vms| vms.version)),
+        format!("{}/{}", admission.limit, admission.slots),
+        admission.in_progress.to_string(),
+        waiting(&admission.queues),
+        admission.level.clone(),
+        daemon.tokens.used.to_string(),
+        peers,
+    ]
+}
+
+fn uptime(daemon: &StatusReport) -> String {
+    let seconds = daemon.uptime.as_secs();
+    let rounded = match seconds {
+        0..600 => seconds,
+        600..36_000 => seconds / 60 * 60,
+        _ => seconds / 3_600 * 3_600,
+    };
+    DurationText(std::time::Duration::from_secs(rounded)).to_string()
+}
+
+fn waiting(queues: &[QueueStatus]) -> String {
+    let busy = queues.iter().filter(|queue| queue.waiting > 0);
+    let shown: Vec<_> =
+        busy.map(|queue| format!("{} {}", queue.waiting, queue.criticality)).collect();
+    if shown.is_empty() { "0".to_owned() } else { shown.join(", ") }
+}
+
+impl fmt::Display for StatusSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let daemons = self.daemons_table();
+        if !daemons.is_empty() {
+            write!(f, "{daemons}")?;
+        }
+        if let Some(versions) = self.versions() {
+            writeln!(f, "\nRules of different versions are in force: {versions}")?;
+        }
+        let refusals = self.refusals_table();
+        if !refusals.is_empty() {
+            write!(f, "\nRefused or failed in the last 5m:\n{refusals}")?;
+        }
+        let peers = self.peers_table();
+        if self.with_peers && !peers.is_empty() {
+            write!(f, "\nPeers:\n{peers}")?;
+        }
+        unanswered(f, &self.daemons)
+    }
+}
+
+/// Lists the daemons that gave no answer.
+pub(super) fn unanswered<T>(f: &mut fmt::Formatter<'_>, daemons: &[Answer<T>]) -> fmt::Result {
+    for daemon in daemons {
+        if let Some(error) = &daemon.error {
+            writeln!(f, "{}: {error}", daemon.address)?;
+        }
+    }
+    Ok(())
+}
--- a/lib/src/process/burn/ending.rs
+++ b/lib/src/process/burn/ending.rs
@@ -25,6 +25,9 @@
 }
 
 impl Role {
+    /// Every role.
+    pub const ALL: [Self; 3] = [Self::Entry, Self::Outbound, Self::Owner];
+
     /// Returns the word that stands in reports.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -35,6 +38,22 @@
     }
 }
 
+impl FromStr for Role {
+    type Err = ParseRoleError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let known = Self::ALL.into_iter().find(|role| role.as_str() == s);
+        known.context(ParseRoleSnafu { found: s })
+    }
+}
+
+/// A word that is no role.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("'{found}' is no role; expected entry, outbound or owner"))]
+pub struct ParseRoleError {
+    found: String,
+}
+
 /// Whether this daemon decided how a request ended, or a part further down the
 /// chain did.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -46,6 +65,16 @@
     Below,
 }
 
+impl Origin {
+    /// Returns the word that stands in reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Here => "here",
+            Self::Below => "below",
+        }
+    }
+}
+
 /// What went wrong with a request.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Fault {
--- a/lib/src/process/burn/mod.rs
+++ b/lib/src/process/burn/mod.rs
@@ -15,6 +15,7 @@
 pub use self::ending::Fault;
 pub use self::ending::Origin;
 pub use self::ending::ParseFaultError;
+pub use self::ending::ParseRoleError;
 pub use self::ending::Role;
 pub use self::merge::MergeError;
 pub use self::merge::merge;
--- a/lib/src/process/settings/error.rs
+++ b/lib/src/process/settings/error.rs
@@ -92,6 +92,19 @@
     },
 }
 
+impl Problem {
+    /// Returns the key to change, as `section.key`.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::UnknownKey { key, .. }
+            | Self::MissingKey { key, .. }
+            | Self::InvalidValue { key, .. }
+            | Self::OutOfRange { key, .. }
+            | Self::Contradiction { key, .. } => key,
+        }
+    }
+}
+
 /// Prints the problems of a file, one a line.
 struct Listing<'a> {
     file: &'a str,
