--- a/lib/src/process/membership/members.rs
+++ b/lib/src/process/membership/members.rs
@@ -137,6 +137,11 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether something was seen of an instance.
+    pub fn has_seen(&self, instance: &InstanceId) -> bool {
+        self.standings.contains_key(instance)
+    }
+
     /// Returns how many instances something was seen of.
     pub fn seen(&self) -> usize {
         self.standings.len()
--- a/lib/src/process/node/home.rs
+++ b/lib/src/process/node/home.rs
@@ -106,6 +106,17 @@
     runs: IndexMap<Sequence, EndReceiver>,
 }
 
+/// What the issuer of this daemon's tokens holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Usage {
+    /// Requests that run under tokens.
+    pub running: usize,
+    /// Answers kept for resends.
+    pub kept: usize,
+    /// Memory of marks and kept answers, in bytes.
+    pub bytes: usize,
+}
+
 /// The issuer of this daemon's tokens and the runs under them.
 #[derive(Debug)]
 pub struct Home {
@@ -147,11 +158,14 @@
         }
     }
 
-    /// Returns the number of runs in progress and the bytes that marks and
-    /// kept answers hold.
-    pub fn usage(&self) -> (usize, usize, usize) {
-        let table = self.table.lock();
-        (table.issuer.running(), table.issuer.mark_bytes(), table.issuer.answer_bytes())
+    /// Returns what the issuer holds.
+    pub fn usage(&self) -> Usage {
+        let issuer = &self.table.lock().issuer;
+        Usage {
+            running: issuer.running(),
+            kept: issuer.kept(),
+            bytes: issuer.mark_bytes() + issuer.answer_bytes(),
+        }
     }
 }
 
--- a/lib/src/process/node/lifecycle.rs
+++ b/lib/src/process/node/lifecycle.rs
@@ -30,12 +30,15 @@
     /// Stops taking new work for the local upstream, for good.
     ///
     /// The line about it is written for the first cause only.
-    pub fn leave(&self, cause: DrainCause) {
-        if !self.leaving.swap(true, Ordering::SeqCst) {
+    /// Returns whether this call was the first.
+    pub fn leave(&self, cause: DrainCause) -> bool {
+        let first = !self.leaving.swap(true, Ordering::SeqCst);
+        if first {
             let in_progress = self.in_progress();
             log::write(&StateChange::Draining { cause, in_progress });
         }
         self.left.notify_waiters();
+        first
     }
 
     /// Whether new work for the local upstream is refused.
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! Locks are taken in this order, and none is held across an await:
 //! requests in progress, a request's own account, call ledger and tokens, the
-//! home of idempotency tokens, the router, the gate, the connection pools. Most
+//! home of idempotency tokens, the router, the gate, the connection pools, the
+//! burn. Most
 //! code holds one at a time.
 
 mod gate;
 mod home;
 mod lifecycle;
+mod operated;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,10 +24,13 @@
 pub use self::home::Run;
 pub use self::home::RunEnd;
 pub use self::home::Start;
+pub use self::home::Usage;
 pub use self::lifecycle::InProgress;
 pub use self::lifecycle::Lifecycle;
 use super::Incarnation;
 use super::admission::AdmissionConfig;
+use super::burn::Burn;
+use super::burn::Objectives;
 use super::clock::Clock;
 use super::config::ActiveRules;
 use super::config::ConfigHandle;
@@ -68,6 +73,8 @@
     pub lifecycle: Arc<Lifecycle>,
     /// Counters for operators.
     pub metrics: Metrics,
+    /// Service-level burn.
+    pub burn: Mutex<Burn>,
     config: ConfigHandle,
 }
 
@@ -89,6 +96,7 @@
         let slots = settings.upstream.slots as usize;
         let connections = settings.upstream.connections as usize;
         let upstream = UpstreamPool::new(settings.upstream.address, connections);
+        let burn = Mutex::new(Burn::new(place.instance.clone(), Objectives::default()));
         Arc::new(Self {
             incarnation,
             peer_addr,
@@ -101,6 +109,7 @@
             upstream,
             lifecycle: Arc::default(),
             metrics,
+            burn,
             config,
             settings,
         })
--- a/lib/src/request/idempotency/answers.rs
+++ b/lib/src/request/idempotency/answers.rs
@@ -52,6 +52,11 @@
         Some((kept.fingerprint, &kept.answer))
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.kept.len()
+    }
+
+    /// Returns the bytes of the kept answers.
     pub(super) fn bytes(&self) -> usize {
         self.bytes
     }
--- a/lib/src/request/idempotency/issuer.rs
+++ b/lib/src/request/idempotency/issuer.rs
@@ -213,6 +213,11 @@
         self.marks.bytes()
     }
 
+    /// Returns the number of kept answers.
+    pub fn kept(&self) -> usize {
+        self.answers.len()
+    }
+
     /// Returns the bytes held by kept answers, as the daemon counted them.
     pub fn answer_bytes(&self) -> usize {
         self.answers.bytes()
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -193,12 +193,21 @@
     pub token: Option<String>,
     /// Retry tokens that go back to the daemon that sent the request.
     pub retries_left: Option<u32>,
+    /// Whether another daemon decided.
+    pub from_below: bool,
 }
 
 impl Refusal {
     /// Creates a refusal without further advice.
     pub fn new(outcome: Outcome, reason: Reason) -> Self {
-        Self { outcome, reason, retry_after: None, token: None, retries_left: None }
+        Self {
+            outcome,
+            reason,
+            retry_after: None,
+            token: None,
+            retries_left: None,
+            from_below: false,
+        }
     }
 
     /// Creates a refusal of a request that was handed to no upstream.
@@ -261,6 +270,7 @@
             retry_after: retry_after.map(Duration::from_millis),
             token: text(TOKEN).map(str::to_owned),
             retries_left: None,
+            from_below: true,
         })
     }
 
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -17,13 +17,12 @@
 use super::call::Call;
 use super::call::call;
 use super::once;
-use crate::connection::body::BodyEnd;
+use super::track::Tracked;
 use crate::connection::body::GuardedBody;
-use crate::connection::body::OnEnd;
 use crate::connection::body::RelayBody;
 use crate::connection::strip::strip;
+use crate::process::burn::Role;
 use crate::process::metrics::Counter;
-use crate::process::node::InProgress;
 use crate::process::node::Node;
 use crate::request::Context;
 use crate::request::DEADLINE_MS;
@@ -38,55 +37,7 @@
 use crate::version::rules::Rule;
 
 /// Time for which an answer in progress is relayed beyond its deadline.
-const BODY_GRACE: Duration = Duration::from_secs(60);
-
-/// Follows one caller's request to the end of its answer.
-#[derive(Debug)]
-struct Tracked {
-    node: Arc<Node>,
-    /// What is counted when the answer ends whole.
-    on_whole: Option<Counter>,
-    ended: bool,
-    _in_progress: InProgress,
-}
-
-impl Tracked {
-    fn begin(node: &Arc<Node>) -> Self {
-        // Counted first: see `Lifecycle::begin`.
-        let in_progress = node.lifecycle.begin();
-        node.metrics.count(Counter::CallerRequests);
-        let on_whole = Some(Counter::WholeAnswers);
-        Self { node: Arc::clone(node), on_whole, ended: false, _in_progress: in_progress }
-    }
-
-    fn refuse(&mut self, refusal: Refusal) -> Response<RelayBody> {
-        self.on_whole = None;
-        self.node.metrics.count(Counter::Refused(refusal.reason));
-        refusal.into_response()
-    }
-}
-
-impl OnEnd for Tracked {
-    fn on_end(&mut self, end: BodyEnd) {
-        self.ended = true;
-        let counter = match end {
-            BodyEnd::Whole => self.on_whole,
-            BodyEnd::Failed => Some(Counter::TruncatedAnswers),
-            BodyEnd::Dropped => Some(Counter::Cancelled),
-        };
-        if let Some(counter) = counter {
-            self.node.metrics.count(counter);
-        }
-    }
-}
-
-impl Drop for Tracked {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.node.metrics.count(Counter::Cancelled);
-        }
-    }
-}
+pub(super) const BODY_GRACE: Duration = Duration::from_secs(60);
 
 /// Answers one request of an outside caller.
 ///
@@ -97,9 +48,10 @@
     node: Arc<Node>,
     req: Request<Incoming>,
 ) -> Result<Response<RelayBody>, Infallible> {
-    let mut tracked = Tracked::begin(&node);
-    let served = try_serve(&node, req).await;
+    let mut tracked = Tracked::begin(&node, Role::Entry);
+    let served = try_serve(&node, req, &mut tracked).await;
     let mut rsp = served.unwrap_or_else(|refusal| tracked.refuse(refusal));
+    tracked.mark_failure(&mut rsp);
     if node.lifecycle.is_leaving() {
         let close = header::HeaderValue::from_static("close");
         rsp.headers_mut().insert(header::CONNECTION, close);
@@ -111,6 +63,7 @@
 async fn try_serve(
     node: &Arc<Node>,
     req: Request<Incoming>,
+    tracked: &mut Tracked,
 ) -> Result<Response<RelayBody>, Refusal> {
     let has_token = req.headers().contains_key(TOKEN);
     let prepared = prepare(node, req).await;
@@ -120,6 +73,7 @@
         false => prepared?,
     };
     let Prepared { token, call: request } = prepared;
+    tracked.describe(&request.inbound.service, request.cx.criticality, request.cx.weight);
     match token {
         Some(token) if token.issuer == node.peer_addr => {
             once::run_under_token(node, &token, request).await
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -5,17 +5,21 @@
 
 use http::Request;
 use http::Response;
+use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use super::attempt::read_header;
 use super::call::Call;
 use super::call::call;
+use super::entry::BODY_GRACE;
 use super::entry::serve_caller;
 use super::once;
+use super::track::Tracked;
+use crate::connection::body::GuardedBody;
 use crate::connection::body::RelayBody;
 use crate::connection::strip::strip;
-use crate::process::metrics::Counter;
+use crate::process::burn::Role;
 use crate::process::node::Node;
 use crate::request::CONTEXT;
 use crate::request::Context;
@@ -47,17 +51,18 @@
     if !req.headers().contains_key(CONTEXT) {
         return serve_caller(node, req).await;
     }
-    node.metrics.count(Counter::UpstreamCalls);
-    let served = serve_child(&node, req).await;
-    Ok(served.unwrap_or_else(|refusal| {
-        node.metrics.count(Counter::Refused(refusal.reason));
-        refusal.into_response()
-    }))
+    let mut tracked = Tracked::begin(&node, Role::Outbound);
+    let served = serve_child(&node, req, &mut tracked).await;
+    let mut rsp = served.unwrap_or_else(|refusal| tracked.refuse(refusal));
+    tracked.mark_failure(&mut rsp);
+    let latest = Instant::now() + node.settings.limits.max_deadline + BODY_GRACE;
+    Ok(rsp.map(|body| GuardedBody::new(body, latest, tracked).boxed_unsync()))
 }
 
 async fn serve_child(
     node: &Arc<Node>,
     req: Request<Incoming>,
+    tracked: &mut Tracked,
 ) -> Result<Response<RelayBody>, Refusal> {
     let handle: Option<Handle> = read_header(req.headers(), &CONTEXT);
     let parent = handle.and_then(|handle| node.parents.find(handle));
@@ -69,6 +74,7 @@
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration).after(earlier))?;
     let rule = inbound.rule(&rules.rules);
     let call = child_call(node, &parent, inbound, payload, rule);
+    tracked.describe(&call.inbound.service, call.cx.criticality, call.cx.weight);
     parent.child_may_run();
     let served = run_child(node, &parent, call).await;
     if served.as_ref().is_err_and(|refusal| refusal.outcome == Outcome::NotRun) {
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use super::track::Tracked;
 use crate::connection::body;
 use crate::connection::body::BodyEnd;
 use crate::connection::body::GuardedBody;
@@ -27,6 +28,7 @@
 use crate::process::admission::Shed;
 use crate::process::admission::ShedReason;
 use crate::process::admission::Work;
+use crate::process::burn::Role;
 use crate::process::metrics::Counter;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
@@ -62,17 +64,19 @@
     inbound: &Inbound,
     body: RelayBody,
 ) -> Response<RelayBody> {
+    let mut tracked = Tracked::begin(node, Role::Owner);
+    tracked.describe(&inbound.service, cx.criticality, cx.weight);
     let retries = cx.retries;
     let served = try_serve(node, cx, inbound, body).await;
     let mut rsp = served.unwrap_or_else(|refusal| {
-        node.metrics.count(Counter::Refused(refusal.reason));
         // What was refused before it began has spent nothing.
         let left = match refusal.outcome {
             Outcome::NotRun => refusal.retries_left.unwrap_or(retries),
             Outcome::Unknown | Outcome::Ran => refusal.retries_left.unwrap_or(0),
         };
-        refusal.with_retries(left).into_response()
+        tracked.refuse(refusal.with_retries(left))
     });
+    tracked.mark_failure(&mut rsp);
     let level = node.gate.level();
     if level != Level::OPEN
         && let Ok(value) = HeaderValue::try_from(level.to_string())
@@ -82,7 +86,8 @@
     if node.lifecycle.is_leaving() {
         rsp.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
     }
-    rsp
+    let latest = Instant::now() + node.settings.limits.max_deadline + LATE_FINISH_GRACE;
+    rsp.map(|body| GuardedBody::new(body, latest, tracked).boxed_unsync())
 }
 
 async fn try_serve(
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -16,7 +16,6 @@
 use super::owner;
 use crate::connection::body;
 use crate::connection::body::RelayBody;
-use crate::process::metrics::Counter;
 use crate::process::node::Node;
 use crate::request::CONTEXT;
 use crate::request::Context;
@@ -37,7 +36,6 @@
     node: Arc<Node>,
     req: Request<Incoming>,
 ) -> Result<Response<RelayBody>, Infallible> {
-    node.metrics.count(Counter::PeerRequests);
     if let Some(version) = read_header(req.headers(), &RULES_VERSION) {
         node.config().heard_of(version);
     }
--- /dev/null
+++ b/lib/src/request/serve/track.rs
@@ -0,0 +1,142 @@
+//! Follows one request to its end and counts how it ended.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Response;
+
+use crate::connection::body::BodyEnd;
+use crate::connection::body::OnEnd;
+use crate::connection::body::RelayBody;
+use crate::process::ServiceName;
+use crate::process::burn::Cause;
+use crate::process::burn::Class;
+use crate::process::burn::Ending;
+use crate::process::burn::Fault;
+use crate::process::burn::Origin;
+use crate::process::burn::Role;
+use crate::process::metrics::Counter;
+use crate::process::node::InProgress;
+use crate::process::node::Node;
+use crate::request::OUTCOME;
+use crate::request::Outcome;
+use crate::request::REASON;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::version::Criticality;
+
+/// One request in progress in one role of the daemon.
+///
+/// Dropped before its answer ended, it counts as cancelled.
+#[derive(Debug)]
+pub(super) struct Tracked {
+    node: Arc<Node>,
+    role: Role,
+    started: Duration,
+    class: Option<(Class, u32)>,
+    failure: Option<Cause>,
+    ended: bool,
+    _in_progress: InProgress,
+}
+
+impl Tracked {
+    /// Begins to follow a request that has just arrived.
+    pub(super) fn begin(node: &Arc<Node>, role: Role) -> Self {
+        // Counted before anything is decided: see `Lifecycle::begin`.
+        let in_progress = node.lifecycle.begin();
+        node.metrics.count(match role {
+            Role::Entry => Counter::CallerRequests,
+            Role::Outbound => Counter::UpstreamCalls,
+            Role::Owner => Counter::PeerRequests,
+        });
+        Self {
+            node: Arc::clone(node),
+            role,
+            started: node.clock.now(),
+            class: None,
+            failure: None,
+            ended: false,
+            _in_progress: in_progress,
+        }
+    }
+
+    /// Tells what the request is, once that is known.
+    pub(super) fn describe(
+        &mut self,
+        service: &ServiceName,
+        criticality: Criticality,
+        weight: u32,
+    ) {
+        let class = Class { role: self.role, service: service.clone(), criticality };
+        self.class = Some((class, weight));
+    }
+
+    /// Builds the answer to a request that was refused or has failed.
+    pub(super) fn refuse(&mut self, refusal: Refusal) -> Response<RelayBody> {
+        self.node.metrics.count(Counter::Refused(refusal.reason));
+        let origin = if refusal.from_below { Origin::Below } else { Origin::Here };
+        let fault = Fault::Refused(refusal.reason);
+        self.failure = Some(Cause { fault, outcome: refusal.outcome, origin });
+        refusal.into_response()
+    }
+
+    /// Marks an answer by which the upstream says that it failed.
+    ///
+    /// Towards other daemons it stays unmarked, since it is the upstream's
+    /// whole answer and is relayed with its body.
+    pub(super) fn mark_failure(&mut self, rsp: &mut Response<RelayBody>) {
+        if !rsp.status().is_server_error() || self.failure.is_some() {
+            return;
+        }
+        let reason = Reason::UpstreamFailed;
+        let fault = Fault::Refused(reason);
+        let origin = if self.role == Role::Owner { Origin::Here } else { Origin::Below };
+        self.failure = Some(Cause { fault, outcome: Outcome::Ran, origin });
+        if self.role != Role::Owner {
+            let headers = rsp.headers_mut();
+            headers.insert(OUTCOME, HeaderValue::from_static(Outcome::Ran.as_str()));
+            headers.insert(REASON, HeaderValue::from_static(reason.as_str()));
+        }
+    }
+
+    fn ending(&self, end: BodyEnd) -> Ending {
+        match (end, self.failure) {
+            (_, Some(cause)) => Ending::Failed(cause),
+            (BodyEnd::Whole, None) => Ending::Whole(self.node.clock.now() - self.started),
+            (BodyEnd::Failed, None) => Ending::Failed(Cause {
+                fault: Fault::Truncated,
+                outcome: Outcome::Ran,
+                origin: Origin::Below,
+            }),
+            (BodyEnd::Dropped, None) => Ending::Cancelled,
+        }
+    }
+}
+
+impl OnEnd for Tracked {
+    fn on_end(&mut self, end: BodyEnd) {
+        self.ended = true;
+        let ending = self.ending(end);
+        match ending {
+            Ending::Whole(_) => self.node.metrics.count(Counter::WholeAnswers),
+            Ending::Failed(Cause { fault: Fault::Truncated, .. }) => {
+                self.node.metrics.count(Counter::TruncatedAnswers);
+            }
+            Ending::Failed(_) => {}
+            Ending::Cancelled => self.node.metrics.count(Counter::Cancelled),
+        }
+        if let Some((class, weight)) = &self.class {
+            let now = self.node.clock.now();
+            self.node.burn.lock().record(now, class, *weight, ending);
+        }
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.on_end(BodyEnd::Dropped);
+        }
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,7 @@
 //! One binary for all integration tests of the library.
 
+#![allow(clippy::needless_pass_by_value, reason = "quickcheck hands properties owned values")]
+
 mod broken_relay;
 mod cluster;
 mod test_admission;
