serve: refuse at the root what a deeper hop would refuse

Cause: in the demo 687 submissions were answered 502 by their upstream after the matching service behind it had refused the call: work spent for nothing.

Answers carry the strictest admission level of the hops that their request visited; each sender applies it by the path (service and rule) before it sends, and a calling request passes it on to its own sender.

--- a/lib/src/process/membership/members.rs
+++ b/lib/src/process/membership/members.rs
@@ -122,6 +122,12 @@
         self.standings.get(instance)?.level(now)
     }
 
+    /// Returns the most open level that the instances of a service told lately;
+    /// `None` if none of them told one.
+    pub fn service_level(&self, now: Duration, service: &ServiceName) -> Option<Level> {
+        self.instances(service).iter().filter_map(|vm| self.level(now, &vm.instance)).max()
+    }
+
     /// Returns the version of the list in force.
     pub fn version(&self) -> Option<u64> {
         self.version
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Locks are taken in this order, and none is held across an await:
 //! requests in progress, a request's own account, call ledger and tokens, the
-//! home of idempotency tokens, the router, the gate, the connection pools, the
+//! home of idempotency tokens, the path levels, the router, the gate, the connection pools, the
 //! burn. Most
 //! code holds one at a time.
 
@@ -28,7 +28,9 @@
 pub use self::lifecycle::InProgress;
 pub use self::lifecycle::Lifecycle;
 use super::Incarnation;
+use super::ServiceName;
 use super::admission::AdmissionConfig;
+use super::admission::PathLevels;
 use super::burn::Burn;
 use super::burn::Objectives;
 use super::clock::Clock;
@@ -46,6 +48,16 @@
 use crate::request::idempotency::IssuerConfig;
 use crate::request::parent::Parents;
 
+/// What makes two callers' requests visit the same services: the service and
+/// the rule that serves them.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct PathKey {
+    /// Service that the caller asks.
+    pub service: ServiceName,
+    /// Line of the rule.
+    pub line: usize,
+}
+
 /// Everything that the requests of one daemon share.
 #[derive(Debug)]
 pub struct Node {
@@ -73,6 +85,8 @@
     pub lifecycle: Arc<Lifecycle>,
     /// Counters for operators.
     pub metrics: Metrics,
+    /// Admission levels of the hops below, by the path that callers' requests take.
+    pub path_levels: Mutex<PathLevels<PathKey>>,
     /// Service-level burn.
     pub burn: Mutex<Burn>,
     config: ConfigHandle,
@@ -109,6 +123,7 @@
             upstream,
             lifecycle: Arc::default(),
             metrics,
+            path_levels: Mutex::default(),
             burn,
             config,
             settings,
--- a/lib/src/request/headers.rs
+++ b/lib/src/request/headers.rs
@@ -29,6 +29,9 @@
 /// Admission level of the answering daemon, sent when it has changed.
 pub const LEVEL: HeaderName = HeaderName::from_static("endivescale-level");
 
+/// Strictest admission level of the hops that the request visited.
+pub const PATH_LEVEL: HeaderName = HeaderName::from_static("endivescale-path-level");
+
 /// Set by a daemon that is leaving; peers send it no new work.
 pub const LEAVING: HeaderName = HeaderName::from_static("endivescale-leaving");
 
--- a/lib/src/request/parent.rs
+++ b/lib/src/request/parent.rs
@@ -19,6 +19,7 @@
 use super::retries::CallLedger;
 use super::retries::RetryAccount;
 use crate::process::Incarnation;
+use crate::process::admission::Level;
 
 /// Names a request in progress towards the local upstream.
 ///
@@ -67,6 +68,8 @@
     pub tokens: Mutex<IndexMap<Fingerprint, Token>>,
     /// Cancelled when the request ends, however it ends.
     pub ended: CancellationToken,
+    /// Strictest admission level heard on the answers to its calls.
+    path_level: Arc<Mutex<Level>>,
     may_have_run: AtomicUsize,
 }
 
@@ -86,6 +89,12 @@
         self.may_have_run.load(Ordering::SeqCst) > 0
     }
 
+    /// Notes the admission level that an answer to one of the calls carried.
+    pub fn hear(&self, level: Level) {
+        let mut path_level = self.path_level.lock();
+        *path_level = level.min(*path_level);
+    }
+
     /// Takes all retry tokens out of the account, to hand them back.
     pub fn take_retries(&self) -> u32 {
         let mut account = self.account.lock();
@@ -123,7 +132,14 @@
     }
 
     /// Opens a request that is about to be sent to the upstream.
-    pub fn open(self: &Arc<Self>, cx: Context, deadline: Instant) -> OpenParent {
+    ///
+    /// `path_level` outlives the request, so that its answer can carry it.
+    pub fn open(
+        self: &Arc<Self>,
+        cx: Context,
+        deadline: Instant,
+        path_level: Arc<Mutex<Level>>,
+    ) -> OpenParent {
         let account = Arc::new(Mutex::new(RetryAccount::receive(Some(cx.retries))));
         let parent = Arc::new(Parent {
             cx,
@@ -132,6 +148,7 @@
             calls: Mutex::default(),
             tokens: Mutex::default(),
             ended: CancellationToken::new(),
+            path_level,
             may_have_run: AtomicUsize::new(0),
         });
         let mut table = self.table.lock();
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -22,6 +22,7 @@
 use crate::connection::peers::PeerError;
 use crate::connection::strip::strip;
 use crate::process::InstanceId;
+use crate::process::admission::Level;
 use crate::process::membership::Observation;
 use crate::process::membership::Vm;
 use crate::process::metrics::Counter;
@@ -31,6 +32,7 @@
 use crate::request::LEAVING;
 use crate::request::LEVEL;
 use crate::request::Outcome;
+use crate::request::PATH_LEVEL;
 use crate::request::RETRIES_LEFT;
 use crate::request::RULES_VERSION;
 use crate::request::Reason;
@@ -106,9 +108,14 @@
     let unused = read_header(rsp.headers(), &RETRIES_LEFT);
     call.account.lock().give_back(grant, unused);
     observe_answer(node, vm, rsp.headers());
+    let path_level = read_header(rsp.headers(), &PATH_LEVEL);
     if let Some(refusal) = Refusal::from_headers(rsp.headers()) {
+        if let Some(level) = path_level {
+            call.hear(node, level);
+        }
         return Err(refusal);
     }
+    call.answered(node, path_level.unwrap_or(Level::OPEN));
     strip(rsp.headers_mut(), &[]);
     Ok(rsp.map(|body| GuardedBody::new(body, give_up, outstanding).boxed_unsync()))
 }
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -11,9 +11,11 @@
 use super::attempt;
 use crate::connection::body::RelayBody;
 use crate::process::InstanceId;
+use crate::process::admission::Level;
 use crate::process::membership::Vm;
 use crate::process::metrics::Counter;
 use crate::process::node::Node;
+use crate::process::node::PathKey;
 use crate::process::routing::NoRoute;
 use crate::process::routing::Pick;
 use crate::process::routing::Work;
@@ -23,6 +25,7 @@
 use crate::request::Refusal;
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
+use crate::request::parent::Parent;
 use crate::request::retries::RetryAccount;
 
 /// Time beyond the deadline for which the answer to a non-idempotent request is
@@ -44,6 +47,11 @@
     pub(super) deadline: Instant,
     /// Retry tokens that the attempts spend and lend.
     pub(super) account: Arc<Mutex<RetryAccount>>,
+    /// The path that the request takes from here on.
+    pub(super) path: PathKey,
+    /// The request in progress here on whose behalf this one is sent; none for
+    /// an outside caller's.
+    pub(super) parent: Option<Arc<Parent>>,
 }
 
 impl Call {
@@ -55,6 +63,25 @@
         }
     }
 
+    /// Notes the level of the hops below, as a whole answer carried it.
+    pub(super) fn answered(&self, node: &Node, level: Level) {
+        let now = node.clock.now();
+        node.path_levels.lock().answered(now, &self.path, Some(level));
+        self.tell_parent(level);
+    }
+
+    /// Notes the level of the hops below, as a refusal carried it.
+    pub(super) fn hear(&self, node: &Node, level: Level) {
+        node.path_levels.lock().heard(node.clock.now(), &self.path, level);
+        self.tell_parent(level);
+    }
+
+    fn tell_parent(&self, level: Level) {
+        if let Some(parent) = &self.parent {
+            parent.hear(level);
+        }
+    }
+
     /// Whether one more attempt is safe, possible and paid for.
     fn may_retry(&self, refusal: &Refusal) -> bool {
         let is_safe = refusal.outcome == Outcome::NotRun || !self.cx.non_idempotent;
@@ -69,6 +96,7 @@
 ///
 /// The refusal's outcome speaks of all attempts together.
 pub(super) async fn call(node: &Arc<Node>, mut call: Call) -> Result<Response<RelayBody>, Refusal> {
+    refuse_for_deeper_hops(node, &call)?;
     let mut tried: Vec<InstanceId> = Vec::new();
     let mut earlier: Option<Outcome> = None;
     loop {
@@ -92,10 +120,30 @@
     }
 }
 
+/// Refuses a request that a hop further down would refuse, before any work is
+/// spent on it.
+fn refuse_for_deeper_hops(node: &Node, call: &Call) -> Result<(), Refusal> {
+    let (now, cx) = (node.clock.now(), &call.cx);
+    let mut levels = node.path_levels.lock();
+    let Err(shed) = levels.check(now, &call.path, cx.criticality, cx.hash) else {
+        return Ok(());
+    };
+    let level = levels.level(now, &call.path);
+    drop(levels);
+    call.tell_parent(level);
+    Err(Refusal::not_run(Reason::Overloaded).retry_after(shed.retry_after))
+}
+
 fn pick(node: &Node, call: &Call, tried: &[InstanceId]) -> Result<Arc<Vm>, Refusal> {
     let work = Work { criticality: call.cx.criticality, hash: call.cx.hash };
     let now = node.clock.now();
-    let picked = node.router.lock().pick(now, &call.inbound.service, &work, tried);
+    let mut router = node.router.lock();
+    let picked = router.pick(now, &call.inbound.service, &work, tried);
+    let level = router.members().service_level(now, &call.inbound.service);
+    drop(router);
+    if let (Pick::None(NoRoute::Refused), Some(level)) = (&picked, level) {
+        call.hear(node, level);
+    }
     match picked {
         Pick::To(vm) => Ok(vm),
         Pick::None(NoRoute::UnknownService) => Err(Refusal::not_run(Reason::UnknownService)),
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -24,6 +24,7 @@
 use crate::process::burn::Role;
 use crate::process::metrics::Counter;
 use crate::process::node::Node;
+use crate::process::node::PathKey;
 use crate::request::Context;
 use crate::request::DEADLINE_MS;
 use crate::request::Reason;
@@ -144,7 +145,8 @@
         sender: node.incarnation,
     };
     let account = Arc::new(Mutex::new(RetryAccount::mint(rule.retries)));
-    Call { inbound, payload, cx, deadline, account }
+    let path = PathKey { service: inbound.service.clone(), line: rule.line };
+    Call { inbound, payload, cx, deadline, account, path, parent: None }
 }
 
 /// Spreads requests evenly over the hashes that admission levels speak of.
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -21,6 +21,7 @@
 use crate::connection::strip::strip;
 use crate::process::burn::Role;
 use crate::process::node::Node;
+use crate::process::node::PathKey;
 use crate::request::CONTEXT;
 use crate::request::Context;
 use crate::request::IDEMPOTENCY_KEY;
@@ -106,7 +107,7 @@
 
 fn child_call(
     node: &Node,
-    parent: &Parent,
+    parent: &Arc<Parent>,
     inbound: Inbound,
     payload: Payload,
     rule: &Rule,
@@ -118,7 +119,10 @@
         ..parent.cx.clone()
     };
     let deadline = parent.deadline.min(Instant::now() + rule.deadline);
-    Call { inbound, payload, cx, deadline, account: Arc::clone(&parent.account) }
+    let path = PathKey { service: inbound.service.clone(), line: rule.line };
+    let account = Arc::clone(&parent.account);
+    let parent = Some(Arc::clone(parent));
+    Call { inbound, payload, cx, deadline, account, path, parent }
 }
 
 async fn run_child(
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -11,6 +13,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
+use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -40,6 +43,7 @@
 use crate::request::LEVEL;
 use crate::request::OUTCOME;
 use crate::request::Outcome;
+use crate::request::PATH_LEVEL;
 use crate::request::RETRIES_LEFT;
 use crate::request::Reason;
 use crate::request::Refusal;
@@ -67,7 +71,8 @@
     let mut tracked = Tracked::begin(node, Role::Owner);
     tracked.describe(&inbound.service, cx.criticality, cx.weight);
     let retries = cx.retries;
-    let served = try_serve(node, cx, inbound, body).await;
+    let path_level = Arc::new(Mutex::new(Level::OPEN));
+    let served = try_serve(node, cx, inbound, body, &path_level).await;
     let mut rsp = served.unwrap_or_else(|refusal| {
         // What was refused before it began has spent nothing.
         let left = match refusal.outcome {
@@ -78,11 +83,9 @@
     });
     tracked.mark_failure(&mut rsp);
     let level = node.gate.level();
-    if level != Level::OPEN
-        && let Ok(value) = HeaderValue::try_from(level.to_string())
-    {
-        rsp.headers_mut().insert(LEVEL, value);
-    }
+    let path_level = level.min(*path_level.lock());
+    insert_level(rsp.headers_mut(), LEVEL, level);
+    insert_level(rsp.headers_mut(), PATH_LEVEL, path_level);
     if node.lifecycle.is_leaving() {
         rsp.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
     }
@@ -90,11 +93,22 @@
     rsp.map(|body| GuardedBody::new(body, latest, tracked).boxed_unsync())
 }
 
+/// Levels travel only while they refuse something.
+fn insert_level(headers: &mut HeaderMap, name: HeaderName, level: Level) {
+    if level == Level::OPEN {
+        return;
+    }
+    if let Ok(value) = HeaderValue::try_from(level.to_string()) {
+        headers.insert(name, value);
+    }
+}
+
 async fn try_serve(
     node: &Arc<Node>,
     cx: Context,
     inbound: &Inbound,
     body: RelayBody,
+    path_level: &Arc<Mutex<Level>>,
 ) -> Result<Response<RelayBody>, Refusal> {
     let in_progress = node.lifecycle.begin();
     if node.lifecycle.is_leaving() {
@@ -114,7 +128,7 @@
         return Err(Refusal::not_run(Reason::Expired));
     }
     let non_idempotent = cx.non_idempotent;
-    let parent = node.parents.open(cx, deadline);
+    let parent = node.parents.open(cx, deadline, Arc::clone(path_level));
     let req = upstream_request(node, inbound, body, &parent, deadline);
     let exchange = Exchange { parent, permit, _in_progress: in_progress, deadline };
     match non_idempotent {
