daemon: answer operators, and count requests towards the burn

Cause: status, burn, counters, rules and drain had types but no listener, and nothing recorded how requests end.

Ruled out: recording in the admission state machine, which does not see refusals before the queue nor the end of an answer's body.

After: the operator listener serves until nothing is in progress any more. Each of the three roles measures a request up to the end of its answer; a refusal carries whether it was decided here or below.

--- a/cli/src/commands/status.rs
+++ b/cli/src/commands/status.rs
@@ -20,7 +20,9 @@
 
 Columns: LIMIT is the learned limit of requests at the upstream and its slots,
 BUSY the requests there, WAITING those in the queue by criticality, LEVEL what
-callers are told to hold back, TOKENS the used idempotency tokens remembered.
+callers are told to send: all above the criticality named, and that share of
+it. TOKENS is the memory of used idempotency tokens and kept answers. PEERS
+that are probed stopped answering or leave.
 
 Exit codes: 0 every daemon answered, 2 wrong usage, 3 a daemon did not answer.
 ",
--- a/lib/src/operators/status.rs
+++ b/lib/src/operators/status.rs
@@ -12,6 +12,8 @@
 use crate::process::status::QueueStatus;
 use crate::process::status::StatusReport;
 
+const BYTES_PER_KIB: usize = 1024;
+
 /// What one daemon or several are doing.
 #[derive(Clone, Debug, Serialize)]
 #[serde(transparent)]
@@ -109,10 +111,10 @@
 fn daemon_row(daemon: &StatusReport) -> Vec<String> {
     let or_dash = |version: Option<u64>| version.map_or("-".to_owned(), |v| v.to_string());
     let admission = &daemon.admission;
-    let lost = daemon.peers.iter().filter(|peer| peer.standing == PeerStanding::Lost).count();
-    let peers = match lost {
+    let probed = daemon.peers.iter().filter(|peer| peer.standing == PeerStanding::Probed).count();
+    let peers = match probed {
         0 => daemon.peers.len().to_string(),
-        lost => format!("{} ({lost} lost)", daemon.peers.len()),
+        probed => format!("{} ({probed} probed)", daemon.peers.len()),
     };
     vec![
         daemon.instance.to_string(),
@@ -126,7 +128,7 @@
         admission.in_progress.to_string(),
         waiting(&admission.queues),
         admission.level.clone(),
-        daemon.tokens.used.to_string(),
+        format!("{}K", daemon.tokens.bytes() / BYTES_PER_KIB),
         peers,
     ]
 }
--- a/lib/src/process/daemon.rs
+++ b/lib/src/process/daemon.rs
@@ -1,10 +1,13 @@
 //! The daemon: its listeners, its tasks and its end.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderName;
+use http::Request;
+use hyper::body::Incoming;
 use snafu::ResultExt as _;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -25,6 +28,7 @@
 use super::node::Node;
 use super::routing::Place;
 use super::settings::Settings;
+use super::status;
 use crate::connection::listener;
 use crate::connection::listener::BindError;
 use crate::connection::listener::Protocol;
@@ -78,6 +82,8 @@
     pub peer: SocketAddr,
     /// For other daemons' control messages.
     pub control: SocketAddr,
+    /// For operators.
+    pub operator: SocketAddr,
 }
 
 /// A running daemon.
@@ -99,6 +105,7 @@
     upstream: TcpListener,
     peer: TcpListener,
     control: TcpListener,
+    operator: TcpListener,
 }
 
 impl Daemon {
@@ -134,6 +141,7 @@
         daemon.serve_callers(listeners.caller);
         daemon.serve_peers(listeners.peer);
         daemon.serve_upstream(listeners.upstream);
+        daemon.serve_operators(listeners.operator);
         daemon.spawn_background();
         log::write(&StateChange::Started {
             instance: daemon.node.settings.daemon.instance.clone(),
@@ -206,6 +214,17 @@
         self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop));
     }
 
+    /// Operators are answered until nothing is in progress any more.
+    fn serve_operators(&mut self, listener: TcpListener) {
+        let node = Arc::clone(&self.node);
+        let service = service_fn(move |req: Request<Incoming>| {
+            let rsp = status::serve(&*node, &req);
+            std::future::ready(Ok::<_, Infallible>(rsp))
+        });
+        let stop = self.stop_inside.clone();
+        self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop));
+    }
+
     fn spawn_background(&mut self) {
         self.background.spawn(Arc::clone(&self.node.gate).run_timer());
         self.background.spawn(Arc::clone(&self.node).follow_vms());
@@ -222,6 +241,7 @@
             upstream: bind("upstream", listen.upstream).await?,
             peer: bind("peer", listen.peer).await?,
             control: bind("control", listen.control).await?,
+            operator: bind("operator", listen.operator).await?,
         })
     }
 
@@ -234,6 +254,7 @@
             upstream: local(&self.upstream),
             peer: local(&self.peer),
             control: local(&self.control),
+            operator: local(&self.operator),
         }
     }
 }
--- a/lib/src/process/membership/members.rs
+++ b/lib/src/process/membership/members.rs
@@ -137,6 +137,11 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the instances that something was seen of.
+    pub fn seen_instances(&self) -> impl Iterator<Item = &InstanceId> {
+        self.standings.keys()
+    }
+
     /// Returns how many instances something was seen of.
     pub fn seen(&self) -> usize {
         self.standings.len()
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! Locks are taken in this order, and none is held across an await:
 //! requests in progress, a request's own account, call ledger and tokens, the
-//! home of idempotency tokens, the router, the gate, the connection pools. Most
-//! code holds one at a time.
+//! home of idempotency tokens, the router, the gate, the connection pools, the
+//! burn. Most code holds one at a time.
 
 mod gate;
 mod home;
 mod lifecycle;
+mod operated;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +27,7 @@
 pub use self::lifecycle::Lifecycle;
 use super::Incarnation;
 use super::admission::AdmissionConfig;
+use super::burn::Burn;
 use super::clock::Clock;
 use super::config::ActiveRules;
 use super::config::ConfigHandle;
@@ -68,6 +70,8 @@
     pub lifecycle: Arc<Lifecycle>,
     /// Counters for operators.
     pub metrics: Metrics,
+    /// Service-level burn for operators.
+    pub burn: Mutex<Burn>,
     config: ConfigHandle,
 }
 
@@ -89,6 +93,7 @@
         let slots = settings.upstream.slots as usize;
         let connections = settings.upstream.connections as usize;
         let upstream = UpstreamPool::new(settings.upstream.address, connections);
+        let burn = Burn::new(settings.daemon.instance.clone(), settings.objectives);
         Arc::new(Self {
             incarnation,
             peer_addr,
@@ -101,6 +106,7 @@
             upstream,
             lifecycle: Arc::default(),
             metrics,
+            burn: Mutex::new(burn),
             config,
             settings,
         })
--- a/lib/src/process/status/report.rs
+++ b/lib/src/process/status/report.rs
@@ -113,7 +113,8 @@
     pub in_progress: usize,
     /// Requests that wait, by criticality.
     pub queues: Vec<QueueStatus>,
-    /// Admission level that callers are told, as in its header.
+    /// Requests that callers are told to send: all of higher criticality than
+    /// the one named, and this share of it.
     pub level: String,
 }
 
@@ -131,12 +132,19 @@
 /// Idempotency tokens that a daemon issued.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TokenStatus {
-    /// Used tokens that the daemon remembers.
-    pub used: usize,
-    /// Answers kept for resends.
-    pub kept_answers: usize,
-    /// Memory of both, in bytes.
-    pub bytes: usize,
+    /// Requests in progress under a token.
+    pub running: usize,
+    /// Memory of the marks of used tokens, in bytes.
+    pub mark_bytes: usize,
+    /// Memory of the answers kept for resends, in bytes.
+    pub answer_bytes: usize,
+}
+
+impl TokenStatus {
+    /// Returns the memory of marks and kept answers, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.mark_bytes + self.answer_bytes
+    }
 }
 
 /// What a daemon holds of one peer.
@@ -150,7 +158,7 @@
     pub standing: PeerStanding,
     /// Calls in progress there.
     pub outstanding: u32,
-    /// Admission level that it told last, as in its header.
+    /// Requests that it told callers to send, as in [`AdmissionStatus::level`].
     pub level: Option<String>,
 }
 
@@ -162,9 +170,9 @@
     Working,
     /// It gets a growing share, because it is cold.
     Warming,
-    /// It gets a probe now and then.
-    Lost,
-    /// It gets no new work and is not probed.
+    /// It stopped answering or said that it leaves; it gets a probe now and then.
+    Probed,
+    /// The platform removes it; it gets no new work.
     Leaving,
 }
 
@@ -173,7 +181,7 @@
         f.pad(match self {
             Self::Working => "working",
             Self::Warming => "warming",
-            Self::Lost => "lost",
+            Self::Probed => "probed",
             Self::Leaving => "leaving",
         })
     }
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -21,6 +21,7 @@
 use super::TOKEN;
 use crate::connection::body;
 use crate::connection::body::RelayBody;
+use crate::process::burn::Origin;
 
 macro_rules! reasons {
     ($($(#[$doc:meta])* $variant:ident = $word:literal, $status:ident;)*) => {
@@ -193,12 +194,21 @@
     pub token: Option<String>,
     /// Retry tokens that go back to the daemon that sent the request.
     pub retries_left: Option<u32>,
+    /// Whether this daemon decided it or received it from below.
+    pub origin: Origin,
 }
 
 impl Refusal {
     /// Creates a refusal without further advice.
     pub fn new(outcome: Outcome, reason: Reason) -> Self {
-        Self { outcome, reason, retry_after: None, token: None, retries_left: None }
+        Self {
+            outcome,
+            reason,
+            retry_after: None,
+            token: None,
+            retries_left: None,
+            origin: Origin::Here,
+        }
     }
 
     /// Creates a refusal of a request that was handed to no upstream.
@@ -261,6 +271,7 @@
             retry_after: retry_after.map(Duration::from_millis),
             token: text(TOKEN).map(str::to_owned),
             retries_left: None,
+            origin: Origin::Below,
         })
     }
 
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -16,12 +16,14 @@
 use super::attempt::read_header;
 use super::call::Call;
 use super::call::call;
+use super::measure::Measure;
 use super::once;
 use crate::connection::body::BodyEnd;
 use crate::connection::body::GuardedBody;
 use crate::connection::body::OnEnd;
 use crate::connection::body::RelayBody;
 use crate::connection::strip::strip;
+use crate::process::burn::Role;
 use crate::process::metrics::Counter;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
@@ -44,6 +46,7 @@
 #[derive(Debug)]
 struct Tracked {
     node: Arc<Node>,
+    measure: Measure,
     /// What is counted when the answer ends whole.
     on_whole: Option<Counter>,
     ended: bool,
@@ -56,11 +59,13 @@
         let in_progress = node.lifecycle.begin();
         node.metrics.count(Counter::CallerRequests);
         let on_whole = Some(Counter::WholeAnswers);
-        Self { node: Arc::clone(node), on_whole, ended: false, _in_progress: in_progress }
+        let measure = Measure::begin(node, Role::Entry);
+        Self { node: Arc::clone(node), measure, on_whole, ended: false, _in_progress: in_progress }
     }
 
     fn refuse(&mut self, refusal: Refusal) -> Response<RelayBody> {
         self.on_whole = None;
+        self.measure.refused(&refusal);
         self.node.metrics.count(Counter::Refused(refusal.reason));
         refusal.into_response()
     }
@@ -69,6 +74,7 @@
 impl OnEnd for Tracked {
     fn on_end(&mut self, end: BodyEnd) {
         self.ended = true;
+        self.measure.on_end(end);
         let counter = match end {
             BodyEnd::Whole => self.on_whole,
             BodyEnd::Failed => Some(Counter::TruncatedAnswers),
@@ -98,7 +104,7 @@
     req: Request<Incoming>,
 ) -> Result<Response<RelayBody>, Infallible> {
     let mut tracked = Tracked::begin(&node);
-    let served = try_serve(&node, req).await;
+    let served = try_serve(&node, req, &mut tracked.measure).await;
     let mut rsp = served.unwrap_or_else(|refusal| tracked.refuse(refusal));
     if node.lifecycle.is_leaving() {
         let close = header::HeaderValue::from_static("close");
@@ -111,6 +117,7 @@
 async fn try_serve(
     node: &Arc<Node>,
     req: Request<Incoming>,
+    measure: &mut Measure,
 ) -> Result<Response<RelayBody>, Refusal> {
     let has_token = req.headers().contains_key(TOKEN);
     let prepared = prepare(node, req).await;
@@ -120,14 +127,16 @@
         false => prepared?,
     };
     let Prepared { token, call: request } = prepared;
-    match token {
+    measure.classify(&request.inbound.service, &request.cx);
+    let served = match token {
         Some(token) if token.issuer == node.peer_addr => {
             once::run_under_token(node, &token, request).await
         }
         Some(token) => once::send_to_issuer(node, &token, request).await,
         None if request.cx.non_idempotent => Err(hand_out_token(node)),
         None => call(node, request).await,
-    }
+    };
+    served.inspect(|rsp| measure.answered(rsp.status()))
 }
 
 /// A caller's request that was read and found its rule.
--- a/lib/src/request/serve/mod.rs
+++ b/lib/src/request/serve/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod call;
 mod entry;
+mod measure;
 mod once;
 mod outbound;
 mod owner;
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -5,6 +5,7 @@
 
 use http::Request;
 use http::Response;
+use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -12,9 +13,12 @@
 use super::call::Call;
 use super::call::call;
 use super::entry::serve_caller;
+use super::measure::Measure;
 use super::once;
+use crate::connection::body::GuardedBody;
 use crate::connection::body::RelayBody;
 use crate::connection::strip::strip;
+use crate::process::burn::Role;
 use crate::process::metrics::Counter;
 use crate::process::node::Node;
 use crate::request::CONTEXT;
@@ -48,16 +52,27 @@
         return serve_caller(node, req).await;
     }
     node.metrics.count(Counter::UpstreamCalls);
-    let served = serve_child(&node, req).await;
-    Ok(served.unwrap_or_else(|refusal| {
-        node.metrics.count(Counter::Refused(refusal.reason));
-        refusal.into_response()
-    }))
+    let mut measure = Measure::begin(&node, Role::Outbound);
+    let served = serve_child(&node, req, &mut measure).await;
+    Ok(match served {
+        Ok(rsp) => {
+            measure.answered(rsp.status());
+            let latest = Instant::now() + node.settings.limits.max_deadline;
+            rsp.map(|body| GuardedBody::new(body, latest, measure).boxed_unsync())
+        }
+        Err(refusal) => {
+            measure.refused(&refusal);
+            measure.finish();
+            node.metrics.count(Counter::Refused(refusal.reason));
+            refusal.into_response()
+        }
+    })
 }
 
 async fn serve_child(
     node: &Arc<Node>,
     req: Request<Incoming>,
+    measure: &mut Measure,
 ) -> Result<Response<RelayBody>, Refusal> {
     let handle: Option<Handle> = read_header(req.headers(), &CONTEXT);
     let parent = handle.and_then(|handle| node.parents.find(handle));
@@ -69,6 +84,7 @@
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration).after(earlier))?;
     let rule = inbound.rule(&rules.rules);
     let call = child_call(node, &parent, inbound, payload, rule);
+    measure.classify(&call.inbound.service, &call.cx);
     parent.child_may_run();
     let served = run_child(node, &parent, call).await;
     if served.as_ref().is_err_and(|refusal| refusal.outcome == Outcome::NotRun) {
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use super::measure::Measure;
 use crate::connection::body;
 use crate::connection::body::BodyEnd;
 use crate::connection::body::GuardedBody;
@@ -27,6 +28,7 @@
 use crate::process::admission::Shed;
 use crate::process::admission::ShedReason;
 use crate::process::admission::Work;
+use crate::process::burn::Role;
 use crate::process::metrics::Counter;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
@@ -63,7 +65,13 @@
     body: RelayBody,
 ) -> Response<RelayBody> {
     let retries = cx.retries;
-    let served = try_serve(node, cx, inbound, body).await;
+    let mut measure = Measure::begin(node, Role::Owner);
+    measure.classify(&node.settings.daemon.service, &cx);
+    let mut measure = Some(measure);
+    let served = try_serve(node, cx, inbound, body, &mut measure).await;
+    if let Some(measure) = measure {
+        end(measure, &served);
+    }
     let mut rsp = served.unwrap_or_else(|refusal| {
         node.metrics.count(Counter::Refused(refusal.reason));
         // What was refused before it began has spent nothing.
@@ -85,11 +93,22 @@
     rsp
 }
 
+/// Counts a request whose answer needs no more from the upstream.
+fn end(mut measure: Measure, served: &Result<Response<RelayBody>, Refusal>) {
+    match served {
+        Ok(rsp) => measure.answered(rsp.status()),
+        Err(refusal) => measure.refused(refusal),
+    }
+    measure.finish();
+}
+
+/// Serves a request; an answer that is still on its way takes the measure with it.
 async fn try_serve(
     node: &Arc<Node>,
     cx: Context,
     inbound: &Inbound,
     body: RelayBody,
+    measure: &mut Option<Measure>,
 ) -> Result<Response<RelayBody>, Refusal> {
     let in_progress = node.lifecycle.begin();
     if node.lifecycle.is_leaving() {
@@ -114,7 +133,7 @@
     let exchange = Exchange { parent, permit, _in_progress: in_progress, deadline };
     match non_idempotent {
         true => run_detached(node, req, exchange).await,
-        false => run_attached(node, req, exchange).await,
+        false => run_attached(node, req, exchange, measure).await,
     }
 }
 
@@ -143,11 +162,16 @@
     node: &Arc<Node>,
     req: Request<RelayBody>,
     exchange: Exchange,
+    measure: &mut Option<Measure>,
 ) -> Result<Response<RelayBody>, Refusal> {
     let deadline = exchange.deadline;
     let (rsp, lease, exchange) = send(node, req, exchange, deadline).await?;
     let retries = exchange.parent.parent().take_retries();
-    let guard = Guard { exchange: Some(exchange), lease: Some(lease) };
+    let mut measure = measure.take();
+    if let Some(measure) = &mut measure {
+        measure.answered(rsp.status());
+    }
+    let guard = Guard { exchange: Some(exchange), lease: Some(lease), measure };
     let body = |body| GuardedBody::new(body::relay(body), deadline, guard).boxed_unsync();
     let mut rsp = rsp.map(body);
     rsp.headers_mut().insert(RETRIES_LEFT, retries.into());
@@ -179,7 +203,7 @@
     let give_up = exchange.deadline + LATE_FINISH_GRACE;
     let (rsp, lease, exchange) = send(node, req, exchange, give_up).await?;
     let (parts, incoming) = rsp.into_parts();
-    let guard = Guard { exchange: None, lease: Some(lease) };
+    let guard = Guard { exchange: None, lease: Some(lease), measure: None };
     let guarded = GuardedBody::new(body::relay(incoming), give_up, guard).boxed_unsync();
     let held = body::collect(guarded, MAX_HELD_ANSWER_BYTES).await;
     let retries = exchange.parent.parent().take_retries();
@@ -255,10 +279,14 @@
 struct Guard {
     exchange: Option<Exchange>,
     lease: Option<Lease>,
+    measure: Option<Measure>,
 }
 
 impl OnEnd for Guard {
     fn on_end(&mut self, end: BodyEnd) {
+        if let Some(measure) = &mut self.measure {
+            measure.on_end(end);
+        }
         let lease = self.lease.take();
         if let (BodyEnd::Whole, Some(lease)) = (end, lease) {
             lease.release();
