retries: check the bound over random call trees

Five broken variants are kept and found.

A first version let a peer's answer claim tokens that it had spent, and the property failed: the account can't see below its own hop. The claim is written by the peer's daemon only, since its upstream's headers are stripped, so the test now forges the header where it can be forged.

--- a/lib/src/request/retries/account.rs
+++ b/lib/src/request/retries/account.rs
@@ -66,8 +66,9 @@
 
     /// Takes back what a child's answer says it left over.
     ///
-    /// No more returns than was lent, whatever the answer claims; an answer
-    /// without the header returns nothing.
+    /// No more returns than was lent; an answer without the header returns
+    /// nothing. How many of the lent ones the child spent is its daemon's word:
+    /// an upstream can't set it, since its headers of ours are stripped.
     pub fn give_back(&mut self, grant: Grant, unused: Option<u32>) {
         self.left += unused.unwrap_or(0).min(grant.into_lent());
     }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_model_once;
 mod test_path;
 mod test_retries;
+mod test_retry_bound;
 mod test_routing;
 mod test_rules;
 mod test_settings;
