--- a/lib/src/process/membership/members.rs
+++ b/lib/src/process/membership/members.rs
@@ -122,6 +122,12 @@
         self.standings.get(instance)?.level(now)
     }
 
+    /// Returns the most open level that the instances of a service told lately;
+    /// `None` if none of them told one.
+    pub fn service_level(&self, now: Duration, service: &ServiceName) -> Option<Level> {
+        self.instances(service).iter().filter_map(|vm| self.level(now, &vm.instance)).max()
+    }
+
     /// Returns the version of the list in force.
     pub fn version(&self) -> Option<u64> {
         self.version
@@ -137,6 +143,11 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether something was seen of an instance.
+    pub fn has_seen(&self, instance: &InstanceId) -> bool {
+        self.standings.contains_key(instance)
+    }
+
     /// Returns how many instances something was seen of.
     pub fn seen(&self) -> usize {
         self.standings.len()
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -22,6 +22,7 @@
 use crate::connection::peers::PeerError;
 use crate::connection::strip::strip;
 use crate::process::InstanceId;
+use crate::process::admission::Level;
 use crate::process::membership::Observation;
 use crate::process::membership::Vm;
 use crate::process::metrics::Counter;
@@ -30,6 +31,8 @@
 use crate::request::Context;
 use crate::request::LEAVING;
 use crate::request::LEVEL;
+use crate::request::Outcome;
+use crate::request::PATH_LEVEL;
 use crate::request::RETRIES_LEFT;
 use crate::request::RULES_VERSION;
 use crate::request::Reason;
@@ -90,13 +93,29 @@
         },
     };
     let rsp = answered.inspect_err(|failure| observe_failure(node, vm, failure));
-    let mut rsp = rsp.map_err(|failure| failure.refusal())?;
+    let mut rsp = match rsp {
+        Ok(rsp) => rsp,
+        Err(failure) => {
+            let refusal = failure.refusal();
+            // Tokens that never left this daemon aren't lost.
+            if refusal.outcome == Outcome::NotRun {
+                let lent = grant.tokens();
+                call.account.lock().give_back(grant, Some(lent));
+            }
+            return Err(refusal);
+        }
+    };
     let unused = read_header(rsp.headers(), &RETRIES_LEFT);
     call.account.lock().give_back(grant, unused);
     observe_answer(node, vm, rsp.headers());
+    let path_level = read_header(rsp.headers(), &PATH_LEVEL);
     if let Some(refusal) = Refusal::from_headers(rsp.headers()) {
+        if let Some(level) = path_level {
+            call.hear(node, level);
+        }
         return Err(refusal);
     }
+    call.answered(node, path_level.unwrap_or(Level::OPEN));
     strip(rsp.headers_mut(), &[]);
     Ok(rsp.map(|body| GuardedBody::new(body, give_up, outstanding).boxed_unsync()))
 }
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -17,14 +17,14 @@
 use super::call::Call;
 use super::call::call;
 use super::once;
-use crate::connection::body::BodyEnd;
+use super::track::Tracked;
 use crate::connection::body::GuardedBody;
-use crate::connection::body::OnEnd;
 use crate::connection::body::RelayBody;
 use crate::connection::strip::strip;
+use crate::process::burn::Role;
 use crate::process::metrics::Counter;
-use crate::process::node::InProgress;
 use crate::process::node::Node;
+use crate::process::node::PathKey;
 use crate::request::Context;
 use crate::request::DEADLINE_MS;
 use crate::request::Reason;
@@ -38,55 +38,7 @@
 use crate::version::rules::Rule;
 
 /// Time for which an answer in progress is relayed beyond its deadline.
-const BODY_GRACE: Duration = Duration::from_secs(60);
-
-/// Follows one caller's request to the end of its answer.
-#[derive(Debug)]
-struct Tracked {
-    node: Arc<Node>,
-    /// What is counted when the answer ends whole.
-    on_whole: Option<Counter>,
-    ended: bool,
-    _in_progress: InProgress,
-}
-
-impl Tracked {
-    fn begin(node: &Arc<Node>) -> Self {
-        // Counted first: see `Lifecycle::begin`.
-        let in_progress = node.lifecycle.begin();
-        node.metrics.count(Counter::CallerRequests);
-        let on_whole = Some(Counter::WholeAnswers);
-        Self { node: Arc::clone(node), on_whole, ended: false, _in_progress: in_progress }
-    }
-
-    fn refuse(&mut self, refusal: Refusal) -> Response<RelayBody> {
-        self.on_whole = None;
-        self.node.metrics.count(Counter::Refused(refusal.reason));
-        refusal.into_response()
-    }
-}
-
-impl OnEnd for Tracked {
-    fn on_end(&mut self, end: BodyEnd) {
-        self.ended = true;
-        let counter = match end {
-            BodyEnd::Whole => self.on_whole,
-            BodyEnd::Failed => Some(Counter::TruncatedAnswers),
-            BodyEnd::Dropped => Some(Counter::Cancelled),
-        };
-        if let Some(counter) = counter {
-            self.node.metrics.count(counter);
-        }
-    }
-}
-
-impl Drop for Tracked {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.node.metrics.count(Counter::Cancelled);
-        }
-    }
-}
+pub(super) const BODY_GRACE: Duration = Duration::from_secs(60);
 
 /// Answers one request of an outside caller.
 ///
@@ -97,9 +49,10 @@
     node: Arc<Node>,
     req: Request<Incoming>,
 ) -> Result<Response<RelayBody>, Infallible> {
-    let mut tracked = Tracked::begin(&node);
-    let served = try_serve(&node, req).await;
+    let mut tracked = Tracked::begin(&node, Role::Entry);
+    let served = try_serve(&node, req, &mut tracked).await;
     let mut rsp = served.unwrap_or_else(|refusal| tracked.refuse(refusal));
+    tracked.mark_failure(&mut rsp);
     if node.lifecycle.is_leaving() {
         let close = header::HeaderValue::from_static("close");
         rsp.headers_mut().insert(header::CONNECTION, close);
@@ -111,35 +64,46 @@
 async fn try_serve(
     node: &Arc<Node>,
     req: Request<Incoming>,
+    tracked: &mut Tracked,
 ) -> Result<Response<RelayBody>, Refusal> {
+    let has_token = req.headers().contains_key(TOKEN);
+    let prepared = prepare(node, req).await;
+    // Only the issuer knows what became of other copies of a tokened request.
+    let prepared = match has_token {
+        true => prepared.map_err(Refusal::unless_run_before)?,
+        false => prepared?,
+    };
+    let Prepared { token, call: request } = prepared;
+    tracked.describe(&request.inbound.service, request.cx.criticality, request.cx.weight);
+    match token {
+        Some(token) if token.issuer == node.peer_addr => {
+            once::run_under_token(node, &token, request).await
+        }
+        Some(token) => once::send_to_issuer(node, &token, request).await,
+        None if request.cx.non_idempotent => Err(hand_out_token(node)),
+        None => call(node, request).await,
+    }
+}
+
+/// A caller's request that was read and found its rule.
+struct Prepared {
+    token: Option<Token>,
+    call: Call,
+}
+
+async fn prepare(node: &Node, req: Request<Incoming>) -> Result<Prepared, Refusal> {
     let (mut inbound, body) = Inbound::read(req)?;
     let token = take_token(&mut inbound.headers)?;
     let wanted = take_deadline(&mut inbound.headers)?;
     strip(&mut inbound.headers, &[]);
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
-    let (method, path) = (&inbound.method, inbound.path.path());
-    let rule = rules.rules.find(inbound.service.as_str(), method, path);
-    let allowed = rule.deadline.min(node.settings.limits.max_deadline);
-    let deadline = Instant::now() + wanted.unwrap_or(allowed).min(allowed);
-    match token {
-        Some(token) if token.issuer == node.peer_addr => {
-            let payload = Payload::read(body).await;
-            let payload = payload.map_err(|refusal| Refusal::unknown(refusal.reason))?;
-            let call = root_call(node, inbound, payload, rule, deadline, token.sequence.0);
-            once::run_under_token(node, &token, call).await
-        }
-        Some(token) => {
-            let payload = Payload::read(body).await;
-            let payload = payload.map_err(|refusal| Refusal::unknown(refusal.reason))?;
-            once::send_to_issuer(node, &token, &inbound, payload, deadline).await
-        }
-        None if !rule.idempotent => Err(hand_out_token(node)),
-        None => {
-            let payload = Payload::read(body).await?;
-            let id: u64 = rand::random();
-            call(node, root_call(node, inbound, payload, rule, deadline, id)).await
-        }
-    }
+    let rule = inbound.rule(&rules.rules);
+    let payload = Payload::read(body).await?;
+    let seed = token.as_ref().map_or_else(rand::random, |token| token.sequence.0);
+    let mut call = root_call(node, inbound, payload, rule, wanted, seed);
+    // Whatever the rule says now, the token promises one run at most.
+    call.cx.non_idempotent |= token.is_some();
+    Ok(Prepared { token, call })
 }
 
 /// Refuses a request that needs a token, with a token for the next try.
@@ -161,9 +125,11 @@
     inbound: Inbound,
     payload: Payload,
     rule: &Rule,
-    deadline: Instant,
+    wanted: Option<Duration>,
     seed: u64,
 ) -> Call {
+    let allowed = rule.deadline.min(node.settings.limits.max_deadline);
+    let deadline = Instant::now() + wanted.unwrap_or(allowed).min(allowed);
     let id = RequestId(u128::from(node.incarnation.0) << 64 | u128::from(seed));
     let cx = Context {
         id,
@@ -179,7 +145,8 @@
         sender: node.incarnation,
     };
     let account = Arc::new(Mutex::new(RetryAccount::mint(rule.retries)));
-    Call { inbound, payload, cx, deadline, account }
+    let path = PathKey { service: inbound.service.clone(), line: rule.line };
+    Call { inbound, payload, cx, deadline, account, path, parent: None }
 }
 
 /// Spreads requests evenly over the hashes that admission levels speak of.
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -3,16 +3,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::BodyExt as _;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
+use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use super::track::Tracked;
 use crate::connection::body;
 use crate::connection::body::BodyEnd;
 use crate::connection::body::GuardedBody;
@@ -25,6 +31,7 @@
 use crate::process::admission::Shed;
 use crate::process::admission::ShedReason;
 use crate::process::admission::Work;
+use crate::process::burn::Role;
 use crate::process::metrics::Counter;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
@@ -35,6 +42,8 @@
 use crate::request::LEAVING;
 use crate::request::LEVEL;
 use crate::request::OUTCOME;
+use crate::request::Outcome;
+use crate::request::PATH_LEVEL;
 use crate::request::RETRIES_LEFT;
 use crate::request::Reason;
 use crate::request::Refusal;
@@ -47,6 +56,8 @@
 /// Time beyond the deadline for which a non-idempotent request that has begun
 /// is left to finish.
 const LATE_FINISH_GRACE: Duration = Duration::from_secs(30);
+/// Time for which a leaving daemon still hands queued requests to its upstream.
+const QUEUE_NOTICE: Duration = Duration::from_secs(2);
 /// Longest whole answer to a non-idempotent request, in bytes.
 pub(super) const MAX_HELD_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
@@ -57,21 +68,39 @@
     inbound: &Inbound,
     body: RelayBody,
 ) -> Response<RelayBody> {
-    let served = try_serve(node, cx, inbound, body).await;
+    let mut tracked = Tracked::begin(node, Role::Owner);
+    tracked.describe(&inbound.service, cx.criticality, cx.weight);
+    let retries = cx.retries;
+    let path_level = Arc::new(Mutex::new(Level::OPEN));
+    let served = try_serve(node, cx, inbound, body, &path_level).await;
     let mut rsp = served.unwrap_or_else(|refusal| {
-        node.metrics.count(Counter::Refused(refusal.reason));
-        refusal.into_response()
+        // What was refused before it began has spent nothing.
+        let left = match refusal.outcome {
+            Outcome::NotRun => refusal.retries_left.unwrap_or(retries),
+            Outcome::Unknown | Outcome::Ran => refusal.retries_left.unwrap_or(0),
+        };
+        tracked.refuse(refusal.with_retries(left))
     });
+    tracked.mark_failure(&mut rsp);
     let level = node.gate.level();
-    if level != Level::OPEN
-        && let Ok(value) = HeaderValue::try_from(level.to_string())
-    {
-        rsp.headers_mut().insert(LEVEL, value);
-    }
+    let path_level = level.min(*path_level.lock());
+    insert_level(rsp.headers_mut(), LEVEL, level);
+    insert_level(rsp.headers_mut(), PATH_LEVEL, path_level);
     if node.lifecycle.is_leaving() {
         rsp.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
     }
-    rsp
+    let latest = Instant::now() + node.settings.limits.max_deadline + LATE_FINISH_GRACE;
+    rsp.map(|body| GuardedBody::new(body, latest, tracked).boxed_unsync())
+}
+
+/// Levels travel only while they refuse something.
+fn insert_level(headers: &mut HeaderMap, name: HeaderName, level: Level) {
+    if level == Level::OPEN {
+        return;
+    }
+    if let Ok(value) = HeaderValue::try_from(level.to_string()) {
+        headers.insert(name, value);
+    }
 }
 
 async fn try_serve(
@@ -79,6 +108,7 @@
     cx: Context,
     inbound: &Inbound,
     body: RelayBody,
+    path_level: &Arc<Mutex<Level>>,
 ) -> Result<Response<RelayBody>, Refusal> {
     let in_progress = node.lifecycle.begin();
     if node.lifecycle.is_leaving() {
@@ -89,13 +119,16 @@
     }
     let deadline = Instant::now() + cx.remaining;
     let work = work(node, &cx);
-    let permit = node.gate.enter(work).await.map_err(shed)?;
+    let permit = tokio::select! {
+        entered = node.gate.enter(work) => entered.map_err(shed)?,
+        () = queue_closed(node) => return Err(Refusal::not_run(Reason::Leaving)),
+    };
     // The process may have been paused while the request waited.
     if Instant::now() >= deadline {
         return Err(Refusal::not_run(Reason::Expired));
     }
     let non_idempotent = cx.non_idempotent;
-    let parent = node.parents.open(cx, deadline);
+    let parent = node.parents.open(cx, deadline, Arc::clone(path_level));
     let req = upstream_request(node, inbound, body, &parent, deadline);
     let exchange = Exchange { parent, permit, _in_progress: in_progress, deadline };
     match non_idempotent {
@@ -104,6 +137,12 @@
     }
 }
 
+/// Waits until queued requests are to be refused because the daemon leaves.
+async fn queue_closed(node: &Node) {
+    node.lifecycle.wait_leaving().await;
+    tokio::time::sleep(QUEUE_NOTICE).await;
+}
+
 /// One request at the upstream, with all that must be held until it ends.
 struct Exchange {
     parent: OpenParent,
@@ -197,8 +236,13 @@
         }
     };
     if is_shed(&rsp, &exchange) {
+        let retries = exchange.parent.parent().take_retries();
         exchange.complete(Completion::Overloaded);
-        return Err(Refusal::not_run(Reason::UpstreamShed));
+        return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
+    }
+    if !is_delimited(&rsp) {
+        exchange.complete(Completion::Failed);
+        return Err(Refusal::ran(Reason::AnswerUndelimited));
     }
     exchange.permit.answer_started();
     remove_hop_by_hop(rsp.headers_mut());
@@ -217,6 +261,15 @@
         && !exchange.parent.parent().has_child_that_may_have_run()
 }
 
+/// Whether the end of the answer's body can be told from a cut; see
+/// `docs/design/answers.md`.
+fn is_delimited(rsp: &Response<Incoming>) -> bool {
+    let body = rsp.body();
+    let codings = rsp.headers().get_all(header::TRANSFER_ENCODING);
+    let is_chunked = || codings.iter().any(|coding| coding.as_bytes().ends_with(b"chunked"));
+    body.is_end_stream() || body.size_hint().exact().is_some() || is_chunked()
+}
+
 /// Ends the exchange with the body of its answer.
 struct Guard {
     exchange: Option<Exchange>,
@@ -272,7 +325,7 @@
     strip(headers, &[]);
     let host = HeaderValue::from_str(node.settings.daemon.service.as_str());
     if let Ok(host) = host {
-        headers.insert(http::header::HOST, host);
+        headers.insert(header::HOST, host);
     }
     if let Ok(handle) = HeaderValue::try_from(parent.handle().to_string()) {
         headers.insert(CONTEXT, handle);
