--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -17,6 +17,7 @@
 mod test_operators;
 mod test_path;
 mod test_retries;
+mod test_retry_bound;
 mod test_routing;
 mod test_rules;
 mod test_settings;
