--- a/lib/src/process/admission/config.rs
+++ b/lib/src/process/admission/config.rs
@@ -23,6 +23,9 @@
     /// Age of the oldest waiting request above which the upstream counts as
     /// overloaded.
     pub target_delay: Duration,
+    /// The same for work deep in a chain, which holds slots of its callers
+    /// while it waits.
+    pub deep_target_delay: Duration,
     /// Time between two adaptations of limit and level.
     pub window: Duration,
     /// Share of the limit that deferrable work may hold while it would keep
@@ -48,12 +51,11 @@
 /// How the concurrency limit is learned.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LimitPolicy {
-    /// The limit is the number of slots.
+    /// The limit is the stated number of slots.
     Slots,
-    /// Additive increase, multiplicative decrease.
+    /// Multiplicative decrease after a refusal by the upstream, additive
+    /// increase otherwise.
     Aimd,
-    /// Ratio of long-term to current latency.
-    Gradient,
 }
 
 /// Which of the waiting requests of one criticality and depth goes first.
@@ -87,10 +89,11 @@
             queue_entries: slots * QUEUE_ENTRIES_PER_SLOT,
             deadline_cut: true,
             brief_wait: Duration::from_millis(250),
-            target_delay: Duration::from_millis(20),
+            target_delay: Duration::from_millis(100),
+            deep_target_delay: Duration::from_millis(40),
             window: Duration::from_millis(100),
             deferrable_share: 0.5,
-            retry_after: (Duration::from_secs(1), Duration::from_secs(30)),
+            retry_after: (Duration::from_secs(1), Duration::from_secs(120)),
             fault: None,
         }
     }
--- a/lib/src/process/admission/latency.rs
+++ b/lib/src/process/admission/latency.rs
@@ -7,12 +7,6 @@
 /// Weight of a new sample in the estimate of the service time.
 const SHORT_GAIN: f64 = 0.1;
 
-/// Weight of a new sample in the long-term latency.
-const LONG_GAIN: f64 = 0.002;
-
-/// Samples after which the long-term latency is taken as settled.
-const LONG_SETTLED: u32 = 100;
-
 /// Time without a sample in which the estimate of the service time halves.
 ///
 /// An estimate above every deadline would otherwise refuse all work and never
@@ -23,7 +17,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct ClassLatency {
     short: f64,
-    long: f64,
     held: f64,
     samples: u32,
     last_sample: Duration,
@@ -36,22 +29,13 @@
 }
 
 impl Latencies {
-    /// Notes a measured latency and returns its ratio to the long-term one.
-    pub(super) fn sample(
-        &mut self,
-        now: Duration,
-        criticality: Criticality,
-        latency: Duration,
-    ) -> Option<f64> {
+    /// Notes a measured latency.
+    pub(super) fn sample(&mut self, now: Duration, criticality: Criticality, latency: Duration) {
         let class = &mut self.classes[usize::from(criticality.rank())];
-        let seconds = latency.as_secs_f64();
         class.last_sample = now;
         class.samples = class.samples.saturating_add(1);
         let first = 1.0 / f64::from(class.samples);
-        class.short += (seconds - class.short) * SHORT_GAIN.max(first);
-        class.long += (seconds - class.long) * LONG_GAIN.max(first);
-        let settled = class.samples >= LONG_SETTLED && class.long > 0.0;
-        settled.then(|| seconds / class.long)
+        class.short += (latency.as_secs_f64() - class.short) * SHORT_GAIN.max(first);
     }
 
     /// Notes work that was given up on: its latency is at least `elapsed`.
@@ -100,12 +84,11 @@
         self.completed += 1;
     }
 
-    /// Closes a window and returns how many requests it completed.
-    pub(super) fn roll(&mut self, window: Duration) -> u32 {
+    /// Closes a window.
+    pub(super) fn roll(&mut self, window: Duration) {
         let completed = std::mem::take(&mut self.completed);
         let rate = f64::from(completed) / window.as_secs_f64();
         self.per_second += (rate - self.per_second) * DRAIN_GAIN;
-        completed
     }
 
     /// Returns the rate, at least one a second so that waits stay finite.
--- a/lib/src/process/admission/level_control.rs
+++ b/lib/src/process/admission/level_control.rs
@@ -4,13 +4,13 @@
 use crate::version::Criticality;
 
 /// Buckets of hashes for each criticality.
-const BUCKETS: usize = 64;
+const BUCKETS: usize = 512;
 
 /// All buckets, the most important first.
 const POSITIONS: usize = BUCKETS * Criticality::ALL.len();
 
 /// The level always admits this many buckets, so that it can be corrected.
-const LEAST_POSITIONS: usize = 4;
+const LEAST_POSITIONS: usize = 8;
 
 /// Share of the admitted arrivals that an overloaded window cuts off.
 const CUT: f64 = 0.05;
@@ -18,6 +18,13 @@
 /// Admitted arrivals for each request served, in an overloaded window.
 const HEADROOM: f64 = 1.1;
 
+/// Part of the open buckets of the last class that opens in a window without
+/// lateness.
+const RAISE_DIVISOR: usize = 8;
+
+/// Share of the slots above which the upstream counts as fully used.
+const FULLY_USED: f64 = 0.9;
+
 /// Keeps the level and the arrivals that it is worked out from.
 ///
 /// After DAGOR: arrivals are counted by criticality and hash, so a cut falls on
@@ -45,23 +52,33 @@
     }
 
     /// Closes a window in which `served` requests were completed.
-    pub(super) fn roll(&mut self, overloaded: bool, served: u32) {
-        if overloaded {
-            self.cut(served);
-            self.step = 1;
-        } else {
-            self.open = (self.open + self.step).min(POSITIONS);
-            self.step = (self.step * 2).min(POSITIONS);
+    ///
+    /// `late` is the most critical class that waits too long. Work is started
+    /// strictly by criticality, so shedding a class above it would not help it.
+    pub(super) fn roll(&mut self, late: Option<Criticality>, served: f64, in_use: f64) {
+        match late {
+            Some(criticality) => {
+                self.cut(criticality, served);
+                self.step = 1;
+            }
+            None => {
+                self.open = (self.open + self.step).min(POSITIONS);
+                let spare = in_use < FULLY_USED;
+                let careful = ((self.open - 1) % BUCKETS / RAISE_DIVISOR).max(1);
+                self.step = if spare { (self.step * 2).min(POSITIONS) } else { careful };
+            }
         }
         self.arrivals = [0; POSITIONS];
     }
 
-    fn cut(&mut self, served: u32) {
+    fn cut(&mut self, late: Criticality, served: f64) {
+        let first = usize::from(late.rank()) * BUCKETS + LEAST_POSITIONS;
+        self.open = self.open.min(first - LEAST_POSITIONS + BUCKETS);
         let admitted: u32 = self.arrivals[..self.open].iter().sum();
         let kept = f64::from(admitted) * (1.0 - CUT);
-        let target = kept.min(f64::from(served) * HEADROOM);
+        let target = kept.min(served * HEADROOM);
         let mut left = f64::from(admitted);
-        while self.open > LEAST_POSITIONS && left > target {
+        while self.open > first && left > target {
             self.open -= 1;
             left -= f64::from(self.arrivals[self.open]);
         }
--- a/lib/src/process/admission/pacing.rs
+++ b/lib/src/process/admission/pacing.rs
@@ -4,6 +4,12 @@
 
 use crate::version::Criticality;
 
+/// Share of the drain rate that returning callers may take up.
+///
+/// Fresh requests keep coming while the refused ones come back; returns at the
+/// full rate would prolong the overload that they were refused for.
+const RETURN_SHARE: f64 = 0.25;
+
 /// Refused callers that have been told to come back and are still away.
 ///
 /// Each refusal takes the next place in an imagined queue that the upstream
@@ -18,6 +24,7 @@
 impl ReturnPacing {
     /// Closes a window in which the upstream could have served `served`.
     pub(super) fn roll(&mut self, mut served: f64) {
+        served *= RETURN_SHARE;
         for away in &mut self.away {
             let returned = served.min(*away);
             *away -= returned;
@@ -37,9 +44,16 @@
         let rank = usize::from(criticality.rank());
         let ahead: f64 = self.away[..=rank].iter().sum::<f64>() + waiting as f64;
         self.away[rank] += 1.0;
-        let least = least.as_secs_f64();
-        let backlog = (ahead / per_second).clamp(least, greatest.as_secs_f64().max(least));
-        let spread = 0.5 + f64::from(hash) / f64::from(u16::MAX);
-        Duration::from_secs_f64(backlog * spread)
+        let backlog = Duration::from_secs_f64(ahead / (per_second * RETURN_SHARE));
+        let latest = (least + 2 * backlog).clamp(2 * least, greatest.max(2 * least));
+        least + (latest - least).mul_f64(spread(hash))
     }
 }
+
+/// Returns a share between 0 and 1.
+///
+/// The refused are those with the highest hashes, so the hash is mixed first.
+fn spread(hash: u16) -> f64 {
+    const ODD: u16 = 40503;
+    f64::from(hash.wrapping_mul(ODD)) / f64::from(u16::MAX)
+}
--- a/lib/src/process/admission/path_levels.rs
+++ b/lib/src/process/admission/path_levels.rs
@@ -19,16 +19,21 @@
 /// level that never expired could refuse them for ever.
 const EXPIRY: Duration = Duration::from_secs(1);
 
+/// Stricter than any level that is heard.
+const CLOSED: Level = Level { criticality: Criticality::Critical, threshold: 0 };
+
 /// Time between two measurements of a path's drain rate.
 const WINDOW: Duration = Duration::from_millis(100);
 
 /// Least and greatest time that a refused caller is told to stay away.
-const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(120));
 
 /// What a daemon has heard of one path through the services.
 #[derive(Clone, Debug)]
 struct Path {
+    /// Most open level heard in this window and in the one before.
     level: Level,
+    earlier: Level,
     heard: Duration,
     window_start: Duration,
     drain: DrainRate,
@@ -68,7 +73,8 @@
     pub fn heard(&mut self, now: Duration, key: &K, level: Level) {
         match self.paths.get_mut(key) {
             Some(path) => {
-                path.level = level;
+                path.roll(now);
+                path.level = path.level.max(level);
                 path.heard = now;
             }
             None if level != Level::OPEN => {
@@ -81,7 +87,7 @@
     /// Returns the level in force for a path.
     pub fn level(&self, now: Duration, key: &K) -> Level {
         match self.paths.get(key) {
-            Some(path) if now.saturating_sub(path.heard) < EXPIRY => path.level,
+            Some(path) if now.saturating_sub(path.heard) < EXPIRY => path.level.max(path.earlier),
             _ => Level::OPEN,
         }
     }
@@ -113,6 +119,7 @@
     fn new(now: Duration, level: Level) -> Self {
         Self {
             level,
+            earlier: CLOSED,
             heard: now,
             window_start: now,
             drain: DrainRate::default(),
@@ -124,6 +131,10 @@
         let elapsed = now.saturating_sub(self.window_start);
         if elapsed >= WINDOW {
             self.window_start = now;
+            if self.heard + WINDOW >= self.window_start {
+                self.earlier = self.level;
+                self.level = CLOSED;
+            }
             self.drain.roll(elapsed);
             self.pacing.roll(self.drain.per_second() * elapsed.as_secs_f64());
         }
--- a/lib/src/process/admission/state.rs
+++ b/lib/src/process/admission/state.rs
@@ -62,7 +62,6 @@
     pacing: ReturnPacing,
     decisions: Vec<Decision>,
     window_start: Duration,
-    lost_in_queue: u32,
     others_waited: Option<Duration>,
 }
 
@@ -82,7 +81,6 @@
             pacing: ReturnPacing::default(),
             decisions: Vec::new(),
             window_start: Duration::ZERO,
-            lost_in_queue: 0,
             others_waited: None,
         }
     }
@@ -282,7 +280,6 @@
         if key <= shed_key(work) {
             return false;
         }
-        self.lost_in_queue += 1;
         self.settle_shed(ticket, reason);
         true
     }
@@ -308,7 +305,6 @@
     /// Drops waiting requests whose time has run out and closes windows.
     fn advance(&mut self, now: Duration) {
         while let Some((ticket, waiting)) = self.queue.pop_expired(now) {
-            self.lost_in_queue += 1;
             let brief = !waiting.work.may_wait && self.latest_start(now, &waiting.work) > now;
             let reason = if brief { ShedReason::NoWait } else { ShedReason::Deadline };
             let shed = self.shed(&waiting.work, reason);
@@ -322,23 +318,65 @@
 
     fn roll(&mut self, now: Duration, elapsed: Duration) {
         self.window_start = now;
-        let served = self.drain.roll(elapsed);
-        self.pacing.roll(self.drain.per_second() * elapsed.as_secs_f64());
-        let overloaded = self.is_overloaded(now);
-        self.lost_in_queue = 0;
-        self.level.roll(overloaded, served);
+        self.drain.roll(elapsed);
+        let served = self.completions_per_second() * elapsed.as_secs_f64();
+        self.pacing.roll(served);
+        let late = self.late_class();
+        if late.is_some() && self.cfg.policy == Policy::Adaptive {
+            self.trim();
+        }
+        let in_use = self.running.len() as f64 / self.limit.get() as f64;
+        self.level.roll(late, served, in_use);
         self.limit.in_use(self.running.len());
         self.limit.roll();
     }
 
-    /// Tells whether more work waits than the upstream can serve in good time.
+    /// Returns the most critical class that waits too long.
+    ///
+    /// The wait is taken as the time in which the upstream serves all that
+    /// goes before. Deferrable work may wait while there is room for it.
+    fn late_class(&self) -> Option<Criticality> {
+        let mut ahead = 0;
+        for criticality in [Criticality::Critical, Criticality::High, Criticality::Normal] {
+            ahead += self.queue.len_of(criticality);
+            if ahead > self.target_entries() && self.queue.len_of(criticality) > 0 {
+                return Some(criticality);
+            }
+        }
+        (self.queue.len() * 2 > self.cfg.queue_entries).then_some(Criticality::Deferrable)
+    }
+
+    /// Returns the rate at which the upstream completes requests when it is
+    /// fully used.
     ///
-    /// Deferrable work may wait, so its age alone is no sign of overload.
-    fn is_overloaded(&self, now: Duration) -> bool {
-        let others = [Criticality::Critical, Criticality::High, Criticality::Normal];
-        let late = others.iter().any(|&criticality| self.is_late(now, criticality));
-        let half_full = self.queue.len() * 2 > self.cfg.queue_entries;
-        late || half_full || (self.lost_in_queue > 0 && self.queue.len() > 0)
+    /// The measured rate alone would be too low after a time with idle slots,
+    /// and a level cut to it would keep the slots idle.
+    fn completions_per_second(&self) -> f64 {
+        let expected = Criticality::ALL.into_iter().map(|criticality| {
+            let held = self.held[usize::from(criticality.rank())] as f64;
+            let hold = self.latencies.hold_seconds(criticality);
+            if hold > 0.0 { held / hold } else { 0.0 }
+        });
+        self.drain.per_second().max(expected.sum())
+    }
+
+    /// Returns how many requests may wait within the target delay.
+    fn target_entries(&self) -> usize {
+        let deep = self.queue.least_worth().is_some_and(|((_, depth, _), _)| depth.0 > 0);
+        let target = if deep { self.cfg.deep_target_delay } else { self.cfg.target_delay };
+        let entries = self.completions_per_second() * target.as_secs_f64();
+        (entries as usize).max(1)
+    }
+
+    /// Sheds what waits beyond the target delay, the least worth first.
+    fn trim(&mut self) {
+        let kept = self.target_entries();
+        let deferrable = self.cfg.queue_entries / 2;
+        let others = |queue: &WaitQueue| queue.len() - queue.len_of(Criticality::Deferrable);
+        while others(&self.queue) > kept || self.queue.len() > kept.max(deferrable) {
+            let Some((_, ticket)) = self.queue.least_worth() else { return };
+            self.settle_shed(ticket, ShedReason::Level);
+        }
     }
 
     fn is_late(&self, now: Duration, criticality: Criticality) -> bool {
@@ -353,7 +391,6 @@
         while let Some(ticket) = self.next_ticket(now) {
             let Some(waiting) = self.queue.remove(ticket) else { return };
             if self.is_doomed(now, &waiting.work) {
-                self.lost_in_queue += 1;
                 let shed = self.shed(&waiting.work, ShedReason::Deadline);
                 self.decisions.push(Decision { ticket, verdict: Verdict::Shed(shed) });
                 continue;
@@ -403,8 +440,6 @@
     }
 
     fn sample(&mut self, now: Duration, criticality: Criticality, latency: Duration) {
-        if let Some(ratio) = self.latencies.sample(now, criticality, latency) {
-            self.limit.sample(ratio);
-        }
+        self.latencies.sample(now, criticality, latency);
     }
 }
