--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -2,12 +2,17 @@
 
 pub mod admission;
 pub mod burn;
+pub mod clock;
 pub mod config;
+pub mod daemon;
 mod ids;
+pub mod log;
 pub mod membership;
 pub mod metrics;
+pub mod node;
 pub mod routing;
 pub mod settings;
+pub mod status;
 mod units;
 
 pub use ids::Incarnation;
--- /dev/null
+++ b/lib/src/process/node/mod.rs
@@ -0,0 +1,181 @@
+//! The shared tables of one daemon.
+//!
+//! Locks are taken in this order, and none is held across an await:
+//! requests in progress, a request's own account, call ledger and tokens, the
+//! home of idempotency tokens, the path levels, the router, the gate, the connection pools, the
+//! burn. Most
+//! code holds one at a time.
+
+mod gate;
+mod home;
+mod lifecycle;
+mod operated;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+pub use self::gate::Gate;
+pub use self::gate::Permit;
+pub use self::home::Answer;
+pub use self::home::Home;
+pub use self::home::Run;
+pub use self::home::RunEnd;
+pub use self::home::Start;
+pub use self::home::Usage;
+pub use self::lifecycle::InProgress;
+pub use self::lifecycle::Lifecycle;
+use super::Incarnation;
+use super::ServiceName;
+use super::admission::AdmissionConfig;
+use super::admission::PathLevels;
+use super::burn::Burn;
+use super::burn::Objectives;
+use super::clock::Clock;
+use super::config::ActiveRules;
+use super::config::ConfigHandle;
+use super::log::DrainCause;
+use super::membership::VmList;
+use super::membership::VmState;
+use super::metrics::Metrics;
+use super::routing::Place;
+use super::routing::Router;
+use super::settings::Settings;
+use crate::connection::peers::PeerPool;
+use crate::connection::upstream::UpstreamPool;
+use crate::request::idempotency::IssuerConfig;
+use crate::request::parent::Parents;
+
+/// What makes two callers' requests visit the same services: the service and
+/// the rule that serves them.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct PathKey {
+    /// Service that the caller asks.
+    pub service: ServiceName,
+    /// Line of the rule.
+    pub line: usize,
+}
+
+/// Everything that the requests of one daemon share.
+#[derive(Debug)]
+pub struct Node {
+    /// What the daemon was started with.
+    pub settings: Settings,
+    /// Identity of this run.
+    pub incarnation: Incarnation,
+    /// Where other daemons reach this one.
+    pub peer_addr: SocketAddr,
+    /// Time since the start.
+    pub clock: Clock,
+    /// Requests in progress at the local upstream.
+    pub parents: Arc<Parents>,
+    /// Idempotency tokens issued here.
+    pub home: Home,
+    /// Choice of instances.
+    pub router: Mutex<Router>,
+    /// The way to the local upstream.
+    pub gate: Arc<Gate>,
+    /// Connections to other daemons.
+    pub peers: PeerPool,
+    /// Connections to the local upstream.
+    pub upstream: Arc<UpstreamPool>,
+    /// Whether new work is taken.
+    pub lifecycle: Arc<Lifecycle>,
+    /// Counters for operators.
+    pub metrics: Metrics,
+    /// Admission levels of the hops below, by the path that callers' requests take.
+    pub path_levels: Mutex<PathLevels<PathKey>>,
+    /// Service-level burn.
+    pub burn: Mutex<Burn>,
+    config: ConfigHandle,
+}
+
+impl Node {
+    /// Creates the tables of a daemon whose peer listener is at `peer_addr`.
+    pub fn new(
+        settings: Settings,
+        peer_addr: SocketAddr,
+        metrics: Metrics,
+        config: ConfigHandle,
+    ) -> Arc<Self> {
+        let incarnation = Incarnation(rand::random());
+        let clock = Clock::start();
+        let place = Place {
+            instance: settings.daemon.instance.clone(),
+            zone: settings.daemon.zone.clone(),
+            region: settings.daemon.region.clone(),
+        };
+        let slots = settings.upstream.slots as usize;
+        let connections = settings.upstream.connections as usize;
+        let upstream = UpstreamPool::new(settings.upstream.address, connections);
+        let burn = Mutex::new(Burn::new(place.instance.clone(), Objectives::default()));
+        Arc::new(Self {
+            incarnation,
+            peer_addr,
+            clock,
+            parents: Parents::new(incarnation),
+            home: Home::new(peer_addr, incarnation, &IssuerConfig::default()),
+            router: Mutex::new(Router::new(place, rand::random())),
+            gate: Gate::new(&AdmissionConfig::new(slots), clock),
+            peers: PeerPool::default(),
+            upstream,
+            lifecycle: Arc::default(),
+            metrics,
+            path_levels: Mutex::default(),
+            burn,
+            config,
+            settings,
+        })
+    }
+
+    /// Returns the rules in force.
+    ///
+    /// There are none while the daemon does not know whether it holds the
+    /// newest version, at the start and after a pause.
+    pub fn rules(&self) -> Option<Arc<ActiveRules>> {
+        if !*self.config.ready.borrow() {
+            return None;
+        }
+        self.config.rules.borrow().clone()
+    }
+
+    /// Returns the list of VMs in force; `None` before the first is heard of.
+    pub fn vms(&self) -> Option<Arc<VmList>> {
+        self.config.vms.borrow().clone()
+    }
+
+    /// Returns the configuration in force and its sources.
+    pub fn config(&self) -> &ConfigHandle {
+        &self.config
+    }
+
+    /// Whether the platform wants this VM to leave.
+    ///
+    /// An entry with another address belongs to a VM that had the name before.
+    fn is_listed_as_leaving(&self, list: &VmList) -> bool {
+        list.vms.iter().any(|vm| {
+            vm.instance == self.settings.daemon.instance
+                && vm.peer == self.peer_addr
+                && vm.state == VmState::Leaving
+        })
+    }
+
+    /// Hands each new list of VMs to the router, for as long as lists come.
+    pub async fn follow_vms(self: Arc<Self>) {
+        let mut vms: watch::Receiver<_> = self.config.vms.clone();
+        loop {
+            let list = vms.borrow_and_update().clone();
+            if let Some(list) = list {
+                self.router.lock().apply(self.clock.now(), &list);
+                if self.is_listed_as_leaving(&list) {
+                    self.lifecycle.leave(DrainCause::Platform);
+                }
+            }
+            if vms.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -17,8 +17,10 @@
 pub use self::error::Problem;
 pub use self::error::SettingsError;
 use super::InstanceId;
+use super::Region;
 use super::ServiceName;
 use super::Zone;
+use super::burn::Objectives;
 use super::units::DurationText;
 
 /// Everything that a daemon learns from its settings file.
@@ -46,6 +48,8 @@
     pub spread: SpreadSettings,
     /// Bounds on what one request may take.
     pub limits: Limits,
+    /// How many requests of each criticality may fail.
+    pub objectives: Objectives,
 }
 
 /// Who a daemon is and where it runs.
@@ -58,7 +62,7 @@
     /// Availability zone of the VM.
     pub zone: Zone,
     /// Region of the availability zone.
-    pub region: String,
+    pub region: Region,
 }
 
 /// Addresses that a daemon listens on, one for each kind of client.
--- a/lib/src/request/idempotency/refusal.rs
+++ b/lib/src/request/idempotency/refusal.rs
@@ -1,12 +1,13 @@
 //! Why a tokened request is not run.
 
 use crate::request::Outcome;
+use crate::request::Reason;
 
 /// Why the issuer refuses to run a request, or to run it again.
 ///
 /// Each says only what the issuer can prove; see `docs/design/outcomes.md`.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum Refusal {
+pub enum TokenRefusal {
     /// An earlier run of this daemon issued the token, and its marks are gone.
     OtherIncarnation,
     /// The MAC is wrong. The true token, of which this may be a damaged copy,
@@ -28,18 +29,18 @@
     TooManyRunning,
 }
 
-impl Refusal {
-    /// Returns the word that stands in the reason header.
-    pub fn reason(self) -> &'static str {
+impl TokenRefusal {
+    /// Returns the reason that the answer gives.
+    pub fn reason(self) -> Reason {
         match self {
-            Self::OtherIncarnation => "token-of-earlier-run",
-            Self::Forged => "token-forged",
-            Self::BoundToOther => "token-of-other-request",
-            Self::Ran => "token-ran",
-            Self::NotRun => "token-void",
-            Self::Unknown => "token-used",
-            Self::BelowWindow => "token-expired",
-            Self::TooManyRunning => "too-many-running",
+            Self::OtherIncarnation => Reason::TokenIssuerGone,
+            Self::Forged => Reason::TokenForged,
+            Self::BoundToOther => Reason::TokenMismatch,
+            Self::Ran => Reason::AlreadyRan,
+            Self::NotRun => Reason::TokenVoid,
+            Self::Unknown => Reason::OutcomeUnknown,
+            Self::BelowWindow => Reason::TokenExpired,
+            Self::TooManyRunning => Reason::Overloaded,
         }
     }
 
--- a/lib/tests/test_idempotency.rs
+++ b/lib/tests/test_idempotency.rs
@@ -8,10 +8,10 @@
 use endivescale::request::idempotency::Finished;
 use endivescale::request::idempotency::Issuer;
 use endivescale::request::idempotency::IssuerConfig;
-use endivescale::request::idempotency::Refusal;
 use endivescale::request::idempotency::Secret;
 use endivescale::request::idempotency::Sequence;
 use endivescale::request::idempotency::Token;
+use endivescale::request::idempotency::TokenRefusal;
 use http::Method;
 
 const ADDR: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 7003);
@@ -43,7 +43,7 @@
     assert_eq!(issuer.begin(token, request("/a")), Begin::Run(token.sequence));
 }
 
-fn refused(issuer: &mut Issuer<&'static str>, token: &Token, refusal: Refusal) {
+fn refused(issuer: &mut Issuer<&'static str>, token: &Token, refusal: TokenRefusal) {
     assert_eq!(issuer.begin(token, request("/a")), Begin::Refused(refusal));
 }
 
@@ -60,7 +60,7 @@
     assert_eq!(issuer.begin(&token, request("/a")), Begin::Kept(&"done"));
 }
 
-fn ended(finished: Finished<&'static str>, refusal: Refusal) {
+fn ended(finished: Finished<&'static str>, refusal: TokenRefusal) {
     let mut issuer = issuer(&IssuerConfig::default());
     let token = issuer.issue();
     run(&mut issuer, &token);
@@ -73,7 +73,7 @@
     let mut issuer = issuer(&IssuerConfig::default());
     let token = issuer.issue();
     run(&mut issuer, &token);
-    let other = Begin::Refused(Refusal::BoundToOther);
+    let other = Begin::Refused(TokenRefusal::BoundToOther);
     assert_eq!(issuer.begin(&token, request("/b")), other);
     issuer.finish(token.sequence, ran("done", 4));
     assert_eq!(issuer.begin(&token, request("/b")), other);
@@ -93,7 +93,7 @@
     let mut restarted =
         Issuer::new(ADDR, Incarnation(2), Secret([9; 32]), &IssuerConfig::default());
     restarted.issue();
-    refused(&mut restarted, &token, Refusal::OtherIncarnation);
+    refused(&mut restarted, &token, TokenRefusal::OtherIncarnation);
 }
 
 fn forged_mac_never_runs() {
@@ -101,7 +101,7 @@
     issuer.issue();
     let mut forger =
         Issuer::<&str>::new(ADDR, Incarnation(1), Secret([8; 32]), &IssuerConfig::default());
-    refused(&mut issuer, &forger.issue(), Refusal::Forged);
+    refused(&mut issuer, &forger.issue(), TokenRefusal::Forged);
     assert_eq!(issuer.mark_bytes(), 0);
 }
 
@@ -109,7 +109,7 @@
     let mut ahead =
         issuer(&IssuerConfig { first_sequence: Sequence(u64::MAX - 1), ..IssuerConfig::default() });
     let token = ahead.issue();
-    refused(&mut issuer(&IssuerConfig::default()), &token, Refusal::Forged);
+    refused(&mut issuer(&IssuerConfig::default()), &token, TokenRefusal::Forged);
 }
 
 fn last_sequence_runs_once() {
@@ -119,7 +119,7 @@
     assert_eq!(issuer.issue(), token);
     run(&mut issuer, &token);
     issuer.finish(token.sequence, Finished::Unknown);
-    refused(&mut issuer, &token, Refusal::Unknown);
+    refused(&mut issuer, &token, TokenRefusal::Unknown);
 }
 
 fn unused_tokens_take_no_memory_and_keep_the_window() {
@@ -147,16 +147,16 @@
     run(&mut issuer, &used);
     issuer.finish(used.sequence, Finished::NotRun);
     overrun(&mut issuer, 2);
-    refused(&mut issuer, &used, Refusal::BelowWindow);
-    refused(&mut issuer, &unused, Refusal::BelowWindow);
+    refused(&mut issuer, &used, TokenRefusal::BelowWindow);
+    refused(&mut issuer, &unused, TokenRefusal::BelowWindow);
 }
 
 fn lowest_block_that_finds_no_room_is_refused() {
     let mut issuer = issuer(&tiny());
     let unused = issuer.issue();
     overrun(&mut issuer, 2);
-    refused(&mut issuer, &unused, Refusal::BelowWindow);
-    refused(&mut issuer, &unused, Refusal::BelowWindow);
+    refused(&mut issuer, &unused, TokenRefusal::BelowWindow);
+    refused(&mut issuer, &unused, TokenRefusal::BelowWindow);
 }
 
 fn running_request_outlasts_its_mark() {
@@ -178,9 +178,9 @@
         issuer.finish(token.sequence, ran("done", bytes));
         assert!(issuer.answer_bytes() <= 10);
     }
-    refused(&mut issuer, &tokens[0], Refusal::Ran);
+    refused(&mut issuer, &tokens[0], TokenRefusal::Ran);
     assert_eq!(issuer.begin(&tokens[1], request("/a")), Begin::Kept(&"done"));
-    refused(&mut issuer, &tokens[2], Refusal::Ran);
+    refused(&mut issuer, &tokens[2], TokenRefusal::Ran);
 }
 
 fn token_refused_for_room_is_void() {
@@ -188,12 +188,12 @@
     let mut issuer = issuer(&cfg);
     let tokens = [issuer.issue(), issuer.issue()];
     run(&mut issuer, &tokens[0]);
-    refused(&mut issuer, &tokens[1], Refusal::TooManyRunning);
+    refused(&mut issuer, &tokens[1], TokenRefusal::TooManyRunning);
     issuer.finish(tokens[0].sequence, Finished::NotRun);
-    refused(&mut issuer, &tokens[1], Refusal::NotRun);
+    refused(&mut issuer, &tokens[1], TokenRefusal::NotRun);
 }
 
-fn late_end(first: Finished<&'static str>, late: Finished<&'static str>, refusal: Refusal) {
+fn late_end(first: Finished<&'static str>, late: Finished<&'static str>, refusal: TokenRefusal) {
     let mut issuer = issuer(&IssuerConfig::default());
     let token = issuer.issue();
     run(&mut issuer, &token);
@@ -234,9 +234,9 @@
 
 cases! {
     resend_attaches_then_gets_kept_answer => resend_attaches_then_gets_the_kept_answer();
-    ran_without_kept_answer => ended(Finished::Ran { answer: None }, Refusal::Ran);
-    not_run_voids_the_token => ended(Finished::NotRun, Refusal::NotRun);
-    unknown_stays_unknown => ended(Finished::Unknown, Refusal::Unknown);
+    ran_without_kept_answer => ended(Finished::Ran { answer: None }, TokenRefusal::Ran);
+    not_run_voids_the_token => ended(Finished::NotRun, TokenRefusal::NotRun);
+    unknown_stays_unknown => ended(Finished::Unknown, TokenRefusal::Unknown);
     bound_at_first_use => token_is_bound_to_its_first_request();
     other_daemon => token_of_another_daemon_goes_there();
     earlier_run => token_of_earlier_run_never_runs();
@@ -250,12 +250,12 @@
     kept_bytes_bounded => oldest_answer_is_dropped_first();
     no_room_voids => token_refused_for_room_is_void();
     unknown_sharpens_to_ran =>
-        late_end(Finished::Unknown, Finished::Ran { answer: None }, Refusal::Ran);
+        late_end(Finished::Unknown, Finished::Ran { answer: None }, TokenRefusal::Ran);
     unknown_sharpens_to_not_run =>
-        late_end(Finished::Unknown, Finished::NotRun, Refusal::NotRun);
-    ran_stays_ran => late_end(Finished::Ran { answer: None }, Finished::NotRun, Refusal::Ran);
+        late_end(Finished::Unknown, Finished::NotRun, TokenRefusal::NotRun);
+    ran_stays_ran => late_end(Finished::Ran { answer: None }, Finished::NotRun, TokenRefusal::Ran);
     not_run_stays_not_run =>
-        late_end(Finished::NotRun, Finished::Ran { answer: None }, Refusal::NotRun);
+        late_end(Finished::NotRun, Finished::Ran { answer: None }, TokenRefusal::NotRun);
     unasked_end => unasked_end_changes_nothing();
     text_v4 => prints_and_parses("127.0.0.1:7003");
     text_v6 => prints_and_parses("[2001:db8::1]:7003");
@@ -277,7 +277,7 @@
     );
     fingerprint_fields => absent_and_empty_key_differ();
     refusals_that_prove_nothing_say_unknown => {
-        for refusal in [Refusal::Forged, Refusal::OtherIncarnation, Refusal::BelowWindow] {
+        for refusal in [TokenRefusal::Forged, TokenRefusal::OtherIncarnation, TokenRefusal::BelowWindow] {
             assert_eq!(refusal.outcome(), Outcome::Unknown);
         }
     };
