--- a/lib/tests/test_shedding.rs
+++ b/lib/tests/test_shedding.rs
@@ -232,7 +232,6 @@
     ($($name:ident: $fault:expr => $violation:expr;)*) => {
         $(#[test]
         fn $name() {
-            #[expect(clippy::needless_pass_by_value, reason = "quickcheck hands over owned values")]
             fn property(trace: Trace) -> TestResult {
                 TestResult::from_bool(run(&trace, Some($fault)) != Err($violation))
             }
