connection: answer bad input with a reason and lose nothing

Faults found, with their causes:

- A body that stalls held its request for ever, since it was read outside the deadline; a graceful stop would have waited for its whole patience.
It is now read within the deadline and refused as not-run, expired.
- limits.head_bytes had no effect: heads over 32 KiB were refused by the HTTP library without an outcome, and between daemons over 16 KiB.
Heads are now refused with a reason above the setting and pass both daemons below it.
- A GET with a body in chunks reached the upstream without its body: the HTTP library drops it unless the framing is given.
Found by a test that expected a broken chunk to fail at the upstream.
- A request for an unknown service was asked for a token first.

Bytes that are no HTTP are counted as input.malformed. Ruled out: deadlines that overflow, forged headers of ours, calls for a request that is not in progress. A caller's disconnect is a cancellation at the deepest of three upstreams, and stops no submission that has begun.

--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::Request;
@@ -26,8 +27,9 @@
 
 /// Longest time that a caller may take to send a request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest request head, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Longest request head that is read, in bytes; the settings bound the one that
+/// is served, with a typed answer.
+const MAX_HEAD_BYTES: u32 = 2 * 1024 * 1024;
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -57,12 +59,16 @@
     TcpListener::bind(address).await.context(BindSnafu { address })
 }
 
+/// What to do when a connection's bytes cannot be read as requests.
+pub type OnMalformed = Arc<dyn Fn() + Send + Sync>;
+
 /// Accepts connections until `stop`, then waits for the requests in progress.
 pub async fn serve<S>(
     listener: TcpListener,
     protocol: Protocol,
     service: S,
     stop: CancellationToken,
+    on_malformed: OnMalformed,
 ) where
     S: Service<Request<Incoming>, Response = Response<RelayBody>, Error = Infallible>,
     S: Clone + Send + Sync + 'static,
@@ -75,7 +81,15 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => spawn_connection(stream, protocol, service.clone(), &graceful),
+            Ok((stream, _)) => {
+                spawn_connection(
+                    stream,
+                    protocol,
+                    service.clone(),
+                    &graceful,
+                    on_malformed.clone(),
+                );
+            }
             Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
         }
     }
@@ -88,6 +102,7 @@
     protocol: Protocol,
     service: S,
     graceful: &GracefulShutdown,
+    on_malformed: OnMalformed,
 ) where
     S: Service<Request<Incoming>, Response = Response<RelayBody>, Error = Infallible>,
     S: Clone + Send + Sync + 'static,
@@ -97,28 +112,36 @@
     let _ = stream.set_nodelay(true);
     let io = TokioIo::new(stream);
     let service = TowerToHyperService::new(service);
-    // A connection's error is seen by its requests; there is no one else to tell.
     match protocol {
         Protocol::Http1 => {
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
-                .max_buf_size(MAX_HEAD_BYTES)
+                .max_buf_size(MAX_HEAD_BYTES as usize)
                 .serve_connection(io, service);
             let connection = graceful.watch(connection);
             tokio::spawn(async move {
-                let _ = connection.await;
+                report(connection.await, &on_malformed);
             });
         }
         Protocol::Http2 => {
             let connection = http2::Builder::new(TokioExecutor::new())
                 .timer(TokioTimer::new())
                 .max_concurrent_streams(MAX_STREAMS)
+                .max_header_list_size(MAX_HEAD_BYTES)
                 .serve_connection(io, service);
             let connection = graceful.watch(connection);
             tokio::spawn(async move {
-                let _ = connection.await;
+                report(connection.await, &on_malformed);
             });
         }
     }
 }
+
+/// Tells of bytes that are no request; any other error of a connection is seen
+/// by its requests.
+fn report(ended: hyper::Result<()>, on_malformed: &OnMalformed) {
+    if ended.is_err_and(|err| err.is_parse() || err.is_parse_too_large()) {
+        on_malformed();
+    }
+}
--- a/lib/src/process/daemon.rs
+++ b/lib/src/process/daemon.rs
@@ -31,6 +31,7 @@
 use super::status;
 use crate::connection::listener;
 use crate::connection::listener::BindError;
+use crate::connection::listener::OnMalformed;
 use crate::connection::listener::Protocol;
 use crate::connection::strip::StripLayer;
 use crate::request;
@@ -195,14 +196,16 @@
             .layer(StripLayer::new(&CALLER_HEADERS))
             .service(service_fn(move |req| serve::serve_caller(Arc::clone(&node), req)));
         let stop = self.stop_outside.clone();
-        self.outside.spawn(listener::serve(listener, Protocol::Http1, service, stop));
+        let malformed = self.count_malformed();
+        self.outside.spawn(listener::serve(listener, Protocol::Http1, service, stop, malformed));
     }
 
     fn serve_peers(&mut self, listener: TcpListener) {
         let node = Arc::clone(&self.node);
         let service = service_fn(move |req| serve::serve_peer(Arc::clone(&node), req));
         let stop = self.stop_outside.clone();
-        self.outside.spawn(listener::serve(listener, Protocol::Http2, service, stop));
+        let malformed = self.count_malformed();
+        self.outside.spawn(listener::serve(listener, Protocol::Http2, service, stop, malformed));
     }
 
     fn serve_upstream(&mut self, listener: TcpListener) {
@@ -211,7 +214,8 @@
             .layer(StripLayer::new(&UPSTREAM_HEADERS))
             .service(service_fn(move |req| serve::serve_upstream(Arc::clone(&node), req)));
         let stop = self.stop_inside.clone();
-        self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop));
+        let malformed = self.count_malformed();
+        self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop, malformed));
     }
 
     fn serve_operators(&mut self, listener: TcpListener) {
@@ -221,7 +225,13 @@
             async move { Ok::<_, Infallible>(rsp) }
         });
         let stop = self.stop_inside.clone();
-        self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop));
+        let malformed = self.count_malformed();
+        self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop, malformed));
+    }
+
+    fn count_malformed(&self) -> OnMalformed {
+        let node = Arc::clone(&self.node);
+        Arc::new(move || node.metrics.count(Counter::MalformedInput))
     }
 
     fn spawn_background(&mut self) {
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -144,6 +144,11 @@
         self.config.vms.borrow().clone()
     }
 
+    /// Whether the platform lists an instance of a service.
+    pub fn knows(&self, service: &ServiceName) -> bool {
+        !self.router.lock().members().instances(service).is_empty()
+    }
+
     /// Returns the configuration in force and its sources.
     pub fn config(&self) -> &ConfigHandle {
         &self.config
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -11,6 +11,8 @@
 use http::uri::PathAndQuery;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use super::Reason;
 use super::Refusal;
@@ -65,9 +67,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if the request names no service.
-    pub fn read(req: Request<Incoming>) -> Result<(Self, Incoming), Refusal> {
+    /// Fails if the request names no service or its head is longer than
+    /// `max_head` bytes.
+    pub fn read(req: Request<Incoming>, max_head: usize) -> Result<(Self, Incoming), Refusal> {
         let (parts, body) = req.into_parts();
+        if head_bytes(&parts) > max_head {
+            return Err(Refusal::not_run(Reason::HeadTooLong));
+        }
         let service = service_name(&parts).ok_or(Refusal::not_run(Reason::Malformed))?;
         let path = parts.uri.path_and_query().cloned();
         let path = path.ok_or(Refusal::not_run(Reason::Malformed))?;
@@ -113,8 +119,9 @@
     ///
     /// # Errors
     ///
-    /// Fails if a short body ends early; nothing was passed on then.
-    pub async fn read(incoming: Incoming) -> Result<Self, Refusal> {
+    /// Fails if a short body ends early or has not arrived by `deadline`; nothing
+    /// was passed on then.
+    pub async fn read(incoming: Incoming, deadline: Instant) -> Result<Self, Refusal> {
         if incoming.is_end_stream() {
             return Ok(Self::Held(Bytes::new()));
         }
@@ -122,8 +129,12 @@
         if !is_short {
             return Ok(Self::Streamed(Some(body::relay(incoming))));
         }
-        let held = body::collect(body::relay(incoming), HELD_BODY_BYTES as usize).await;
-        held.map(Self::Held).map_err(|_| Refusal::not_run(Reason::BadBody))
+        let reading = body::collect(body::relay(incoming), HELD_BODY_BYTES as usize);
+        match timeout_at(deadline, reading).await {
+            Ok(Ok(held)) => Ok(Self::Held(held)),
+            Ok(Err(_)) => Err(Refusal::not_run(Reason::BadBody)),
+            Err(_) => Err(Refusal::not_run(Reason::Expired)),
+        }
     }
 
     /// Returns the body for one more attempt; `None` if it was streamed already.
@@ -141,6 +152,13 @@
     }
 }
 
+/// Size of a request's head, without what separates its parts.
+fn head_bytes(parts: &request::Parts) -> usize {
+    let headers = parts.headers.iter();
+    let headers: usize = headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
+    headers + parts.uri.path().len() + parts.uri.query().map_or(0, str::len)
+}
+
 fn service_name(parts: &request::Parts) -> Option<ServiceName> {
     let from_uri = parts.uri.authority().map(|authority| authority.host());
     let from_host = || parts.headers.get(header::HOST)?.to_str().ok();
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -55,6 +55,8 @@
 reasons! {
     /// The request cannot be read as one for a service.
     Malformed = "malformed", BAD_REQUEST;
+    /// The request's head is longer than this daemon accepts.
+    HeadTooLong = "head-too-long", REQUEST_HEADER_FIELDS_TOO_LARGE;
     /// The request's body ended early or is too long.
     BadBody = "bad-body", BAD_REQUEST;
     /// The daemon holds no rules yet.
@@ -135,6 +137,7 @@
             | Self::PeerFailed
             | Self::Other => true,
             Self::Malformed
+            | Self::HeadTooLong
             | Self::BadBody
             | Self::Expired
             | Self::DeadlineExceeded
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -80,6 +80,9 @@
             once::run_under_token(node, &token, request).await
         }
         Some(token) => once::send_to_issuer(node, &token, request).await,
+        None if !node.knows(&request.inbound.service) => {
+            Err(Refusal::not_run(Reason::UnknownService))
+        }
         None if request.cx.non_idempotent => Err(hand_out_token(node)),
         None => call(node, request).await,
     }
@@ -92,15 +95,16 @@
 }
 
 async fn prepare(node: &Node, req: Request<Incoming>) -> Result<Prepared, Refusal> {
-    let (mut inbound, body) = Inbound::read(req)?;
+    let (mut inbound, body) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
     let token = take_token(&mut inbound.headers)?;
     let wanted = take_deadline(&mut inbound.headers)?;
     strip(&mut inbound.headers, &[]);
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
     let rule = inbound.rule(&rules.rules);
-    let payload = Payload::read(body).await?;
+    let deadline = deadline(node, rule, wanted);
+    let payload = Payload::read(body, deadline).await?;
     let seed = token.as_ref().map_or_else(rand::random, |token| token.sequence.0);
-    let mut call = root_call(node, inbound, payload, rule, wanted, seed);
+    let mut call = root_call(node, inbound, payload, rule, deadline, seed);
     // Whatever the rule says now, the token promises one run at most.
     call.cx.non_idempotent |= token.is_some();
     Ok(Prepared { token, call })
@@ -119,17 +123,22 @@
     }
 }
 
+/// Returns when the whole answer must have arrived: by the rule, unless the
+/// sender `wanted` it sooner.
+pub(super) fn deadline(node: &Node, rule: &Rule, wanted: Option<Duration>) -> Instant {
+    let allowed = rule.deadline.min(node.settings.limits.max_deadline);
+    Instant::now() + wanted.unwrap_or(allowed).min(allowed)
+}
+
 /// Builds the call at the root of a chain, which mints its retry tokens.
 pub(super) fn root_call(
     node: &Node,
     inbound: Inbound,
     payload: Payload,
     rule: &Rule,
-    wanted: Option<Duration>,
+    deadline: Instant,
     seed: u64,
 ) -> Call {
-    let allowed = rule.deadline.min(node.settings.limits.max_deadline);
-    let deadline = Instant::now() + wanted.unwrap_or(allowed).min(allowed);
     let id = RequestId(u128::from(node.incarnation.0) << 64 | u128::from(seed));
     let cx = Context {
         id,
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -68,10 +68,11 @@
     let handle: Option<Handle> = read_header(req.headers(), &CONTEXT);
     let parent = handle.and_then(|handle| node.parents.find(handle));
     let parent = parent.ok_or(Refusal::not_run(Reason::ParentGone))?;
-    let (mut inbound, incoming) = Inbound::read(req)?;
+    let (mut inbound, incoming) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
     strip(&mut inbound.headers, &[]);
     let earlier = pay_for_repeat(&parent, &inbound)?;
-    let payload = Payload::read(incoming).await.map_err(|refusal| refusal.after(earlier))?;
+    let payload = Payload::read(incoming, parent.deadline).await;
+    let payload = payload.map_err(|refusal| refusal.after(earlier))?;
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration).after(earlier))?;
     let rule = inbound.rule(&rules.rules);
     let call = child_call(node, &parent, inbound, payload, rule);
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -317,6 +317,8 @@
     parent: &OpenParent,
     deadline: Instant,
 ) -> Request<RelayBody> {
+    // A GET or HEAD would otherwise be sent without its body.
+    let is_chunked = !body.is_end_stream() && body.size_hint().exact().is_none();
     let mut req = Request::new(body);
     *req.method_mut() = inbound.method.clone();
     *req.uri_mut() = inbound.path.clone().into();
@@ -327,6 +329,9 @@
     if let Ok(host) = host {
         headers.insert(header::HOST, host);
     }
+    if is_chunked {
+        headers.insert(header::TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+    }
     if let Ok(handle) = HeaderValue::try_from(parent.handle().to_string()) {
         headers.insert(CONTEXT, handle);
     }
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::read_header;
 use super::call::Call;
+use super::entry::deadline;
 use super::entry::root_call;
 use super::entry::take_deadline;
 use super::entry::take_token;
@@ -53,7 +54,7 @@
 ) -> Result<Response<RelayBody>, Refusal> {
     let cx: Option<Context> = read_header(req.headers(), &CONTEXT);
     let cx = cx.ok_or(Refusal::not_run(Reason::Malformed))?;
-    let (inbound, incoming) = Inbound::read(req)?;
+    let (inbound, incoming) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
     // The address may have been taken over by an instance of another service.
     if inbound.service != node.settings.daemon.service {
         return Err(Refusal::not_run(Reason::UnknownService));
@@ -72,14 +73,15 @@
 }
 
 async fn prepare_tokened(node: &Node, req: Request<Incoming>) -> Result<(Token, Call), Refusal> {
-    let (mut inbound, incoming) = Inbound::read(req)?;
+    let (mut inbound, incoming) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
     let token = take_token(&mut inbound.headers)?;
     let token = token.ok_or(Refusal::unknown(Reason::TokenMalformed))?;
     let wanted = take_deadline(&mut inbound.headers)?;
-    let payload = Payload::read(incoming).await?;
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
     let rule = inbound.rule(&rules.rules);
-    let mut call = root_call(node, inbound, payload, rule, wanted, token.sequence.0);
+    let deadline = deadline(node, rule, wanted);
+    let payload = Payload::read(incoming, deadline).await?;
+    let mut call = root_call(node, inbound, payload, rule, deadline, token.sequence.0);
     // Whatever the rule says now, the token promises one run at most.
     call.cx.non_idempotent = true;
     Ok((token, call))
--- a/lib/tests/cluster.rs
+++ b/lib/tests/cluster.rs
@@ -16,6 +16,7 @@
 use endivescale_testutils::program::ANY;
 use endivescale_testutils::upstream::Upstream;
 use endivescale_testutils::upstream::behaviour::Behaviour;
+use endivescale_testutils::upstream::behaviour::OwnCall;
 use endivescale_testutils::upstream::ledger::Entry;
 use endivescale_testutils::upstream::ledger::State;
 use http::HeaderMap;
@@ -137,6 +138,18 @@
     }
 }
 
+/// A call that an upstream makes for every request and needs the answer of.
+pub(crate) fn own_call(service: &str) -> OwnCall {
+    OwnCall {
+        on: "/".to_owned(),
+        service: service.to_owned(),
+        method: "GET".to_owned(),
+        path: "/deeper".to_owned(),
+        hard_retries: 0,
+        required: true,
+    }
+}
+
 /// Keeps the rules of the services that run, one service a line.
 fn rules_for(services: &[&str]) -> String {
     let lines = RULES.lines().flat_map(|line| {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod test_admission;
 mod test_answers;
+mod test_bad_input;
 mod test_burn;
 mod test_context;
 mod test_examples;
--- a/lib/testutils/src/upstream/ledger.rs
+++ b/lib/testutils/src/upstream/ledger.rs
@@ -49,6 +49,8 @@
     pub worked: bool,
     /// Whether the request's body was the stream of its mark.
     pub body_matches: bool,
+    /// Length of the request's body, in bytes.
+    pub body_bytes: u64,
     /// How the request ended.
     pub state: State,
     /// Arrival since the start of the upstream, in milliseconds.
@@ -105,9 +107,12 @@
         self.ledger.entries.lock()[self.index].worked = true;
     }
 
-    /// Records whether the request's body was the stream of its mark.
-    pub(crate) fn body(&self, matches: bool) {
-        self.ledger.entries.lock()[self.index].body_matches = matches;
+    /// Records the length of the request's body and whether it was the stream
+    /// of its mark.
+    pub(crate) fn body(&self, matches: bool, bytes: u64) {
+        let entry = &mut self.ledger.entries.lock()[self.index];
+        entry.body_matches = matches;
+        entry.body_bytes = bytes;
     }
 
     /// Records that the whole answer was handed out.
--- a/lib/testutils/src/upstream/work.rs
+++ b/lib/testutils/src/upstream/work.rs
@@ -97,7 +97,7 @@
     arrived: Instant,
 ) -> Answer {
     match matches(&job.mark, body).await {
-        Ok(matches) => running.body(matches),
+        Ok((matches, bytes)) => running.body(matches, bytes),
         Err(err) => {
             running.failed();
             return Err(err);
@@ -157,6 +157,7 @@
         deadline_ms: job.deadline_ms,
         worked: false,
         body_matches: false,
+        body_bytes: 0,
         state: State::Running,
         begun_ms: shared.ledger.now_ms(),
         ended_ms: None,
@@ -176,7 +177,7 @@
     }
 }
 
-async fn matches(mark: &str, mut body: Incoming) -> Result<bool, StandInError> {
+async fn matches(mark: &str, mut body: Incoming) -> Result<(bool, u64), StandInError> {
     let stream = MarkStream::new(mark, Side::Request);
     let mut offset = 0;
     let mut matches = true;
@@ -185,7 +186,7 @@
         matches &= stream.matches(offset, &data);
         offset += data.len() as u64;
     }
-    Ok(matches)
+    Ok((matches, offset))
 }
 
 fn due(behaviour: &Behaviour, job: &Job, arrived: Instant) -> Instant {
