--- a/lib/src/process/burn/ending.rs
+++ b/lib/src/process/burn/ending.rs
@@ -89,8 +89,7 @@
 impl Fault {
     /// Tells whether the fault is the system's and not the caller's.
     ///
-    /// A request that cannot be read, or that only asked for a token, says
-    /// nothing of the service level.
+    /// A request that cannot be read says nothing of the service level.
     pub fn spends_budget(self) -> bool {
         match self {
             Self::Truncated => true,
@@ -99,7 +98,6 @@
                 Reason::Malformed
                     | Reason::BadBody
                     | Reason::UnknownService
-                    | Reason::TokenRequired
                     | Reason::TokenMalformed
                     | Reason::TokenForged
                     | Reason::TokenMismatch
--- a/lib/src/process/daemon.rs
+++ b/lib/src/process/daemon.rs
@@ -214,12 +214,11 @@
         self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop));
     }
 
-    /// Operators are answered until nothing is in progress any more.
     fn serve_operators(&mut self, listener: TcpListener) {
         let node = Arc::clone(&self.node);
         let service = service_fn(move |req: Request<Incoming>| {
             let rsp = status::serve(&*node, &req);
-            std::future::ready(Ok::<_, Infallible>(rsp))
+            async move { Ok::<_, Infallible>(rsp) }
         });
         let stop = self.stop_inside.clone();
         self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop));
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -23,6 +23,7 @@
 pub use self::home::Run;
 pub use self::home::RunEnd;
 pub use self::home::Start;
+pub use self::home::Usage;
 pub use self::lifecycle::InProgress;
 pub use self::lifecycle::Lifecycle;
 use super::Incarnation;
@@ -70,7 +71,7 @@
     pub lifecycle: Arc<Lifecycle>,
     /// Counters for operators.
     pub metrics: Metrics,
-    /// Service-level burn for operators.
+    /// Service-level burn.
     pub burn: Mutex<Burn>,
     config: ConfigHandle,
 }
@@ -93,7 +94,7 @@
         let slots = settings.upstream.slots as usize;
         let connections = settings.upstream.connections as usize;
         let upstream = UpstreamPool::new(settings.upstream.address, connections);
-        let burn = Burn::new(settings.daemon.instance.clone(), settings.objectives);
+        let burn = Mutex::new(Burn::new(place.instance.clone(), settings.objectives));
         Arc::new(Self {
             incarnation,
             peer_addr,
@@ -106,7 +107,7 @@
             upstream,
             lifecycle: Arc::default(),
             metrics,
-            burn: Mutex::new(burn),
+            burn,
             config,
             settings,
         })
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -21,7 +21,6 @@
 use super::TOKEN;
 use crate::connection::body;
 use crate::connection::body::RelayBody;
-use crate::process::burn::Origin;
 
 macro_rules! reasons {
     ($($(#[$doc:meta])* $variant:ident = $word:literal, $status:ident;)*) => {
@@ -194,8 +193,8 @@
     pub token: Option<String>,
     /// Retry tokens that go back to the daemon that sent the request.
     pub retries_left: Option<u32>,
-    /// Whether this daemon decided it or received it from below.
-    pub origin: Origin,
+    /// Whether another daemon decided.
+    pub from_below: bool,
 }
 
 impl Refusal {
@@ -207,7 +206,7 @@
             retry_after: None,
             token: None,
             retries_left: None,
-            origin: Origin::Here,
+            from_below: false,
         }
     }
 
@@ -271,7 +270,7 @@
             retry_after: retry_after.map(Duration::from_millis),
             token: text(TOKEN).map(str::to_owned),
             retries_left: None,
-            origin: Origin::Below,
+            from_below: true,
         })
     }
 
--- a/lib/src/request/serve/mod.rs
+++ b/lib/src/request/serve/mod.rs
@@ -8,11 +8,11 @@
 mod attempt;
 mod call;
 mod entry;
-mod measure;
 mod once;
 mod outbound;
 mod owner;
 mod peer;
+mod track;
 
 pub use entry::serve_caller;
 pub use outbound::serve_upstream;
