settings: drop keys without effect, wire queue and token bounds

Cause: nine keys were read, printed and documented but changed nothing: the listeners, the spread and the issuer went by their own constants, and no code asks the upstream's health endpoint.

Ruled out: keeping them for later; an operator who sets one believes in it.

After: spread.*, limits.head_bytes, limits.body_buffer_bytes, upstream.health and admission.min_limit are unknown keys; admission.queue, idempotency.window, idempotency.running and idempotency.answer_bytes reach the state machines.

--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -11,6 +11,7 @@
 mod operated;
 
 use std::net::SocketAddr;
+use std::num::NonZeroU32;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -40,6 +41,7 @@
 use super::metrics::Metrics;
 use super::routing::Place;
 use super::routing::Router;
+use super::settings::IdempotencySettings;
 use super::settings::Settings;
 use crate::connection::peers::PeerPool;
 use crate::connection::upstream::UpstreamPool;
@@ -105,7 +107,6 @@
             zone: settings.daemon.zone.clone(),
             region: settings.daemon.region.clone(),
         };
-        let slots = settings.upstream.slots as usize;
         let connections = settings.upstream.connections as usize;
         let upstream = UpstreamPool::new(settings.upstream.address, connections);
         let burn = Mutex::new(Burn::new(place.instance.clone(), settings.objectives));
@@ -114,9 +115,9 @@
             peer_addr,
             clock,
             parents: Parents::new(incarnation),
-            home: Home::new(peer_addr, incarnation, &IssuerConfig::default()),
+            home: Home::new(peer_addr, incarnation, &issuer_config(&settings.idempotency)),
             router: Mutex::new(Router::new(place, rand::random())),
-            gate: Gate::new(&AdmissionConfig::new(slots), clock),
+            gate: Gate::new(&admission_config(&settings), clock),
             peers: PeerPool::default(),
             upstream,
             lifecycle: Arc::default(),
@@ -177,3 +178,22 @@
         }
     }
 }
+
+fn admission_config(settings: &Settings) -> AdmissionConfig {
+    let mut cfg = AdmissionConfig::new(settings.upstream.slots as usize);
+    if let Some(entries) = settings.admission.queue {
+        cfg.queue_entries = entries as usize;
+    }
+    cfg
+}
+
+fn issuer_config(settings: &IdempotencySettings) -> IssuerConfig {
+    let usual = IssuerConfig::default();
+    let blocks = settings.window.div_ceil(usual.block_len.get());
+    IssuerConfig {
+        blocks_max: NonZeroU32::new(blocks).unwrap_or(usual.blocks_max),
+        running_max: settings.running as usize,
+        answer_bytes_max: usize::try_from(settings.answer_bytes).unwrap_or(usize::MAX),
+        ..usual
+    }
+}
--- a/lib/src/process/settings/check.rs
+++ b/lib/src/process/settings/check.rs
@@ -9,12 +9,9 @@
 /// Adds every contradiction between two keys to `problems`.
 pub(super) fn contradictions(settings: &Settings, problems: &mut Vec<Problem>) {
     names(settings, problems);
-    health_path(settings, problems);
     listeners(settings, problems);
     upstream_address(settings, problems);
     connections(settings, problems);
-    admission_limit(settings, problems);
-    kept_answer(settings, problems);
     objectives(settings, problems);
 }
 
@@ -38,17 +35,6 @@
     }
 }
 
-fn health_path(settings: &Settings, problems: &mut Vec<Problem>) {
-    let Some(path) = &settings.upstream.health else { return };
-    if !path.starts_with('/') || path.contains(char::is_whitespace) {
-        problems.push(Problem::InvalidValue {
-            key: "upstream.health".to_owned(),
-            found: format!("{path:?}"),
-            expected: "a path, such as \"/health\"".to_owned(),
-        });
-    }
-}
-
 fn listener_addresses(settings: &Settings) -> [(&'static str, SocketAddr); 5] {
     let listen = &settings.listen;
     [
@@ -95,29 +81,6 @@
     }
 }
 
-fn admission_limit(settings: &Settings, problems: &mut Vec<Problem>) {
-    let (least, slots) = (settings.admission.min_limit, settings.upstream.slots);
-    if least > slots {
-        let accepted = format!("1 to {slots}");
-        let key = "admission.min_limit";
-        problems.push(contradiction(key, &least, "upstream.slots", &slots, &accepted));
-    }
-}
-
-fn kept_answer(settings: &Settings, problems: &mut Vec<Problem>) {
-    let idempotency = &settings.idempotency;
-    if idempotency.answer_bytes > idempotency.memory_bytes {
-        let accepted = format!("0 to {}", idempotency.memory_bytes);
-        problems.push(contradiction(
-            "idempotency.answer_bytes",
-            &idempotency.answer_bytes,
-            "idempotency.memory_bytes",
-            &idempotency.memory_bytes,
-            &accepted,
-        ));
-    }
-}
-
 /// A class that is shed later cannot be allowed more failures.
 fn objectives(settings: &Settings, problems: &mut Vec<Problem>) {
     let objectives = &settings.objectives;
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -44,8 +44,6 @@
     pub admission: AdmissionSettings,
     /// Idempotency tokens of this daemon.
     pub idempotency: IdempotencySettings,
-    /// Spread of rules between daemons.
-    pub spread: SpreadSettings,
     /// Bounds on what one request may take.
     pub limits: Limits,
     /// How many requests of each criticality may fail.
@@ -89,8 +87,6 @@
     pub slots: u32,
     /// Connections that the upstream accepts.
     pub connections: u32,
-    /// Path of the health endpoint, taken as a hint only.
-    pub health: Option<String>,
 }
 
 /// Where rules and the list of VMs are read.
@@ -140,42 +136,26 @@
 /// Admission of requests to the upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub struct AdmissionSettings {
-    /// Lowest concurrency limit that the daemon may learn, in requests.
-    pub min_limit: u32,
-    /// Requests that may wait for a slot at once.
-    pub queue: u32,
+    /// Requests that may wait for a slot at once, of all criticalities; without
+    /// it, a number for each slot.
+    pub queue: Option<u32>,
 }
 
 /// Idempotency tokens of a daemon.
-#[serde_as]
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub struct IdempotencySettings {
-    /// Memory for the window of used tokens and the kept answers, in bytes.
-    pub memory_bytes: u64,
-    /// Largest answer that is kept for a resend, in bytes.
+    /// Latest tokens whose use is remembered; older ones are void.
+    pub window: u32,
+    /// Requests that may be in progress under tokens at once.
+    pub running: u32,
+    /// Memory for answers that are kept for resends, in bytes.
     pub answer_bytes: u64,
-    /// How long an answer is kept for a resend.
-    #[serde_as(as = "DurationText")]
-    pub keep: Duration,
-}
-
-/// Spread of rules between daemons.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-pub struct SpreadSettings {
-    /// Daemons of one availability zone that watch the platform.
-    pub watchers: u32,
-    /// Daemons that each daemon passes a new version on to.
-    pub fanout: u32,
 }
 
 /// Bounds on what one request may take.
 #[serde_as]
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub struct Limits {
-    /// Largest head of a request or answer, in bytes.
-    pub head_bytes: u64,
-    /// Part of one body that is held in memory at once, in bytes.
-    pub body_buffer_bytes: u64,
     /// Longest deadline that a request may carry.
     #[serde_as(as = "DurationText")]
     pub max_deadline: Duration,
--- a/lib/src/process/settings/reader.rs
+++ b/lib/src/process/settings/reader.rs
@@ -16,7 +16,6 @@
 use super::MetricsSettings;
 use super::Platform;
 use super::Settings;
-use super::SpreadSettings;
 use super::Stop;
 use super::Upstream;
 use super::error::Problem;
@@ -24,14 +23,13 @@
 use crate::process::Region;
 use crate::process::burn::Objectives;
 
-const KIB: u64 = 1024;
-const MIB: u64 = 1024 * KIB;
+const MIB: u64 = 1024 * 1024;
 const SECOND: Duration = Duration::from_secs(1);
 const MINUTE: Duration = Duration::from_secs(60);
 const HOUR: Duration = Duration::from_secs(60 * 60);
 
 const SECTIONS: &str = "daemon, listen, upstream, platform, stop, metrics, log, admission, \
-                        idempotency, spread, limits, objectives";
+                        idempotency, limits, objectives";
 
 const NAME: &str = "a name of letters, digits, '-', '_' and '.'";
 const ADDRESS: &str = "an IP address and port, such as \"127.0.0.1:7001\"";
@@ -51,7 +49,6 @@
         log: log(Section::take(&mut file, "log", &mut problems)),
         admission: admission(Section::take(&mut file, "admission", &mut problems)),
         idempotency: idempotency(Section::take(&mut file, "idempotency", &mut problems)),
-        spread: spread(Section::take(&mut file, "spread", &mut problems)),
         limits: limits(Section::take(&mut file, "limits", &mut problems)),
         objectives: objectives(Section::take(&mut file, "objectives", &mut problems)),
     };
@@ -91,7 +88,6 @@
         address: section.required("address", ADDRESS, NO_ADDRESS),
         slots: section.required_number("slots", 1..=100_000),
         connections: section.required_number("connections", 1..=100_000),
-        health: section.optional("health", "a path, such as \"/health\""),
     };
     section.finish();
     upstream
@@ -122,39 +118,24 @@
 }
 
 fn admission(mut section: Section<'_>) -> AdmissionSettings {
-    let admission = AdmissionSettings {
-        min_limit: section.number("min_limit", 1..=100_000, 1),
-        queue: section.number("queue", 1..=100_000, 1_024),
-    };
+    let admission = AdmissionSettings { queue: section.optional_number("queue", 1..=100_000) };
     section.finish();
     admission
 }
 
 fn idempotency(mut section: Section<'_>) -> IdempotencySettings {
     let idempotency = IdempotencySettings {
-        memory_bytes: section.number("memory_bytes", 64 * KIB..=1_024 * MIB, 16 * MIB),
-        answer_bytes: section.number("answer_bytes", 0..=MIB, 16 * KIB),
-        keep: section.duration("keep", SECOND..=24 * HOUR, 10 * MINUTE),
+        window: section.number("window", 4_096..=16_777_216, 1_048_576),
+        running: section.number("running", 1..=1_048_576, 16_384),
+        answer_bytes: section.number("answer_bytes", 0..=1_024 * MIB, 16 * MIB),
     };
     section.finish();
     idempotency
 }
 
-fn spread(mut section: Section<'_>) -> SpreadSettings {
-    let spread = SpreadSettings {
-        watchers: section.number("watchers", 1..=16, 2),
-        fanout: section.number("fanout", 1..=64, 4),
-    };
-    section.finish();
-    spread
-}
-
 fn limits(mut section: Section<'_>) -> Limits {
-    let limits = Limits {
-        head_bytes: section.number("head_bytes", KIB..=MIB, 64 * KIB),
-        body_buffer_bytes: section.number("body_buffer_bytes", KIB..=16 * MIB, 64 * KIB),
-        max_deadline: section.duration("max_deadline", SECOND..=24 * HOUR, HOUR),
-    };
+    let limits =
+        Limits { max_deadline: section.duration("max_deadline", SECOND..=24 * HOUR, HOUR) };
     section.finish();
     limits
 }
--- a/lib/src/process/settings/section.rs
+++ b/lib/src/process/settings/section.rs
@@ -92,14 +92,24 @@
         accepted: RangeInclusive<T>,
         default: T,
     ) -> T
+    where
+        T: Copy + DeserializeOwned + Display + PartialOrd,
+    {
+        self.optional_number(key, accepted).unwrap_or(default)
+    }
+
+    /// Reads a number that may be absent, without a default.
+    pub(super) fn optional_number<T>(
+        &mut self,
+        key: &'static str,
+        accepted: RangeInclusive<T>,
+    ) -> Option<T>
     where
         T: Copy + DeserializeOwned + Display + PartialOrd,
     {
         let expected = format!("a whole number from {} to {}", accepted.start(), accepted.end());
-        match self.optional(key, &expected) {
-            Some(number) => self.in_range(key, number, &accepted, T::to_string),
-            None => default,
-        }
+        let number = self.optional(key, &expected)?;
+        Some(self.in_range(key, number, &accepted, T::to_string))
     }
 
     /// Reads a duration that may be absent and must lie in `accepted`.
