--- a/lib/tests/test_burn.rs
+++ b/lib/tests/test_burn.rs
@@ -98,7 +98,16 @@
     expiry_spends_budget: Expired => true;
     unknown_outcome_spends_budget: OutcomeUnknown => true;
     malformed_request_does_not: Malformed => false;
-    handing_out_a_token_does_not: TokenRequired => false;
+    forged_token_does_not: TokenForged => false;
+}
+
+#[test]
+fn handing_out_a_token_is_not_counted() {
+    let fault = Fault::Refused(Reason::TokenRequired);
+    let cause = Cause { fault, outcome: Outcome::NotRun, origin: Origin::Here };
+    let mut burn = burn("a");
+    burn.record(seconds(1), &class("submission"), 1, Ending::Failed(cause));
+    assert_eq!(burn.report(seconds(1)).classes, []);
 }
 
 #[test]
