tests: at most once and bounded retries through real daemons

Two instances of two services as processes; kill -9 of the home before, during and after the upstream's work and of the owner during it, SIGSTOP past the deadline, connections cut in the request's head and body and the answer's head and body, late answers, resends through other entries. The upstreams' ledgers judge: at most one run, none after not-run, one if told ran.

The first try of the case without upstreams expected the first request to be told not-run; it was told unknown, rightly, when an idle connection broke under it. The case now asks until the daemons have noticed.

--- a/cli/tests/processes.rs
+++ b/cli/tests/processes.rs
@@ -10,6 +10,7 @@
 use endivescale_testutils::place::Place;
 use endivescale_testutils::platform::Platform;
 use endivescale_testutils::process::Program;
+use endivescale_testutils::process::Signal;
 use endivescale_testutils::process::wait_until;
 use endivescale_testutils::program::ANY;
 use endivescale_testutils::upstream::Upstream;
@@ -26,6 +27,7 @@
 const PROBE: &str = "probe";
 
 const RULES: &str = "\
+listings GET /chain/** criticality=normal retries=3 deadline=30s wait  # asked by Bat-Erdene, help line
 listings GET /** criticality=normal retries=1 deadline=30s wait  # asked by Bat-Erdene, help line
 submission POST /expressions/** criticality=critical weight=10 non-idempotent retries=2 deadline=30s wait  # asked by Narantuya, review panel desk
 submission GET /** criticality=normal retries=1 deadline=30s wait  # asked by Bat-Erdene, help line
@@ -40,7 +42,8 @@
     pub(crate) places: Vec<Place>,
     pub(crate) upstreams: Vec<Upstream>,
     pub(crate) daemons: Vec<Program>,
-    _dir: TempDir,
+    patience: String,
+    dir: TempDir,
 }
 
 impl Processes {
@@ -62,12 +65,27 @@
             upstreams.push(upstream.await.unwrap());
             daemons.push(start_daemon(dir.path(), place, platform.addr(), patience));
         }
-        let processes = Self { platform, places, upstreams, daemons, _dir: dir };
+        let patience = patience.to_owned();
+        let processes = Self { platform, places, upstreams, daemons, patience, dir };
         processes.list("live", |_| false);
         processes.wait_ready().await;
         processes
     }
 
+    /// Kills a daemon, and waits until it is gone.
+    pub(crate) async fn kill(&mut self, daemon: usize) {
+        self.daemons[daemon].signal(Signal::Kill).unwrap();
+        self.daemons[daemon].wait(CAP).await.unwrap();
+    }
+
+    /// Starts a killed daemon anew on its addresses, and waits until it serves.
+    pub(crate) async fn restart(&mut self, daemon: usize) {
+        let place = &self.places[daemon];
+        let addr = self.platform.addr();
+        self.daemons[daemon] = start_daemon(self.dir.path(), place, addr, &self.patience);
+        self.wait_ready().await;
+    }
+
     /// Publishes the list of VMs; those that `changed` picks get `state`.
     pub(crate) fn list(&self, state: &str, changed: impl Fn(&Place) -> bool) {
         let listed = |place| Place::listed(place, if changed(place) { state } else { "live" });
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -8,5 +8,7 @@
 mod test_drain_command;
 mod test_explain_command;
 mod test_help_command;
+mod test_once;
+mod test_retries;
 mod test_status_command;
 mod test_stopping;
--- /dev/null
+++ b/cli/tests/test_once.rs
@@ -0,0 +1,369 @@
+//! A submission runs at most once, and `not-run` means not run; the upstreams'
+//! ledgers are the judge. See `docs/proofs/once.md`.
+
+use std::net::SocketAddr;
+
+use endivescale_testutils::headers::DEADLINE_MS;
+use endivescale_testutils::headers::MARK;
+use endivescale_testutils::headers::OUTCOME;
+use endivescale_testutils::headers::TOKEN;
+use endivescale_testutils::http::Client;
+use endivescale_testutils::http::full;
+use endivescale_testutils::mark::MarkStream;
+use endivescale_testutils::mark::Side;
+use endivescale_testutils::process::Signal;
+use endivescale_testutils::process::wait_until;
+use endivescale_testutils::upstream::behaviour::CutPoint;
+use endivescale_testutils::upstream::ledger::State;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use crate::processes::CAP;
+use crate::processes::Processes;
+
+/// Daemon that issues the token: one of listings.
+const HOME: usize = 0;
+/// Another daemon of listings, by which copies of the request enter.
+const ENTRY: usize = 1;
+/// Daemons beside the upstreams of submission.
+const OWNERS: [usize; 2] = [2, 3];
+const MARKED: &str = "expression-7";
+const BODY_BYTES: usize = 100;
+/// Time that a submission takes where a test acts while it runs.
+const LONG_MS: f64 = 3_000.0;
+/// Deadline that a caller asks for where a test outlasts it.
+const SHORT_DEADLINE_MS: u64 = 1_000;
+
+/// What a caller was told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Told {
+    /// A whole answer, and its own.
+    Whole,
+    /// A refusal or failure with its outcome, and a fresh token if there was one.
+    Refused(String, Option<String>),
+    /// No answer, or one that broke off.
+    Broken,
+}
+
+impl Told {
+    fn outcome(&self) -> &str {
+        match self {
+            Self::Whole => "whole",
+            Self::Refused(outcome, _) => outcome,
+            Self::Broken => "broken",
+        }
+    }
+
+    fn token(self) -> String {
+        match self {
+            Self::Refused(_, Some(token)) => token,
+            _ => panic!("no token in {self:?}"),
+        }
+    }
+}
+
+/// Sends the submission, and says what the caller was told.
+async fn submit(addr: SocketAddr, token: Option<&str>, deadline_ms: Option<u64>) -> Told {
+    let mut req = Request::post("/expressions/7").header("host", "submission").header(MARK, MARKED);
+    if let Some(token) = token {
+        req = req.header(TOKEN, token);
+    }
+    if let Some(deadline_ms) = deadline_ms {
+        req = req.header(DEADLINE_MS, deadline_ms);
+    }
+    let body = MarkStream::new(MARKED, Side::Request).bytes(0, BODY_BYTES);
+    let client = Client::default();
+    let Ok((rsp, _busy)) = client.send(addr, req.body(full(body)).unwrap()).await else {
+        return Told::Broken;
+    };
+    let text = |name| rsp.headers().get(name).map(|value| value.to_str().unwrap().to_owned());
+    if let Some(outcome) = text(OUTCOME) {
+        return Told::Refused(outcome, text(TOKEN));
+    }
+    let status = rsp.status();
+    let Ok(body) = rsp.into_body().collect().await else { return Told::Broken };
+    let is_own = MarkStream::new(MARKED, Side::Answer).matches(0, &body.to_bytes());
+    assert!(is_own || status != StatusCode::OK, "an answer of another request");
+    if status == StatusCode::OK { Told::Whole } else { Told::Broken }
+}
+
+/// Processes, the token of the one submission, and all that callers were told.
+struct Trial {
+    processes: Processes,
+    token: String,
+    told: Vec<Told>,
+}
+
+impl Trial {
+    /// Starts everything and lets the home issue a token.
+    async fn start(service_ms: f64) -> Self {
+        let processes = Processes::start("60s").await;
+        for owner in OWNERS {
+            processes.upstreams[owner].change(|it| {
+                it.service_ms = service_ms;
+                it.ignore_cancel = true;
+                it.ignore_deadline = true;
+            });
+        }
+        let told = submit(processes.places[HOME].caller, None, None).await;
+        Self { processes, token: told.token(), told: Vec::new() }
+    }
+
+    /// Submits through a daemon and notes what the caller was told.
+    async fn submit(&mut self, entry: usize) -> Told {
+        let told = self.send(entry, None).await.unwrap();
+        self.told.push(told.clone());
+        told
+    }
+
+    /// Submits in the background.
+    fn send(&self, entry: usize, deadline_ms: Option<u64>) -> JoinHandle<Told> {
+        let (addr, token) = (self.processes.places[entry].caller, self.token.clone());
+        tokio::spawn(async move { submit(addr, Some(&token), deadline_ms).await })
+    }
+
+    async fn note(&mut self, sent: JoinHandle<Told>) -> Told {
+        let told = sent.await.unwrap();
+        self.told.push(told.clone());
+        told
+    }
+
+    fn change_owners(
+        &self,
+        change: impl Fn(&mut endivescale_testutils::upstream::behaviour::Behaviour),
+    ) {
+        for owner in OWNERS {
+            self.processes.upstreams[owner].change(&change);
+        }
+    }
+
+    /// Daemon beside the upstream at which the submission is.
+    fn owner(&self) -> usize {
+        let ran_at = |owner: &usize| !self.runs_at(*owner).is_empty();
+        OWNERS.into_iter().find(ran_at).expect("an upstream has the submission")
+    }
+
+    fn runs_at(&self, owner: usize) -> Vec<State> {
+        let entries = self.processes.upstreams[owner].entries();
+        let runs = entries.iter().filter(|entry| entry.mark == MARKED && entry.worked);
+        runs.map(|entry| entry.state).collect()
+    }
+
+    /// Resends through every daemon, waits for all upstreams and judges.
+    ///
+    /// Returns the number of runs.
+    async fn judge(&mut self) -> usize {
+        for entry in 0..self.processes.places.len() {
+            self.submit(entry).await;
+        }
+        let ended = async || {
+            let entries = self.processes.entries();
+            entries.iter().all(|entry| entry.state != State::Running)
+        };
+        wait_until("the end of all work", CAP, ended).await.unwrap();
+        let runs: usize = OWNERS.into_iter().map(|owner| self.runs_at(owner).len()).sum();
+        assert!(runs <= 1, "ran {runs} times: {:?}", self.told);
+        let not_run = self.told.iter().any(|told| told.outcome() == "not-run");
+        assert!(!not_run || runs == 0, "ran although told not-run: {:?}", self.told);
+        let ran = |told: &Told| matches!(told.outcome(), "ran" | "whole");
+        assert!(runs == 1 || !self.told.iter().any(ran), "never ran: {:?}", self.told);
+        runs
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident => $case:expr;)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() {
+            $case.await;
+        }
+    )*};
+}
+
+async fn resend_while_running() {
+    let mut trial = Trial::start(LONG_MS).await;
+    let first = trial.send(HOME, None);
+    trial.processes.wait_running(1).await;
+    assert_eq!(trial.submit(ENTRY).await, Told::Whole);
+    assert_eq!(trial.note(first).await, Told::Whole);
+    assert_eq!(trial.judge().await, 1);
+}
+
+async fn resend_after_finish() {
+    let mut trial = Trial::start(5.0).await;
+    assert_eq!(trial.submit(ENTRY).await, Told::Whole);
+    assert_eq!(trial.submit(OWNERS[0]).await, Told::Whole);
+    assert_eq!(trial.judge().await, 1);
+}
+
+async fn home_killed_before() {
+    let mut trial = Trial::start(5.0).await;
+    trial.processes.kill(HOME).await;
+    assert_eq!(trial.submit(ENTRY).await.outcome(), "unknown");
+    trial.processes.restart(HOME).await;
+    assert_eq!(trial.judge().await, 0);
+}
+
+async fn home_killed_during() {
+    let mut trial = Trial::start(LONG_MS).await;
+    let first = trial.send(ENTRY, None);
+    trial.processes.wait_running(1).await;
+    trial.processes.kill(HOME).await;
+    assert_eq!(trial.note(first).await.outcome(), "unknown");
+    trial.processes.restart(HOME).await;
+    assert_eq!(trial.submit(HOME).await.outcome(), "unknown");
+    assert_eq!(trial.judge().await, 1);
+}
+
+async fn home_killed_after() {
+    let mut trial = Trial::start(5.0).await;
+    assert_eq!(trial.submit(ENTRY).await, Told::Whole);
+    trial.processes.kill(HOME).await;
+    trial.processes.restart(HOME).await;
+    assert_eq!(trial.submit(ENTRY).await.outcome(), "unknown");
+    assert_eq!(trial.judge().await, 1);
+}
+
+async fn owner_killed_during() {
+    let mut trial = Trial::start(LONG_MS).await;
+    let first = trial.send(ENTRY, None);
+    trial.processes.wait_running(1).await;
+    let owner = trial.owner();
+    trial.processes.kill(owner).await;
+    assert_eq!(trial.note(first).await.outcome(), "unknown");
+    trial.processes.restart(owner).await;
+    assert_eq!(trial.judge().await, 1);
+}
+
+/// Freezes daemons for longer than the deadline of a request on its way.
+async fn frozen(daemons: &[usize]) {
+    let mut trial = Trial::start(5.0).await;
+    for daemon in daemons {
+        trial.processes.daemons[*daemon].signal(Signal::Stop).unwrap();
+    }
+    let first = trial.send(ENTRY, Some(SHORT_DEADLINE_MS));
+    // The caller is answered at its deadline, while the daemons are frozen.
+    let told = trial.note(first).await;
+    assert_eq!(told.outcome(), "unknown");
+    for daemon in daemons {
+        trial.processes.daemons[*daemon].signal(Signal::Cont).unwrap();
+    }
+    trial.judge().await;
+}
+
+/// Freezes the home while the upstream works, until the caller has gone.
+async fn home_frozen_during() {
+    let mut trial = Trial::start(LONG_MS).await;
+    let first = trial.send(ENTRY, Some(SHORT_DEADLINE_MS));
+    trial.processes.wait_running(1).await;
+    trial.processes.daemons[HOME].signal(Signal::Stop).unwrap();
+    assert_eq!(trial.note(first).await.outcome(), "unknown");
+    trial.processes.daemons[HOME].signal(Signal::Cont).unwrap();
+    assert_eq!(trial.submit(ENTRY).await, Told::Whole);
+    assert_eq!(trial.judge().await, 1);
+}
+
+/// The upstream answers after its caller has gone; a resend gets the answer.
+async fn late_answer() {
+    let mut trial = Trial::start(LONG_MS).await;
+    let first = trial.send(ENTRY, None);
+    trial.processes.wait_running(1).await;
+    first.abort();
+    assert_eq!(trial.submit(OWNERS[1]).await, Told::Whole);
+    assert_eq!(trial.judge().await, 1);
+}
+
+/// Sends the first bytes of the request and closes the connection.
+async fn request_cut(after_head: usize) {
+    let mut trial = Trial::start(5.0).await;
+    let token = &trial.token;
+    let head = format!(
+        "POST /expressions/7 HTTP/1.1\r\nhost: submission\r\n{MARK}: {MARKED}\r\n\
+         {TOKEN}: {token}\r\ncontent-length: {BODY_BYTES}\r\n"
+    );
+    let mut bytes = head.into_bytes();
+    if after_head > 0 {
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend(MarkStream::new(MARKED, Side::Request).bytes(0, after_head));
+    }
+    let mut stream = TcpStream::connect(trial.processes.places[ENTRY].caller).await.unwrap();
+    stream.write_all(&bytes).await.unwrap();
+    drop(stream);
+    assert_eq!(trial.submit(HOME).await, Told::Whole);
+    assert_eq!(trial.judge().await, 1);
+}
+
+async fn upstream_cut(cut: CutPoint, runs: usize) {
+    let mut trial = Trial::start(5.0).await;
+    trial.change_owners(|it| it.cut = cut);
+    assert_ne!(trial.submit(ENTRY).await, Told::Whole);
+    trial.change_owners(|it| it.cut = CutPoint::Nowhere);
+    assert_eq!(trial.judge().await, runs);
+}
+
+/// Copies of a refused request that arrive when there is capacity again.
+async fn refused_token_is_void() {
+    let mut trial = Trial::start(5.0).await;
+    trial.change_owners(|it| it.drain = true);
+    let told = trial.submit(ENTRY).await;
+    assert_eq!(told.outcome(), "not-run");
+    trial.change_owners(|it| it.drain = false);
+    assert_eq!(trial.judge().await, 0);
+    let (entry, fresh) = (trial.processes.places[ENTRY].caller, told.token());
+    assert_eq!(submit(entry, Some(&fresh), None).await, Told::Whole);
+}
+
+/// Once the daemons have noticed that the upstreams' connections are gone, a
+/// request is refused before a byte is sent.
+async fn no_upstream() {
+    let mut trial = Trial::start(5.0).await;
+    trial.processes.upstreams.truncate(OWNERS[0]);
+    let entry = trial.processes.places[ENTRY].caller;
+    let refused = async || {
+        let token = submit(entry, None, None).await.token();
+        let told = submit(entry, Some(&token), None).await;
+        assert_ne!(told, Told::Whole);
+        told.outcome() == "not-run"
+    };
+    wait_until("a refusal", CAP, refused).await.unwrap();
+}
+
+/// A caller that gives up its token after `unknown` may run twice, and the
+/// ledger shows it.
+async fn dropped_token() {
+    let mut trial = Trial::start(LONG_MS).await;
+    let first = trial.send(ENTRY, None);
+    trial.processes.wait_running(1).await;
+    trial.processes.kill(HOME).await;
+    assert_eq!(first.await.unwrap().outcome(), "unknown");
+    let entry = trial.processes.places[ENTRY].caller;
+    let fresh = submit(entry, None, None).await.token();
+    assert_eq!(submit(entry, Some(&fresh), None).await, Told::Whole);
+    let runs: usize = OWNERS.into_iter().map(|owner| trial.runs_at(owner).len()).sum();
+    assert_eq!(runs, 2);
+}
+
+cases! {
+    holds_once_resend_while_running => resend_while_running();
+    holds_once_resend_after_finish => resend_after_finish();
+    holds_once_home_killed_before => home_killed_before();
+    holds_once_home_killed_during => home_killed_during();
+    holds_once_home_killed_after => home_killed_after();
+    holds_once_owner_killed_during => owner_killed_during();
+    holds_once_home_frozen => frozen(&[HOME]);
+    holds_once_home_frozen_during => home_frozen_during();
+    holds_once_late_answer => late_answer();
+    holds_once_request_head_cut => request_cut(0);
+    holds_once_request_body_cut => request_cut(BODY_BYTES / 2);
+    holds_once_answer_head_cut => upstream_cut(CutPoint::AnswerHead, 1);
+    holds_once_answer_body_cut => upstream_cut(CutPoint::AnswerBody, 1);
+    holds_once_fails_dropped_token => dropped_token();
+    holds_not_run_owners_frozen => frozen(&OWNERS);
+    holds_not_run_cut_before_work => upstream_cut(CutPoint::BeforeWork, 0);
+    holds_not_run_refused_token_is_void => refused_token_is_void();
+    holds_not_run_no_upstream => no_upstream();
+}
