--- a/lib/src/process/node/home.rs
+++ b/lib/src/process/node/home.rs
@@ -14,6 +14,7 @@
 use crate::connection::body;
 use crate::connection::body::RelayBody;
 use crate::process::Incarnation;
+use crate::process::status::TokenStatus;
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
@@ -106,17 +107,6 @@
     runs: IndexMap<Sequence, EndReceiver>,
 }
 
-/// What the issuer of this daemon's tokens holds.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Usage {
-    /// Requests that run under tokens.
-    pub running: usize,
-    /// Answers kept for resends.
-    pub kept: usize,
-    /// Memory of marks and kept answers, in bytes.
-    pub bytes: usize,
-}
-
 /// The issuer of this daemon's tokens and the runs under them.
 #[derive(Debug)]
 pub struct Home {
@@ -159,12 +149,12 @@
     }
 
     /// Returns what the issuer holds.
-    pub fn usage(&self) -> Usage {
+    pub fn usage(&self) -> TokenStatus {
         let issuer = &self.table.lock().issuer;
-        Usage {
+        TokenStatus {
             running: issuer.running(),
-            kept: issuer.kept(),
-            bytes: issuer.mark_bytes() + issuer.answer_bytes(),
+            mark_bytes: issuer.mark_bytes(),
+            answer_bytes: issuer.answer_bytes(),
         }
     }
 }
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -24,7 +24,6 @@
 pub use self::home::Run;
 pub use self::home::RunEnd;
 pub use self::home::Start;
-pub use self::home::Usage;
 pub use self::lifecycle::InProgress;
 pub use self::lifecycle::Lifecycle;
 use super::Incarnation;
@@ -32,7 +31,6 @@
 use super::admission::AdmissionConfig;
 use super::admission::PathLevels;
 use super::burn::Burn;
-use super::burn::Objectives;
 use super::clock::Clock;
 use super::config::ActiveRules;
 use super::config::ConfigHandle;
@@ -110,7 +108,7 @@
         let slots = settings.upstream.slots as usize;
         let connections = settings.upstream.connections as usize;
         let upstream = UpstreamPool::new(settings.upstream.address, connections);
-        let burn = Mutex::new(Burn::new(place.instance.clone(), Objectives::default()));
+        let burn = Mutex::new(Burn::new(place.instance.clone(), settings.objectives));
         Arc::new(Self {
             incarnation,
             peer_addr,
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -21,6 +21,7 @@
 use super::TOKEN;
 use crate::connection::body;
 use crate::connection::body::RelayBody;
+use crate::process::burn::Origin;
 
 macro_rules! reasons {
     ($($(#[$doc:meta])* $variant:ident = $word:literal, $status:ident;)*) => {
@@ -193,8 +194,8 @@
     pub token: Option<String>,
     /// Retry tokens that go back to the daemon that sent the request.
     pub retries_left: Option<u32>,
-    /// Whether another daemon decided.
-    pub from_below: bool,
+    /// Whether this daemon decided or received it from below.
+    pub origin: Origin,
 }
 
 impl Refusal {
@@ -206,7 +207,7 @@
             retry_after: None,
             token: None,
             retries_left: None,
-            from_below: false,
+            origin: Origin::Here,
         }
     }
 
@@ -270,7 +271,7 @@
             retry_after: retry_after.map(Duration::from_millis),
             token: text(TOKEN).map(str::to_owned),
             retries_left: None,
-            from_below: true,
+            origin: Origin::Below,
         })
     }
 
--- a/lib/src/request/serve/track.rs
+++ b/lib/src/request/serve/track.rs
@@ -75,7 +75,7 @@
     /// Builds the answer to a request that was refused or has failed.
     pub(super) fn refuse(&mut self, refusal: Refusal) -> Response<RelayBody> {
         self.node.metrics.count(Counter::Refused(refusal.reason));
-        let origin = if refusal.from_below { Origin::Below } else { Origin::Here };
+        let origin = refusal.origin;
         let fault = Fault::Refused(refusal.reason);
         self.failure = Some(Cause { fault, outcome: refusal.outcome, origin });
         refusal.into_response()
