idempotency: tell requests with different bodies apart

A token was bound to service, method, path and key. An upstream that posted two transfers to one path on behalf of one request, without keys, got the answer of the first for the second: the second was lost and looked done. Likewise a caller that sent another body under a used token.

The digest now takes in a body that is held. An upstream's calls with a key keep the key as their identity, so another body under the same key is refused. Two long, streamed calls without a key can't be told apart; the second is refused.

--- a/lib/src/request/idempotency/mod.rs
+++ b/lib/src/request/idempotency/mod.rs
@@ -13,6 +13,7 @@
 mod refusal;
 mod token;
 
+pub use fingerprint::Asked;
 pub use fingerprint::Fingerprint;
 pub use issuer::Begin;
 pub use issuer::Finished;
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -14,6 +14,7 @@
 
 use super::Reason;
 use super::Refusal;
+use super::idempotency::Asked;
 use super::idempotency::Fingerprint;
 use crate::connection::body;
 use crate::connection::body::RelayBody;
@@ -82,10 +83,31 @@
         rules.find(self.service.as_str(), &self.method, self.path.path())
     }
 
+    /// Returns the caller's name for the request, if it gave one.
+    pub fn key(&self) -> Option<&[u8]> {
+        self.headers.get(super::IDEMPOTENCY_KEY).map(|key| key.as_bytes())
+    }
+
     /// Returns what an idempotency token is bound to.
-    pub fn fingerprint(&self) -> Fingerprint {
-        let key = self.headers.get(super::IDEMPOTENCY_KEY).map(|key| key.as_bytes());
-        Fingerprint::new(self.service.as_str(), &self.method, self.path.as_str(), key)
+    pub fn fingerprint(&self, payload: &Payload) -> Fingerprint {
+        self.digest(payload.held())
+    }
+
+    /// Returns what tells the calls of one request apart: the caller's name for
+    /// the call, or else all of the call that is known.
+    pub fn call_identity(&self, payload: &Payload) -> Fingerprint {
+        let unnamed = self.key().is_none();
+        self.digest(payload.held().filter(|_| unnamed))
+    }
+
+    fn digest(&self, body: Option<&[u8]>) -> Fingerprint {
+        Fingerprint::new(&Asked {
+            service: self.service.as_str(),
+            method: &self.method,
+            path: self.path.as_str(),
+            key: self.key(),
+            body,
+        })
     }
 
     /// Builds a request with the URI that an HTTP/2 connection needs.
@@ -135,6 +157,14 @@
         }
     }
 
+    /// Returns the whole body, if it is held.
+    pub fn held(&self) -> Option<&[u8]> {
+        match self {
+            Self::Held(bytes) => Some(bytes),
+            Self::Streamed(_) => None,
+        }
+    }
+
     /// Whether [`Self::take_body`] will return a body.
     pub fn is_left(&self) -> bool {
         matches!(self, Self::Held(_) | Self::Streamed(Some(_)))
--- a/lib/src/request/serve/once.rs
+++ b/lib/src/request/serve/once.rs
@@ -38,7 +38,7 @@
     request: Call,
 ) -> Result<Response<RelayBody>, Refusal> {
     let deadline = request.deadline;
-    let fingerprint = request.inbound.fingerprint();
+    let fingerprint = request.inbound.fingerprint(&request.payload);
     let mut rx = match node.home.begin(token, fingerprint) {
         Start::Ended(end) => {
             node.metrics.count(Counter::TokensReplayed);
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -7,6 +7,7 @@
 use http::Response;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use indexmap::map::Entry;
 use tokio::time::Instant;
 
 use super::attempt::read_header;
@@ -24,10 +25,10 @@
 use crate::process::node::PathKey;
 use crate::request::CONTEXT;
 use crate::request::Context;
-use crate::request::IDEMPOTENCY_KEY;
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::idempotency::Fingerprint;
 use crate::request::idempotency::Token;
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
@@ -89,7 +90,7 @@
 /// Returns what may have become of the earlier attempt, since a refusal speaks
 /// of the call and not of its last attempt.
 fn pay_for_repeat(parent: &Parent, inbound: &Inbound) -> Result<Option<Outcome>, Refusal> {
-    let key = inbound.headers.get(IDEMPOTENCY_KEY).map(|key| key.as_bytes());
+    let key = inbound.key();
     let call = retries::Call {
         service: inbound.service.as_str(),
         method: &inbound.method,
@@ -150,16 +151,33 @@
     if parent.cx.rerun {
         return Err(Refusal::unknown(Reason::RerunForbidden));
     }
-    let fingerprint = request.inbound.fingerprint();
-    let token: Token =
-        parent.tokens.lock().entry(fingerprint).or_insert_with(|| node.home.issue()).clone();
+    let identity = request.inbound.call_identity(&request.payload);
+    let token = token_of(node, parent, identity, &request)?;
     let served = once::run_under_token(node, &token, request).await;
     if served.as_ref().is_err_and(|refusal| refusal.outcome == Outcome::NotRun) {
         // The token is void now; a repeat of the call needs a fresh one.
         let mut tokens = parent.tokens.lock();
-        if tokens.get(&fingerprint) == Some(&token) {
-            tokens.swap_remove(&fingerprint);
+        if tokens.get(&identity) == Some(&token) {
+            tokens.swap_remove(&identity);
         }
     }
     served
 }
+
+/// Returns the token of a call, the same one for each repeat.
+///
+/// Two long calls without a name can't be told apart, since their bodies aren't
+/// held; the second is refused, lest it be given the answer of the first.
+fn token_of(
+    node: &Node,
+    parent: &Parent,
+    identity: Fingerprint,
+    request: &Call,
+) -> Result<Token, Refusal> {
+    let is_known = request.inbound.key().is_some() || request.payload.held().is_some();
+    match parent.tokens.lock().entry(identity) {
+        Entry::Occupied(_) if !is_known => Err(Refusal::unknown(Reason::TokenMismatch)),
+        Entry::Occupied(entry) => Ok(entry.get().clone()),
+        Entry::Vacant(entry) => Ok(entry.insert(node.home.issue()).clone()),
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_membership;
 mod test_metrics;
 mod test_model_once;
+mod test_once;
 mod test_operators;
 mod test_path;
 mod test_retries;
--- a/lib/tests/test_idempotency.rs
+++ b/lib/tests/test_idempotency.rs
@@ -3,6 +3,7 @@
 
 use endivescale::process::Incarnation;
 use endivescale::request::Outcome;
+use endivescale::request::idempotency::Asked;
 use endivescale::request::idempotency::Begin;
 use endivescale::request::idempotency::Fingerprint;
 use endivescale::request::idempotency::Finished;
@@ -35,8 +36,12 @@
     IssuerConfig { block_len: two, blocks_max: two, ..IssuerConfig::default() }
 }
 
+fn asked(path: &str, key: Option<&[u8]>, body: Option<&[u8]>) -> Fingerprint {
+    Fingerprint::new(&Asked { service: "submission", method: &Method::POST, path, key, body })
+}
+
 fn request(path: &str) -> Fingerprint {
-    Fingerprint::new("submission", &Method::POST, path, Some(b"key"))
+    asked(path, Some(b"key"), Some(b""))
 }
 
 fn run(issuer: &mut Issuer<&'static str>, token: &Token) {
@@ -226,10 +231,11 @@
     assert_eq!(text.parse::<Token>().unwrap_err().to_string(), message);
 }
 
-fn absent_and_empty_key_differ() {
-    let digest = |path, key| Fingerprint::new("s", &Method::POST, path, key);
-    assert_ne!(digest("/a", None), digest("/a", Some(b"")));
-    assert_ne!(digest("/a", Some(b"b")), digest("/ab", Some(b"")));
+fn absent_and_empty_fields_differ() {
+    assert_ne!(asked("/a", None, None), asked("/a", Some(b""), None));
+    assert_ne!(asked("/a", None, None), asked("/a", None, Some(b"")));
+    assert_ne!(asked("/a", Some(b"b"), None), asked("/ab", Some(b""), None));
+    assert_ne!(asked("/a", Some(b"b"), None), asked("/a", None, Some(b"b")));
 }
 
 cases! {
@@ -275,7 +281,7 @@
         &"1".repeat(161),
         "an idempotency token has at most 160 bytes, not 161",
     );
-    fingerprint_fields => absent_and_empty_key_differ();
+    fingerprint_fields => absent_and_empty_fields_differ();
     refusals_that_prove_nothing_say_unknown => {
         for refusal in [TokenRefusal::Forged, TokenRefusal::OtherIncarnation, TokenRefusal::BelowWindow] {
             assert_eq!(refusal.outcome(), Outcome::Unknown);
--- a/lib/tests/test_model_once/issuers.rs
+++ b/lib/tests/test_model_once/issuers.rs
@@ -4,6 +4,7 @@
 use std::num::NonZeroU32;
 
 use endivescale::process::Incarnation;
+use endivescale::request::idempotency::Asked;
 use endivescale::request::idempotency::Begin;
 use endivescale::request::idempotency::Fingerprint;
 use endivescale::request::idempotency::Finished;
@@ -160,5 +161,11 @@
 }
 
 fn fingerprint(request: u8) -> Fingerprint {
-    Fingerprint::new("submission", &http::Method::POST, "/expressions", Some(&[request]))
+    Fingerprint::new(&Asked {
+        service: "submission",
+        method: &http::Method::POST,
+        path: "/expressions",
+        key: None,
+        body: Some(&[request]),
+    })
 }
