tests: make the mixes of answers independent of the machine's speed

Cause: under the load of the whole suite 'more than 1000 whole answers of one run' depended on how fast the machine was, in three of four mixes; the promise itself (no wrong answer) held. Each mix now runs in rounds until 3000 calls were made and 1000 answered whole, and checks every round.

An unknown service is refused at once; the test of the path had asked for a token first and now checks that none is handed out.

--- a/lib/tests/test_answers.rs
+++ b/lib/tests/test_answers.rs
@@ -50,14 +50,23 @@
     }
 }
 
-/// Three thousand calls of short, long and paced answers, some broken off.
+/// Calls of a run; more rounds follow until [`MIN_WHOLE`] are answered whole.
+const MIN_ASKED: u64 = 3_000;
+
+/// Whole answers that a run must see to say something.
+const MIN_WHOLE: u64 = 1_000;
+
+/// Rounds after which a run has failed to get its whole answers.
+const MAX_ROUNDS: u64 = 60;
+
+/// A round of short, long and paced answers, some broken off.
 fn mixed_plan(seed: u64, entries: Vec<SocketAddr>) -> Plan {
     let submissions = class("submissions", "submission", "POST", "/expressions/1", 3_000);
     let links = class("links", "matching", "GET", "/links", 15_000);
     Plan {
         seed,
         entries,
-        phases: vec![Phase { rate: 600.0, for_ms: 5_000 }],
+        phases: vec![Phase { rate: 500.0, for_ms: 1_000 }],
         classes: vec![
             class("short", "listings", "GET", "/short", 100),
             class("long", "listings", "GET", "/long", 60_000),
@@ -87,14 +96,23 @@
     for instance in &cluster.instances {
         instance.upstream.change(|it| (it.cut, it.cut_times) = (cut, Some(100)));
     }
-    let report = summary(caller::run(mixed_plan(seed, cluster.entries())).await);
+    let (mut asked, mut whole) = (0, 0);
+    for round in 0..MAX_ROUNDS {
+        let plan = mixed_plan(seed * MAX_ROUNDS + round, cluster.entries());
+        let report = summary(caller::run(plan).await);
+        assert_eq!(total(&report, |seen| seen.wrong), 0, "{report:?}");
+        if cut == CutPoint::Nowhere {
+            assert_eq!(total(&report, |seen| seen.broken), 0, "{report:?}");
+        }
+        asked += total(&report, |seen| seen.asked);
+        whole += total(&report, |seen| seen.whole);
+        if asked >= MIN_ASKED && whole >= MIN_WHOLE {
+            break;
+        }
+    }
+    assert!(asked >= MIN_ASKED && whole >= MIN_WHOLE, "{whole} of {asked}");
     let entries = cluster.ended_entries().await;
-    assert_eq!(total(&report, |seen| seen.wrong), 0, "{report:?}");
-    assert!(total(&report, |seen| seen.whole) > 1_000, "{report:?}");
     assert!(entries.iter().all(|entry| entry.body_matches || entry.state != State::Whole));
-    if cut == CutPoint::Nowhere {
-        assert_eq!(total(&report, |seen| seen.broken), 0, "{report:?}");
-    }
 }
 
 macro_rules! mixed_cases {
--- a/lib/tests/test_path.rs
+++ b/lib/tests/test_path.rs
@@ -163,12 +163,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_unknown_service_is_refused_as_not_run() {
     let world = world(&["listings"]).await;
-    let mut rsp = world.ask(0, request("GET", "nowhere", "m4")).await;
-    // No rule matches, so the request is taken for non-idempotent.
-    assert_eq!(header(&rsp, REASON), "token-required");
-    let mut req = request("GET", "nowhere", "m4");
-    req.headers_mut().insert(TOKEN, rsp.headers()[TOKEN].clone());
-    rsp = world.ask(0, req).await;
+    // No rule matches, so the request is taken for non-idempotent; a token
+    // would be of no use all the same.
+    let rsp = world.ask(0, request("GET", "nowhere", "m4")).await;
+    assert!(!rsp.headers().contains_key(TOKEN));
     assert_eq!(header(&rsp, OUTCOME), "not-run");
     assert_eq!(header(&rsp, REASON), "unknown-service");
     assert!(world.platform.calls().values().sum::<u64>() > 0);
