--- a/lib/src/process/burn/table.rs
+++ b/lib/src/process/burn/table.rs
@@ -52,8 +52,14 @@
     }
 
     /// Counts one request that has ended.
+    ///
+    /// The answer that hands out a token is the first half of a request that
+    /// comes again under it, and is not counted.
     pub fn record(&mut self, now: Duration, class: &Class, weight: u32, ending: Ending) {
-        if is_for_no_service(ending) {
+        if is_refused_for(ending, Reason::TokenRequired) {
+            return;
+        }
+        if is_refused_for(ending, Reason::UnknownService) {
             return self.record_other(now, class, weight, ending);
         }
         if let Some(table) = self.classes.get_mut(class) {
@@ -100,6 +106,6 @@
     }
 }
 
-fn is_for_no_service(ending: Ending) -> bool {
-    matches!(ending, Ending::Failed(cause) if cause.fault == Fault::Refused(Reason::UnknownService))
+fn is_refused_for(ending: Ending, reason: Reason) -> bool {
+    matches!(ending, Ending::Failed(cause) if cause.fault == Fault::Refused(reason))
 }
