tests: cut connections between daemons, stop by the operators' client

Stop: endivescale drain loses no request in progress either.

One of six stop tests failed once: 'address already in use', because two test processes walked the same ports between the check and the daemon's start. Each process now holds blocks of ports for itself, by a listener on the first port of the block.

--- a/cli/tests/test_stopping.rs
+++ b/cli/tests/test_stopping.rs
@@ -1,6 +1,7 @@
 //! A planned stop cuts off no request in progress; see `docs/design/stopping.md`.
 
 use std::net::SocketAddr;
+use std::path::Path;
 
 use endivescale_testutils::caller;
 use endivescale_testutils::caller::plan::Class;
@@ -12,6 +13,8 @@
 use endivescale_testutils::headers::OUTCOME;
 use endivescale_testutils::http::Client;
 use endivescale_testutils::http::full;
+use endivescale_testutils::place::Place;
+use endivescale_testutils::process::Program;
 use endivescale_testutils::process::Signal;
 use endivescale_testutils::process::wait_until;
 use http::Request;
@@ -35,6 +38,8 @@
 enum How {
     Signal(Signal),
     List,
+    /// By the operators' client.
+    Drain,
 }
 
 fn class(name: &str, service: &str, method: &str, path: &str) -> Class {
@@ -94,6 +99,7 @@
     let others = tokio::spawn(caller::run(plan(others, vec![browsing], 100.0, 6_000)));
     match how {
         How::Signal(signal) => processes.daemons[LEAVER].signal(signal).unwrap(),
+        How::Drain => drain(&processes.places[LEAVER]).await,
         How::List => {
             let leaver = processes.places[LEAVER].instance.clone();
             processes.list("leaving", |place| place.instance == leaver);
@@ -108,6 +114,12 @@
     }
 }
 
+async fn drain(place: &Place) {
+    let client = Path::new(env!("CARGO_BIN_EXE_endivescale"));
+    let mut client = Program::start(client, &["drain", &place.operator.to_string()]).unwrap();
+    assert!(client.wait(CAP).await.unwrap().success());
+}
+
 macro_rules! stop_cases {
     ($($name:ident: $how:expr;)*) => {$(
         #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -125,6 +137,7 @@
 stop_cases! {
     holds_stop_signalled: How::Signal(Signal::Term);
     holds_stop_listed: How::List;
+    holds_stop_drained: How::Drain;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/lib/tests/test_answers.rs
+++ b/lib/tests/test_answers.rs
@@ -1,6 +1,7 @@
 //! Whole answers, one's own only; see `docs/design/answers.md`.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use endivescale_testutils::caller;
 use endivescale_testutils::caller::plan::Class;
@@ -14,6 +15,8 @@
 use endivescale_testutils::headers::REASON;
 use endivescale_testutils::headers::TOKEN;
 use endivescale_testutils::http::Client;
+use endivescale_testutils::link::Link;
+use endivescale_testutils::link::LinkMode;
 use endivescale_testutils::mark::MarkStream;
 use endivescale_testutils::mark::Side;
 use endivescale_testutils::process::wait_until;
@@ -131,6 +134,39 @@
     holds_answers_mixed_after_cut_requests: 14, CutPoint::BeforeWork;
 }
 
+/// Cuts all connections between the daemons over and over while answers are
+/// on their way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holds_answers_mixed_with_cuts_between_daemons() {
+    let mut cluster = Cluster::start(&SERVICES, 2, 64).await;
+    let mut links = Vec::new();
+    for instance in &mut cluster.instances {
+        let link = Link::start(instance.place.peer).await.unwrap();
+        instance.place.peer = link.addr();
+        links.push(link);
+    }
+    cluster.list("live", |_| false);
+    let (mut broken, mut whole) = (0, 0);
+    for round in 0..MAX_ROUNDS {
+        let calls = tokio::spawn(caller::run(mixed_plan(900 + round, cluster.entries())));
+        while !calls.is_finished() {
+            for link in &links {
+                link.set(LinkMode::Cut);
+                link.set(LinkMode::Pass);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        let report = summary(calls.await.unwrap());
+        assert_eq!(total(&report, |seen| seen.wrong), 0, "{report:?}");
+        broken += total(&report, |seen| seen.broken);
+        whole += total(&report, |seen| seen.whole);
+        if broken > 0 && whole >= MIN_WHOLE {
+            break;
+        }
+    }
+    assert!(broken > 0 && whole >= MIN_WHOLE, "{broken} broken, {whole} whole");
+}
+
 /// What the callers of a relay with a fault see of the same mix.
 async fn wrong_through(fault: Fault, cut: CutPoint) -> u64 {
     let behaviour = Behaviour { cut, ..Behaviour::default() };
--- a/lib/testutils/src/link.rs
+++ b/lib/testutils/src/link.rs
@@ -32,6 +32,13 @@
     Cut,
 }
 
+/// What a link was told last, and how often to cut, so that no cut is missed.
+#[derive(Clone, Copy, Debug)]
+struct Order {
+    mode: LinkMode,
+    cuts: u64,
+}
+
 /// Which way a part of the link moves bytes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Direction {
@@ -43,7 +50,7 @@
 #[derive(Debug)]
 pub struct Link {
     addr: SocketAddr,
-    mode: watch::Sender<LinkMode>,
+    mode: watch::Sender<Order>,
     _stop: DropGuard,
 }
 
@@ -51,7 +58,7 @@
     /// Starts a link to `target` on an address that the system picks.
     pub async fn start(target: SocketAddr) -> Result<Self, StandInError> {
         let (listener, addr) = bind(ANY).await?;
-        let (mode, rx) = watch::channel(LinkMode::Pass);
+        let (mode, rx) = watch::channel(Order { mode: LinkMode::Pass, cuts: 0 });
         let stop = CancellationToken::new();
         tokio::spawn(accept(listener, target, rx, stop.clone()));
         Ok(Self { addr, mode, _stop: stop.drop_guard() })
@@ -64,14 +71,17 @@
 
     /// Changes what the link does, on open connections as well.
     pub fn set(&self, mode: LinkMode) {
-        self.mode.send_replace(mode);
+        self.mode.send_modify(|order| {
+            order.mode = mode;
+            order.cuts += u64::from(mode == LinkMode::Cut);
+        });
     }
 }
 
 async fn accept(
     listener: TcpListener,
     target: SocketAddr,
-    mode: watch::Receiver<LinkMode>,
+    mode: watch::Receiver<Order>,
     stop: CancellationToken,
 ) {
     loop {
@@ -91,10 +101,11 @@
 }
 
 /// Moves bytes both ways until one side closes or the link is cut.
-async fn join(client: TcpStream, target: SocketAddr, mut mode: watch::Receiver<LinkMode>) {
-    if *mode.borrow() == LinkMode::Cut {
+async fn join(client: TcpStream, target: SocketAddr, mut mode: watch::Receiver<Order>) {
+    if mode.borrow().mode == LinkMode::Cut {
         return;
     }
+    let cuts = mode.borrow().cuts;
     let Ok(server) = TcpStream::connect(target).await else { return };
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
@@ -105,14 +116,14 @@
     tokio::select! {
         _ = there => {}
         _ = back => {}
-        _ = mode.wait_for(|mode| *mode == LinkMode::Cut) => {}
+        _ = mode.wait_for(|order| order.cuts > cuts) => {}
     }
 }
 
 async fn pump(
     mut from: ReadHalf<TcpStream>,
     mut to: WriteHalf<TcpStream>,
-    mode: watch::Receiver<LinkMode>,
+    mode: watch::Receiver<Order>,
     direction: Direction,
 ) -> std::io::Result<()> {
     let mut buf = vec![0; CHUNK_BYTES];
@@ -121,7 +132,7 @@
         if len == 0 {
             return to.shutdown().await;
         }
-        let mode = *mode.borrow();
+        let mode = mode.borrow().mode;
         let loses = match mode {
             LinkMode::Pass => false,
             LinkMode::LoseAnswers => direction == Direction::ToClient,
--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -3,15 +3,15 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::ops::Range;
 use std::path::Path;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use snafu::ResultExt;
 use tokio::time::Instant;
 
@@ -22,24 +22,56 @@
 /// so that no connection takes a port before its listener is bound.
 const FIRST_PORT: u32 = 12_000;
 
-/// Number of ports in the range.
-const PORTS: u32 = 20_000;
+/// Number of ports in a block, which one process has to itself.
+const BLOCK_PORTS: u32 = 50;
 
-/// Distance between the first ports that two processes try.
-const PORT_STRIDE: u32 = 211;
+/// Number of blocks.
+const BLOCKS: u32 = 400;
 
 /// Pause between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
 
-static TRIED: AtomicU32 = AtomicU32::new(0);
+static BLOCKS_HELD: Mutex<Blocks> =
+    Mutex::new(Blocks { guards: Vec::new(), tried: 0, ports: 0..0 });
+
+/// Blocks of ports that this process holds until it ends.
+struct Blocks {
+    /// Listeners on the first port of each block, which keep it from others.
+    guards: Vec<TcpListener>,
+    /// Blocks tried so far.
+    tried: u32,
+    /// Ports of the newest block that were not given out.
+    ports: Range<u32>,
+}
+
+impl Blocks {
+    fn next_port(&mut self) -> u32 {
+        loop {
+            if let Some(port) = self.ports.next() {
+                return port;
+            }
+            let block = (std::process::id() + self.tried) % BLOCKS;
+            self.tried += 1;
+            let first = FIRST_PORT + block * BLOCK_PORTS;
+            if let Ok(guard) = listen(first) {
+                self.guards.push(guard);
+                self.ports = first + 1..first + BLOCK_PORTS;
+            }
+        }
+    }
+}
+
+fn listen(port: u32) -> std::io::Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, port as u16))
+}
 
-/// Returns `number` loopback addresses that nobody listened on just now.
+/// Returns `number` loopback addresses that nobody listens on, and that no
+/// other process gets from here while this one runs.
 pub fn free_addrs(number: usize) -> Vec<SocketAddr> {
+    let mut blocks = BLOCKS_HELD.lock();
     let mut held = Vec::with_capacity(number);
     while held.len() < number {
-        let step = TRIED.fetch_add(1, Ordering::Relaxed);
-        let port = (std::process::id() * PORT_STRIDE + step) % PORTS + FIRST_PORT;
-        held.extend(TcpListener::bind((Ipv4Addr::LOCALHOST, port as u16)));
+        held.extend(listen(blocks.next_port()));
     }
     held.iter().filter_map(|listener| listener.local_addr().ok()).collect()
 }
