--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -24,7 +24,6 @@
 pub use self::home::Run;
 pub use self::home::RunEnd;
 pub use self::home::Start;
-pub use self::home::Usage;
 pub use self::lifecycle::InProgress;
 pub use self::lifecycle::Lifecycle;
 use super::Incarnation;
