docs: readme, architecture, glossary, operators' guide, contributing

Cause: a newcomer found one command in the readme and no page on how to run or change the daemons.

After: a test holds the operators' guide to name every refusal reason with its status and every counter.

--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_answers;
 mod test_burn;
 mod test_context;
+mod test_docs;
 mod test_examples;
 mod test_idempotency;
 mod test_leaving;
