connection: count stripped headers, drop counters that nothing counts

Cause: bad input has to leave a count, and forged headers of ours were stripped without one; five counters had no place that counted them.

--- a/lib/src/connection/strip.rs
+++ b/lib/src/connection/strip.rs
@@ -1,5 +1,6 @@
 //! Removes the headers that only a peer may set.
 
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -11,16 +12,20 @@
 
 use crate::request::HEADER_PREFIX;
 
+/// Called for each request that carried a header which its sender may not set.
+pub type OnStripped = Arc<dyn Fn() + Send + Sync>;
+
 /// Layer that strips endivescale's own headers, but for those named.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone)]
 pub struct StripLayer {
     allowed: &'static [HeaderName],
+    on_stripped: OnStripped,
 }
 
 impl StripLayer {
     /// Creates a layer that lets the `allowed` headers through.
-    pub fn new(allowed: &'static [HeaderName]) -> Self {
-        Self { allowed }
+    pub fn new(allowed: &'static [HeaderName], on_stripped: OnStripped) -> Self {
+        Self { allowed, on_stripped }
     }
 }
 
@@ -28,15 +33,15 @@
     type Service = Strip<S>;
 
     fn layer(&self, inner: S) -> Self::Service {
-        Strip { inner, allowed: self.allowed }
+        Strip { inner, layer: self.clone() }
     }
 }
 
 /// Service that [`StripLayer`] makes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone)]
 pub struct Strip<S> {
     inner: S,
-    allowed: &'static [HeaderName],
+    layer: StripLayer,
 }
 
 impl<S, B> Service<Request<B>> for Strip<S>
@@ -52,17 +57,21 @@
     }
 
     fn call(&mut self, mut req: Request<B>) -> Self::Future {
-        strip(req.headers_mut(), self.allowed);
+        if strip(req.headers_mut(), self.layer.allowed) {
+            (self.layer.on_stripped)();
+        }
         self.inner.call(req)
     }
 }
 
-/// Removes every header of ours from `headers`, but for the `allowed` ones.
-pub fn strip(headers: &mut HeaderMap, allowed: &[HeaderName]) {
+/// Removes every header of ours from `headers`, but for the `allowed` ones, and
+/// returns whether there was any.
+pub fn strip(headers: &mut HeaderMap, allowed: &[HeaderName]) -> bool {
     let is_ours = |name: &HeaderName| name.as_str().starts_with(HEADER_PREFIX);
     let forbidden: Vec<HeaderName> =
         headers.keys().filter(|&name| is_ours(name) && !allowed.contains(name)).cloned().collect();
     for name in &forbidden {
         headers.remove(name);
     }
+    !forbidden.is_empty()
 }
--- a/lib/src/process/daemon.rs
+++ b/lib/src/process/daemon.rs
@@ -33,6 +33,7 @@
 use crate::connection::listener::BindError;
 use crate::connection::listener::OnMalformed;
 use crate::connection::listener::Protocol;
+use crate::connection::strip::OnStripped;
 use crate::connection::strip::StripLayer;
 use crate::request;
 use crate::request::serve;
@@ -193,7 +194,7 @@
     fn serve_callers(&mut self, listener: TcpListener) {
         let node = Arc::clone(&self.node);
         let service = ServiceBuilder::new()
-            .layer(StripLayer::new(&CALLER_HEADERS))
+            .layer(StripLayer::new(&CALLER_HEADERS, self.count_stripped()))
             .service(service_fn(move |req| serve::serve_caller(Arc::clone(&node), req)));
         let stop = self.stop_outside.clone();
         let malformed = self.count_malformed();
@@ -211,7 +212,7 @@
     fn serve_upstream(&mut self, listener: TcpListener) {
         let node = Arc::clone(&self.node);
         let service = ServiceBuilder::new()
-            .layer(StripLayer::new(&UPSTREAM_HEADERS))
+            .layer(StripLayer::new(&UPSTREAM_HEADERS, self.count_stripped()))
             .service(service_fn(move |req| serve::serve_upstream(Arc::clone(&node), req)));
         let stop = self.stop_inside.clone();
         let malformed = self.count_malformed();
@@ -234,6 +235,11 @@
         Arc::new(move || node.metrics.count(Counter::MalformedInput))
     }
 
+    fn count_stripped(&self) -> OnStripped {
+        let node = Arc::clone(&self.node);
+        Arc::new(move || node.metrics.count(Counter::StrippedHeaders))
+    }
+
     fn spawn_background(&mut self) {
         self.background.spawn(Arc::clone(&self.node.gate).run_timer());
         self.background.spawn(Arc::clone(&self.node).follow_vms());
--- a/lib/src/process/metrics/counter.rs
+++ b/lib/src/process/metrics/counter.rs
@@ -50,8 +50,6 @@
     TruncatedAnswers = "answers.truncated";
     /// Requests that the other side cancelled.
     Cancelled = "requests.cancelled";
-    /// Requests that waited in the queue.
-    Queued = "admission.queued";
     /// Retries that this daemon made.
     RetriesSpent = "retries.spent";
     /// Idempotency tokens issued.
@@ -64,14 +62,6 @@
     MalformedInput = "input.malformed";
     /// Headers of ours that a caller or upstream sent, and that were stripped.
     StrippedHeaders = "input.stripped-headers";
-    /// Connections accepted, of every listener.
-    Connections = "connections.accepted";
-    /// Connections refused because too many were open.
-    ConnectionsRefused = "connections.refused";
-    /// Bytes of control messages sent to other daemons.
-    ControlBytesSent = "control.bytes-sent";
-    /// Bytes of control messages received from other daemons.
-    ControlBytesReceived = "control.bytes-received";
     /// Peers that stopped answering.
     PeersLost = "peers.lost";
     /// Peers that answered again.
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -156,6 +156,8 @@
 #[serde_as]
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: u64,
     /// Longest deadline that a request may carry.
     #[serde_as(as = "DurationText")]
     pub max_deadline: Duration,
--- a/lib/src/process/settings/reader.rs
+++ b/lib/src/process/settings/reader.rs
@@ -23,7 +23,8 @@
 use crate::process::Region;
 use crate::process::burn::Objectives;
 
-const MIB: u64 = 1024 * 1024;
+const KIB: u64 = 1024;
+const MIB: u64 = 1024 * KIB;
 const SECOND: Duration = Duration::from_secs(1);
 const MINUTE: Duration = Duration::from_secs(60);
 const HOUR: Duration = Duration::from_secs(60 * 60);
@@ -134,8 +135,10 @@
 }
 
 fn limits(mut section: Section<'_>) -> Limits {
-    let limits =
-        Limits { max_deadline: section.duration("max_deadline", SECOND..=24 * HOUR, HOUR) };
+    let limits = Limits {
+        head_bytes: section.number("head_bytes", KIB..=MIB, 64 * KIB),
+        max_deadline: section.duration("max_deadline", SECOND..=24 * HOUR, HOUR),
+    };
     section.finish();
     limits
 }
--- a/lib/tests/test_bad_input.rs
+++ b/lib/tests/test_bad_input.rs
@@ -211,6 +211,8 @@
     assert_eq!(ours.collect::<Vec<_>>().len(), 2, "{:?}", entry.headers);
     assert!(entry.deadline_ms.is_some());
     assert_ne!(entry.context.as_deref(), Some("forged"));
+    let node = cluster.instances[0].daemon.as_ref().unwrap().node();
+    assert_eq!(node.metrics.get(Counter::StrippedHeaders), 1);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
