--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_bad_input;
 mod test_burn;
 mod test_context;
+mod test_docs;
 mod test_examples;
 mod test_idempotency;
 mod test_leaving;
