config: spread versions between daemons over tarpc

Each daemon asks three partners, chosen by hash, for what is newer than it holds; a few daemons of an availability zone watch the platform in random turns. A daemon serves once its partners have answered, at the start and after a pause. Two texts under one number are ordered by their hash.

The model explores the daemon's own version logic and finds a shortest way to the violation for each deliberate defect.

First seen failing: asking for what is newer than the newest refused version misses valid ones between; a stand-in for an unreachable partner was kept for a minute, so a healed partition was bridged that late (the first choice is now tried every 2 s); connections of an ended daemon went on answering, so a restarted one was not asked by its peers.

--- a/lib/src/process/config/counters.rs
+++ b/lib/src/process/config/counters.rs
@@ -50,8 +50,20 @@
     accepted,
     /// Versions refused because their text is invalid.
     refused,
-    /// Offers of a version older than the one in force.
+    /// Answers of the platform with a version older than the one in force.
     older_offers,
-    /// Offers of another text under the number of the version in force.
+    /// Offers of a second text under the number of the version in force.
     conflicts,
+    /// Questions to peers that got an answer.
+    peer_answers,
+    /// Questions to peers that failed.
+    peer_failures,
+    /// Whole texts fetched from peers.
+    whole_texts,
+    /// Bytes sent to peers.
+    bytes_sent,
+    /// Bytes received from peers.
+    bytes_received,
+    /// Pauses of the process that were noticed.
+    pauses,
 }
--- a/lib/src/process/config/document.rs
+++ b/lib/src/process/config/document.rs
@@ -1,11 +1,15 @@
 //! The two texts that spread through the fleet.
 
+use std::fmt;
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::VersionId;
 
 /// Which of the platform's values a text is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Kind {
     /// The operators' rules.
     Rules,
@@ -13,6 +17,15 @@
     Vms,
 }
 
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Rules => "rules",
+            Self::Vms => "list of VMs",
+        })
+    }
+}
+
 /// One version of a text.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Document {
--- a/lib/src/process/config/driver.rs
+++ b/lib/src/process/config/driver.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpListener;
@@ -13,18 +12,21 @@
 
 use super::ActiveRules;
 use super::ConfigCounters;
+use super::Fault;
 use super::PlatformClient;
-use super::document::Kind;
+use super::catch_up::CatchUp;
+use super::partner::Asker;
+use super::partner::Partner;
+use super::partners::Slot;
+use super::pause::BEAT_INTERVAL;
+use super::pause::Heartbeat;
+use super::reader::Reader;
+use super::rounds::Rounds;
+use super::server;
 use super::shared::Shared;
 use crate::process::membership::VmList;
 use crate::process::routing::Place;
 
-/// How long one watch of the platform waits.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-/// Shortest and longest wait after a failed call to the platform.
-const BACKOFF_MIN: Duration = Duration::from_millis(200);
-const BACKOFF_MAX: Duration = Duration::from_secs(5);
-
 /// What the spread of configuration needs to know of its daemon.
 #[derive(Debug)]
 pub struct ConfigOptions {
@@ -35,8 +37,18 @@
     /// Where other daemons ask this one; its address is the one that the
     /// platform lists.
     pub control: TcpListener,
+    /// Longest random wait before the first call to the platform, so that the
+    /// daemons of a restarted availability zone do not call at once.
+    pub start_spread: Duration,
     /// Seed of all random waits and choices.
     pub seed: u64,
+    /// A deliberate defect, for the tests that must see it.
+    pub fault: Option<Fault>,
+}
+
+impl ConfigOptions {
+    /// Default of [`Self::start_spread`].
+    pub const START_SPREAD: Duration = Duration::from_secs(2);
 }
 
 /// The daemon's view of the configuration; the tasks end when it is dropped.
@@ -49,69 +61,102 @@
     /// Whether the daemon holds the newest versions that it could hear of: it
     /// serves nothing while this is false, at the start and after a pause.
     pub ready: watch::Receiver<bool>,
+    /// The daemons that answer this one, by slot.
+    pub partners: watch::Receiver<[Option<SocketAddr>; Slot::ALL.len()]>,
     /// What was done so far.
     pub counters: Arc<ConfigCounters>,
+    heard: watch::Sender<u64>,
+    heartbeat: Arc<Heartbeat>,
     _tasks: JoinSet<()>,
 }
 
 impl ConfigHandle {
     /// Tells of a version that a peer's request named, which begins a catch-up
     /// if it is newer than the rules in force.
-    pub fn heard_of(&self, _version: u64) {}
+    pub fn heard_of(&self, number: u64) {
+        let held = self.rules.borrow().as_ref().map_or(0, |rules| rules.version());
+        if number > held {
+            self.heard.send_if_modified(|heard| {
+                let newer = number > *heard;
+                *heard = number.max(*heard);
+                newer
+            });
+        }
+    }
+
+    /// Returns whether what the daemon holds may be acted on: it is ready, and
+    /// was not paused since.
+    pub fn is_ready(&self) -> bool {
+        *self.ready.borrow() && !self.heartbeat.is_paused()
+    }
 }
 
 /// Starts to read and spread configuration.
+///
+/// # Panics
+///
+/// Panics if the listener has no address, which an open one always has.
 pub fn spawn(options: ConfigOptions) -> ConfigHandle {
-    let shared = Arc::new(Shared::new());
-    let (ready_tx, ready) = watch::channel(false);
-    let ConfigOptions { here: _here, platform, control: _control, seed } = options;
-    let client = PlatformClient::new(platform);
+    let ConfigOptions { here, platform, control: listener, start_spread, seed, fault } = options;
+    let control = listener.local_addr().expect("an open listener has an address");
+    let shared = Arc::new(Shared::new(fault));
+    let rounds = Arc::new(Rounds::new(fault));
+    let heartbeat = Arc::new(Heartbeat::new());
+    let (heard, heard_rx) = watch::channel(0);
+    let mut rngs = (0..).map(|stream| {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(stream);
+        rng
+    });
+    let mut next_rng = || rngs.next().expect("the streams never end");
+
+    let asker = Arc::new(Asker::new(shared.clone(), here.clone(), control));
     let mut tasks = JoinSet::new();
-    for kind in [Kind::Rules, Kind::Vms] {
-        let rng = ChaCha8Rng::seed_from_u64(seed);
-        tasks.spawn(read_platform(shared.clone(), client, kind, rng));
+    tasks.spawn(server::serve(shared.clone(), listener));
+    for slot in Slot::ALL {
+        let partner = Partner::new(asker.clone(), slot, rounds.clone(), next_rng());
+        tasks.spawn(partner.run());
     }
-    tasks.spawn(announce_ready(shared.clone(), ready_tx));
+    let reader = Reader {
+        shared: shared.clone(),
+        rounds: rounds.clone(),
+        client: PlatformClient::new(platform),
+        here,
+        start_spread,
+        rng: next_rng(),
+    };
+    tasks.spawn(reader.run());
+    tasks.spawn(CatchUp { asker, heard: heard_rx, rng: next_rng() }.run());
+    tasks.spawn(beat(heartbeat.clone(), rounds.clone(), shared.counters.clone()));
+    let ready = rounds.ready();
+    tasks.spawn(follow_rounds(rounds, shared.clone()));
     ConfigHandle {
         rules: shared.rules_tx.subscribe(),
         vms: shared.vms_tx.subscribe(),
         ready,
+        partners: shared.partners.subscribe(),
         counters: shared.counters.clone(),
+        heard,
+        heartbeat,
         _tasks: tasks,
     }
 }
 
-async fn announce_ready(shared: Arc<Shared>, ready_tx: watch::Sender<bool>) {
-    let mut rules = shared.rules_tx.subscribe();
-    let mut vms = shared.vms_tx.subscribe();
-    // The senders live as long as the shared state, so neither wait can fail.
-    let _ = rules.wait_for(Option::is_some).await;
-    let _ = vms.wait_for(Option::is_some).await;
-    ready_tx.send_replace(true);
+async fn follow_rounds(rounds: Arc<Rounds>, shared: Arc<Shared>) {
+    rounds.run(&shared).await;
 }
 
-async fn read_platform(
-    shared: Arc<Shared>,
-    client: PlatformClient,
-    kind: Kind,
-    mut rng: ChaCha8Rng,
-) {
-    let mut after = 0;
-    let mut backoff = BACKOFF_MIN;
+/// Begins a round whenever the process was paused.
+async fn beat(heartbeat: Arc<Heartbeat>, rounds: Arc<Rounds>, counters: Arc<ConfigCounters>) {
     loop {
-        shared.counters.platform_calls.add_one();
-        match client.watch(kind, after, WATCH_WAIT).await {
-            Ok(Some(document)) => {
-                after = document.id.number;
-                shared.take(kind, &document);
-                backoff = BACKOFF_MIN;
-            }
-            Ok(None) => backoff = BACKOFF_MIN,
-            Err(_) => {
-                shared.counters.platform_failures.add_one();
-                tokio::time::sleep(backoff.mul_f64(rng.random_range(0.5..=1.0))).await;
-                backoff = (backoff * 2).min(BACKOFF_MAX);
-            }
+        // The round begins before the beat, so that the daemon is not taken for
+        // ready in between.
+        if heartbeat.is_paused() {
+            counters.pauses.add_one();
+            spdlog::warn!("the process was paused: configuration is asked for anew");
+            rounds.begin();
         }
+        heartbeat.beat();
+        tokio::time::sleep(BEAT_INTERVAL).await;
     }
 }
--- a/lib/src/process/config/holder.rs
+++ b/lib/src/process/config/holder.rs
@@ -1,5 +1,10 @@
 //! Which version is in force: the state machine that the model checker explores.
 
+use std::cmp::Ordering;
+
+use super::Fault;
+use super::Known;
+use super::TextHash;
 use super::VersionId;
 
 /// What a daemon does with a version that it hears of.
@@ -36,21 +41,35 @@
 pub struct Holder {
     held: Option<VersionId>,
     refused: Option<VersionId>,
+    fault: Option<Fault>,
 }
 
 impl Holder {
+    /// Returns a holder with a deliberate defect.
+    pub fn with_fault(fault: Option<Fault>) -> Self {
+        Self { fault, ..Self::default() }
+    }
+
     /// Returns the version in force.
     pub fn held(&self) -> Option<VersionId> {
         self.held
     }
 
-    /// Returns the newest version whose text was invalid.
+    /// Returns what a peer is told when it is asked for news.
     ///
-    /// Peers are asked for what is newer than [`Self::held`] except this one: a
-    /// question for what is newer than this one would miss the valid versions
-    /// between both, which a daemon that first heard of this one still lacks.
-    pub fn refused(&self) -> Option<VersionId> {
-        self.refused
+    /// Peers are asked for what is newer than the version in force, except the
+    /// refused one: a question for what is newer than the refused one would miss
+    /// the valid versions between both, which a daemon that first heard of the
+    /// refused one still lacks.
+    pub fn known(&self) -> Known {
+        let held = match self.fault {
+            Some(Fault::AskAboveRefused) => self.held.max(self.refused),
+            Some(Fault::IgnoreHash) => {
+                self.held.map(|held| VersionId { hash: TextHash(u64::MAX), ..held })
+            }
+            _ => self.held,
+        };
+        Known { held, refused: self.refused }
     }
 
     /// Judges a version that the platform or a peer offers.
@@ -58,12 +77,17 @@
         let Some(held) = self.held else {
             return self.judge_newer(offered, false);
         };
+        match self.fault {
+            Some(Fault::TakeLast) if offered != held => return Verdict::Newer,
+            Some(Fault::IgnoreHash) if offered.number == held.number => return Verdict::Same,
+            _ => {}
+        }
         let conflict = offered.number == held.number && offered.hash != held.hash;
         match (offered.cmp(&held), conflict) {
-            (std::cmp::Ordering::Greater, conflict) => self.judge_newer(offered, conflict),
-            (std::cmp::Ordering::Equal, _) => Verdict::Same,
-            (std::cmp::Ordering::Less, true) => Verdict::OlderConflict,
-            (std::cmp::Ordering::Less, false) => Verdict::Older,
+            (Ordering::Greater, conflict) => self.judge_newer(offered, conflict),
+            (Ordering::Equal, _) => Verdict::Same,
+            (Ordering::Less, true) => Verdict::OlderConflict,
+            (Ordering::Less, false) => Verdict::Older,
         }
     }
 
--- a/lib/src/process/config/mod.rs
+++ b/lib/src/process/config/mod.rs
@@ -1,23 +1,48 @@
 //! The configuration in force and how it reaches every daemon; see `docs/design/configuration.md`.
 
 mod active;
+mod catch_up;
 mod counters;
+mod delta;
 mod document;
 mod driver;
+mod fault;
 mod holder;
+mod metered;
+mod offer;
+mod partner;
+mod partners;
+mod pause;
 mod platform;
+mod reader;
+mod rounds;
+mod rpc;
+mod server;
 mod shared;
+mod store;
+mod turns;
 mod version_id;
 mod vm_text;
 
 pub use active::ActiveRules;
 pub use counters::ConfigCounters;
+pub use counters::Counter;
+pub use delta::Delta;
+pub use delta::Edit;
 pub use driver::ConfigHandle;
 pub use driver::ConfigOptions;
 pub use driver::spawn;
+pub use fault::Fault;
 pub use holder::Holder;
 pub use holder::Verdict;
+pub use offer::Known;
+pub use partners::Slot;
+pub use partners::choose;
 pub use platform::PlatformClient;
 pub use platform::PlatformError;
+pub use turns::TURN;
+pub use turns::Turn;
+pub use turns::Turns;
+pub use turns::WATCHERS_PER_ZONE;
 pub use version_id::TextHash;
 pub use version_id::VersionId;
--- /dev/null
+++ b/lib/src/process/config/partner.rs
@@ -0,0 +1,316 @@
+//! Asks one partner for news, and finds another when it fails.
+
+use std::future::pending;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt as _;
+use rand_chacha::ChaCha8Rng;
+use snafu::ResultExt as _;
+use snafu::Snafu;
+use tarpc::client;
+use tarpc::client::RpcError;
+use tarpc::tokio_serde::formats::Json;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::VersionId;
+use super::document::Kind;
+use super::metered::Metered;
+use super::offer::Offer;
+use super::partners::Slot;
+use super::partners::choose;
+use super::rounds::Rounds;
+use super::rpc;
+use super::rpc::News;
+use super::rpc::Question;
+use super::rpc::SpreadClient;
+use super::shared::Shared;
+use crate::process::membership::VmList;
+use crate::process::routing::Place;
+
+/// Mean time that a question waits for news.
+const WAIT: Duration = Duration::from_secs(20);
+/// How much longer than the asked wait an answer may take.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Longest time to connect.
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+/// Longest time to fetch one text.
+const FETCH_PATIENCE: Duration = Duration::from_secs(10);
+/// Shortest and longest wait before the next partner is tried.
+const BACKOFF_MIN: Duration = Duration::from_millis(50);
+const BACKOFF_MAX: Duration = Duration::from_secs(2);
+/// Time between two tries to reach the first choice while another partner
+/// stands in for it; a partition that heals is bridged that soon.
+const RETURN_INTERVAL: Duration = Duration::from_secs(2);
+/// Wait after news that could not be used, so that a peer with another
+/// notion of what is valid is not asked in a tight loop.
+const UNUSABLE_ANSWER_WAIT: Duration = Duration::from_millis(500);
+
+/// A partner that cannot be asked.
+#[derive(Debug, Snafu)]
+pub(crate) enum PartnerError {
+    #[snafu(display("cannot connect to {partner}"))]
+    Connect { partner: SocketAddr, source: std::io::Error },
+    #[snafu(display("{partner} does not answer"))]
+    ConnectTimeout { partner: SocketAddr, source: tokio::time::error::Elapsed },
+    #[snafu(display("the call failed"))]
+    Call { source: RpcError },
+}
+
+/// What the tasks of all partners share.
+#[derive(Debug)]
+pub(crate) struct Asker {
+    pub(crate) shared: Arc<Shared>,
+    here: Place,
+    /// Where this daemon answers.
+    control: SocketAddr,
+    /// Held while a text is fetched, so that it comes from one partner only.
+    fetching: tokio::sync::Mutex<()>,
+}
+
+impl Asker {
+    /// Returns what the partners' tasks of a daemon share.
+    pub(crate) fn new(shared: Arc<Shared>, here: Place, control: SocketAddr) -> Self {
+        Self { shared, here, control, fetching: tokio::sync::Mutex::default() }
+    }
+
+    /// Connects to a daemon.
+    pub(crate) async fn connect(&self, partner: SocketAddr) -> Result<SpreadClient, PartnerError> {
+        let stream = timeout(CONNECT_PATIENCE, TcpStream::connect(partner)).await;
+        let stream = stream.context(ConnectTimeoutSnafu { partner })?;
+        let stream = stream.context(ConnectSnafu { partner })?;
+        // A stream with delay still works.
+        let _ = stream.set_nodelay(true);
+        let stream = Metered::new(stream, self.shared.counters.clone());
+        let transport = tarpc::serde_transport::new(rpc::frames(stream), Json::default());
+        Ok(SpreadClient::new(client::Config::default(), transport).spawn())
+    }
+
+    /// Asks for news and takes it.
+    pub(crate) async fn ask(
+        &self,
+        client: &SpreadClient,
+        wait: Duration,
+    ) -> Result<Answer, PartnerError> {
+        let question = Question {
+            from: self.control,
+            wait_ms: wait.as_millis() as u32,
+            rules: self.shared.known(Kind::Rules),
+            vms: self.shared.known(Kind::Vms),
+        };
+        let cx = rpc::deadline(wait + PATIENCE);
+        let answer = client.watch(cx, question).await.context(CallSnafu);
+        let counters = &self.shared.counters;
+        match &answer {
+            Ok(_) => counters.peer_answers.add_one(),
+            Err(_) => counters.peer_failures.add_one(),
+        }
+        self.take(client, answer?).await
+    }
+
+    async fn take(&self, client: &SpreadClient, news: News) -> Result<Answer, PartnerError> {
+        let News { rules, vms } = news;
+        let mut answer = Answer::Nothing;
+        for (kind, offer) in [(Kind::Vms, vms), (Kind::Rules, rules)] {
+            let Some(offer) = offer else { continue };
+            let Some(id) = offer.id() else { return Ok(Answer::Unusable) };
+            self.take_offer(client, kind, offer, id).await?;
+            answer = match self.shared.judge(kind, id).wanted() {
+                true => return Ok(Answer::Unusable),
+                false => Answer::Used,
+            };
+        }
+        Ok(answer)
+    }
+
+    async fn take_offer(
+        &self,
+        client: &SpreadClient,
+        kind: Kind,
+        offer: Offer,
+        id: VersionId,
+    ) -> Result<(), PartnerError> {
+        let wanted = || self.shared.judge(kind, id).wanted();
+        if !wanted() || self.shared.take_offer(kind, offer) {
+            return Ok(());
+        }
+        let _fetching = self.fetching.lock().await;
+        if !wanted() {
+            return Ok(());
+        }
+        let bases = self.shared.bases(kind);
+        if self.fetch(client, kind, bases).await? {
+            return Ok(());
+        }
+        self.fetch(client, kind, Vec::new()).await?;
+        Ok(())
+    }
+
+    async fn fetch(
+        &self,
+        client: &SpreadClient,
+        kind: Kind,
+        bases: Vec<VersionId>,
+    ) -> Result<bool, PartnerError> {
+        let cx = rpc::deadline(FETCH_PATIENCE);
+        let offer = client.fetch(cx, kind, bases).await.context(CallSnafu)?;
+        if matches!(offer, Some(Offer::Text(..))) {
+            self.shared.counters.whole_texts.add_one();
+        }
+        Ok(offer.is_some_and(|offer| self.shared.take_offer(kind, offer)))
+    }
+}
+
+/// What came of a question.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Answer {
+    /// The wait ended without news.
+    Nothing,
+    /// The news was taken, or another partner was quicker with it.
+    Used,
+    /// The news could not be used.
+    Unusable,
+}
+
+/// The task that keeps one slot filled.
+pub(crate) struct Partner {
+    pub(crate) asker: Arc<Asker>,
+    pub(crate) slot: Slot,
+    pub(crate) rounds: Arc<Rounds>,
+    pub(crate) rng: ChaCha8Rng,
+    attempt: usize,
+    backoff: Duration,
+    vms: watch::Receiver<Option<Arc<VmList>>>,
+}
+
+impl Partner {
+    /// Returns the task of a slot that has no partner yet.
+    pub(crate) fn new(asker: Arc<Asker>, slot: Slot, rounds: Arc<Rounds>, rng: ChaCha8Rng) -> Self {
+        let vms = asker.shared.vms_tx.subscribe();
+        Self { asker, slot, rounds, rng, attempt: 0, backoff: BACKOFF_MIN, vms }
+    }
+
+    /// Asks partners for as long as it is polled.
+    pub(crate) async fn run(mut self) {
+        self.rounds.may_ask().await;
+        loop {
+            let Some(partner) = self.choose() else {
+                self.idle().await;
+                continue;
+            };
+            let moved = self.converse(partner).await.is_ok();
+            self.set_partner(None);
+            if moved {
+                continue;
+            }
+            self.attempt += 1;
+            sleep(self.backoff.mul_f64(self.rng.random_range(0.5..=1.0))).await;
+            self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
+        }
+    }
+
+    /// Waits until there may be a candidate.
+    async fn idle(&mut self) {
+        let mut asked_by = self.asker.shared.asked_by.subscribe();
+        let listed = self.vms.borrow().is_some();
+        let mut epoch = self.rounds.epoch();
+        if listed {
+            self.rounds.done(self.slot, *epoch.borrow_and_update());
+        }
+        // The senders outlive this task, so no wait can fail.
+        tokio::select! {
+            _ = self.vms.changed() => {}
+            _ = asked_by.changed(), if !listed => {}
+            _ = epoch.changed() => {}
+        }
+    }
+
+    /// Returns the partner that the slot should have: by the list, or before
+    /// there is one the daemon that last asked this one.
+    fn choose(&mut self) -> Option<SocketAddr> {
+        let list = self.vms.borrow_and_update();
+        match list.as_deref() {
+            Some(list) => {
+                let vm = choose(&self.asker.here, list, self.slot, self.attempt)?;
+                Some(vm.control)
+            }
+            None if self.slot == Slot::Ring => *self.asker.shared.asked_by.borrow(),
+            None => None,
+        }
+    }
+
+    /// Returns the partner that the slot has if nothing fails.
+    fn first_choice(&self) -> Option<SocketAddr> {
+        let list = self.vms.borrow();
+        choose(&self.asker.here, list.as_deref()?, self.slot, 0).map(|vm| vm.control)
+    }
+
+    /// Asks a partner until it fails, or until another is the right one for the slot.
+    async fn converse(&mut self, partner: SocketAddr) -> Result<(), PartnerError> {
+        let asker = self.asker.clone();
+        let client = asker.connect(partner).await?;
+        let interval = RETURN_INTERVAL.mul_f64(self.rng.random_range(0.75..1.25));
+        let first_choice = self.first_choice().filter(|&first| first != partner);
+        let returned = until_answered(&asker, first_choice, interval);
+        tokio::pin!(returned);
+        let mut epoch = self.rounds.epoch();
+        let mut synced = None;
+        loop {
+            let current = *epoch.borrow_and_update();
+            let wait = match synced == Some(current) {
+                true => WAIT.mul_f64(self.rng.random_range(0.75..1.25)),
+                false => Duration::ZERO,
+            };
+            let answer = asker.ask(&client, wait);
+            tokio::pin!(answer);
+            let answered = loop {
+                tokio::select! {
+                    answered = &mut answer => break Some(answered?),
+                    _ = epoch.changed() => break None,
+                    _ = self.vms.changed() => {
+                        if self.choose() != Some(partner) {
+                            return Ok(());
+                        }
+                    }
+                    () = &mut returned => {
+                        self.attempt = 0;
+                        return Ok(());
+                    }
+                }
+            };
+            let Some(answered) = answered else { continue };
+            self.backoff = BACKOFF_MIN;
+            self.set_partner(Some(partner));
+            self.rounds.done(self.slot, current);
+            synced = Some(current);
+            if answered == Answer::Unusable {
+                sleep(UNUSABLE_ANSWER_WAIT).await;
+            }
+        }
+    }
+
+    fn set_partner(&self, partner: Option<SocketAddr>) {
+        let slot = self.slot as usize;
+        self.asker.shared.partners.send_if_modified(|partners| {
+            let changed = partners[slot] != partner;
+            partners[slot] = partner;
+            changed
+        });
+    }
+}
+
+/// Waits until a daemon answers; for ever if there is none to wait for.
+async fn until_answered(asker: &Asker, daemon: Option<SocketAddr>, interval: Duration) {
+    let Some(daemon) = daemon else { return pending().await };
+    loop {
+        sleep(interval).await;
+        let Ok(client) = asker.connect(daemon).await else { continue };
+        if asker.ask(&client, Duration::ZERO).await.is_ok() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/process/config/reader.rs
@@ -0,0 +1,142 @@
+//! Watches the platform in turns with other daemons.
+
+use std::future::pending;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use super::PlatformClient;
+use super::document::Kind;
+use super::rounds::Rounds;
+use super::shared::Shared;
+use super::turns::TURN;
+use super::turns::Turn;
+use super::turns::Turns;
+use crate::process::membership::Vm;
+use crate::process::membership::VmState;
+use crate::process::routing::Place;
+
+/// Shortest time between two calls for one value, so that a burst of changes or
+/// a platform that alternates between versions costs few calls.
+const CALL_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest and longest wait after a failed call.
+const BACKOFF_MIN: Duration = Duration::from_millis(500);
+const BACKOFF_MAX: Duration = Duration::from_secs(5);
+
+/// As good as no end.
+const FOREVER: Duration = Duration::from_secs(365 * 24 * 3600);
+
+/// The task that reads the platform.
+pub(crate) struct Reader {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) rounds: Arc<Rounds>,
+    pub(crate) client: PlatformClient,
+    pub(crate) here: Place,
+    /// Longest random wait before the first call of the process.
+    pub(crate) start_spread: Duration,
+    pub(crate) rng: ChaCha8Rng,
+}
+
+impl Reader {
+    /// Reads the platform for as long as it is polled.
+    pub(crate) async fn run(mut self) {
+        self.read_first_list().await;
+        let mut over = self.rounds.over();
+        // The sender outlives this task, so the wait cannot fail.
+        let _ = over.wait_for(|over| *over).await;
+        let mut turns = Turns::new(self.fork_rng());
+        loop {
+            match turns.next(self.zone_size(), self.is_told()) {
+                Turn::Watch(time) => self.watch_for(time).await,
+                Turn::Rest(time) => self.rest_for(time, &mut turns).await,
+            }
+        }
+    }
+
+    /// Reads the first list of VMs, unless a peer that asks this daemon has it.
+    async fn read_first_list(&mut self) {
+        let mut vms = self.shared.vms_tx.subscribe();
+        let spread = self.start_spread.mul_f64(self.rng.random_range(0.0..1.0));
+        let rng = self.fork_rng();
+        let read = async {
+            sleep(spread).await;
+            self.watch(Kind::Vms, rng, Instant::now() + FOREVER).await;
+        };
+        tokio::select! {
+            _ = vms.wait_for(Option::is_some) => {}
+            () = read => {}
+        }
+    }
+
+    async fn watch_for(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        let rules_rng = self.fork_rng();
+        let vms_rng = self.fork_rng();
+        let rules = self.watch(Kind::Rules, rules_rng, end);
+        let vms = self.watch(Kind::Vms, vms_rng, end);
+        tokio::join!(rules, vms);
+    }
+
+    async fn rest_for(&self, time: Duration, turns: &mut Turns) {
+        let mut vms = self.shared.vms_tx.subscribe();
+        tokio::select! {
+            () = sleep(time) => {}
+            () = self.nobody_tells() => {}
+            _ = vms.changed() => turns.redraw_rest(),
+        }
+    }
+
+    /// Watches one value until `end`.
+    async fn watch(&self, kind: Kind, mut rng: ChaCha8Rng, end: Instant) {
+        let mut after = self.shared.known(kind).held.map_or(0, |held| held.number);
+        let mut backoff = BACKOFF_MIN;
+        while Instant::now() < end {
+            let wait = end.saturating_duration_since(Instant::now()).min(TURN);
+            self.shared.counters.platform_calls.add_one();
+            match self.client.watch(kind, after, wait).await {
+                Ok(Some(document)) => {
+                    after = document.id.number;
+                    self.shared.take_published(kind, document);
+                    backoff = BACKOFF_MIN;
+                    sleep(CALL_INTERVAL).await;
+                }
+                Ok(None) => backoff = BACKOFF_MIN,
+                Err(_) => {
+                    self.shared.counters.platform_failures.add_one();
+                    sleep(backoff.mul_f64(rng.random_range(0.5..=1.0))).await;
+                    backoff = (backoff * 2).min(BACKOFF_MAX);
+                }
+            }
+        }
+    }
+
+    /// Returns whether other daemons tell this one what is new.
+    fn is_told(&self) -> bool {
+        let has_partner = self.shared.partners.borrow().iter().any(Option::is_some);
+        has_partner && self.shared.rules_tx.borrow().is_some()
+    }
+
+    /// Waits until no partner answers any more.
+    async fn nobody_tells(&self) {
+        let mut partners = self.shared.partners.subscribe();
+        if partners.wait_for(|partners| partners.iter().all(Option::is_none)).await.is_err() {
+            pending::<()>().await;
+        }
+    }
+
+    fn fork_rng(&mut self) -> ChaCha8Rng {
+        ChaCha8Rng::from_rng(&mut self.rng)
+    }
+
+    fn zone_size(&self) -> usize {
+        let vms = self.shared.vms_tx.borrow();
+        let Some(list) = vms.as_deref() else { return 1 };
+        let near = |vm: &&Vm| vm.zone == self.here.zone && vm.state == VmState::Live;
+        list.vms.iter().filter(near).count()
+    }
+}
--- a/lib/src/process/config/shared.rs
+++ b/lib/src/process/config/shared.rs
@@ -1,5 +1,6 @@
 //! The texts in force, shared by the tasks of one daemon.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -7,108 +8,160 @@
 
 use super::ActiveRules;
 use super::ConfigCounters;
-use super::Holder;
+use super::Fault;
 use super::Verdict;
 use super::VersionId;
 use super::document::Document;
 use super::document::Kind;
+use super::offer::Known;
+use super::offer::Offer;
+use super::partners::Slot;
+use super::rpc::News;
+use super::rpc::Question;
+use super::store::Resolved;
+use super::store::Store;
 use super::vm_text;
 use crate::process::membership::VmList;
 use crate::version::rules::Rules;
 
 /// The texts in force and those who wait for newer ones.
+///
+/// At most one of the two stores is locked at a time, and never across a wait.
 #[derive(Debug)]
 pub(crate) struct Shared {
-    rules: Mutex<Holder>,
-    vms: Mutex<Holder>,
+    rules: Mutex<Store>,
+    vms: Mutex<Store>,
     pub(crate) rules_tx: watch::Sender<Option<Arc<ActiveRules>>>,
     pub(crate) vms_tx: watch::Sender<Option<Arc<VmList>>>,
+    /// Counts the versions put into force, to wake those who wait for one.
+    pub(crate) changes: watch::Sender<u64>,
+    /// A peer that asked this daemon, for as long as it has no list of its own.
+    pub(crate) asked_by: watch::Sender<Option<SocketAddr>>,
+    /// The partner that answers in each slot.
+    pub(crate) partners: watch::Sender<[Option<SocketAddr>; Slot::ALL.len()]>,
     pub(crate) counters: Arc<ConfigCounters>,
 }
 
 impl Shared {
     /// Returns the state of a daemon that holds nothing yet.
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(fault: Option<Fault>) -> Self {
         Self {
-            rules: Mutex::default(),
-            vms: Mutex::default(),
+            rules: Mutex::new(Store::with_fault(fault)),
+            vms: Mutex::new(Store::with_fault(fault)),
             rules_tx: watch::Sender::new(None),
             vms_tx: watch::Sender::new(None),
+            changes: watch::Sender::new(0),
+            asked_by: watch::Sender::new(None),
+            partners: watch::Sender::new(Default::default()),
             counters: Arc::default(),
         }
     }
 
-    /// Returns whether the text of a version is wanted, and counts the offers
-    /// that point at a fault of the platform.
+    /// Returns whether the text of a version is wanted.
     pub(crate) fn judge(&self, kind: Kind, id: VersionId) -> Verdict {
-        let verdict = self.holder(kind).lock().judge(id);
-        match verdict {
-            Verdict::Older => self.counters.older_offers.add_one(),
-            Verdict::NewerConflict | Verdict::OlderConflict => self.note_conflict(kind, id),
-            Verdict::Newer | Verdict::Same | Verdict::Refused => {}
+        let verdict = self.store(kind).lock().holder.judge(id);
+        if matches!(verdict, Verdict::NewerConflict | Verdict::OlderConflict) {
+            self.counters.conflicts.add_one();
+            spdlog::error!("{kind}: two texts were published as version {id}");
         }
         verdict
     }
 
-    /// Puts a text into force if it is newer and valid.
-    pub(crate) fn take(&self, kind: Kind, document: &Document) {
-        if !self.judge(kind, document.id).wanted() {
-            return;
+    /// Returns what this daemon has of a text.
+    pub(crate) fn known(&self, kind: Kind) -> Known {
+        self.store(kind).lock().holder.known()
+    }
+
+    /// Returns the versions whose texts this daemon keeps.
+    pub(crate) fn bases(&self, kind: Kind) -> Vec<VersionId> {
+        self.store(kind).lock().bases()
+    }
+
+    /// Returns what an asking daemon lacks.
+    pub(crate) fn news(&self, question: &Question) -> News {
+        let rules = self.rules.lock().notice(&question.rules);
+        let vms = self.vms.lock().notice(&question.vms);
+        News { rules, vms }
+    }
+
+    /// Returns the text in force for a daemon that keeps the texts of `bases`.
+    pub(crate) fn fetch(&self, kind: Kind, bases: &[VersionId]) -> Option<Offer> {
+        self.store(kind).lock().fetch(bases)
+    }
+
+    /// Takes an offered text; returns whether the text could be built.
+    pub(crate) fn take_offer(&self, kind: Kind, offer: Offer) -> bool {
+        let resolved = self.store(kind).lock().resolve(offer);
+        let built = resolved.is_some();
+        if let Some(resolved) = resolved {
+            self.take(kind, resolved);
+        }
+        built
+    }
+
+    /// Takes a text that the platform served.
+    pub(crate) fn take_published(&self, kind: Kind, document: Document) {
+        match self.judge(kind, document.id) {
+            Verdict::Newer | Verdict::NewerConflict => self.take(kind, document.into()),
+            Verdict::Older | Verdict::OlderConflict => self.counters.older_offers.add_one(),
+            Verdict::Same | Verdict::Refused => {}
         }
+    }
+
+    /// Puts a text into force if it is newer and valid.
+    fn take(&self, kind: Kind, resolved: Resolved) {
         match kind {
-            Kind::Rules => self.take_rules(document),
-            Kind::Vms => self.take_vms(document),
+            Kind::Rules => self.take_rules(resolved),
+            Kind::Vms => self.take_vms(resolved),
         }
     }
 
-    fn take_rules(&self, document: &Document) {
-        let id = document.id;
-        let parsed = Rules::parse("rules", &document.text);
-        let mut holder = self.rules.lock();
+    fn take_rules(&self, resolved: Resolved) {
+        let Document { id, text } = resolved.document.clone();
+        let parsed = Rules::parse(&format!("rules version {id}"), &text);
+        let mut store = self.rules.lock();
         match parsed {
-            Ok(rules) if holder.accept(id) => {
-                self.note_accepted("rules", id);
-                let text = document.text.clone();
+            Ok(rules) if store.accept(resolved) => {
                 self.rules_tx.send_replace(Some(Arc::new(ActiveRules { id, text, rules })));
+                self.note_accepted(Kind::Rules, id);
             }
             Ok(_) => {}
             Err(err) => {
-                holder.refuse(id);
-                self.counters.refused.add_one();
-                spdlog::error!("rules {id} refused, the last good version stays: {err}");
+                store.holder.refuse(id);
+                self.note_refused(Kind::Rules, id, &err);
             }
         }
     }
 
-    fn take_vms(&self, document: &Document) {
-        let id = document.id;
-        let parsed = vm_text::parse(id.number, &document.text);
-        let mut holder = self.vms.lock();
+    fn take_vms(&self, resolved: Resolved) {
+        let Document { id, text } = resolved.document.clone();
+        let parsed = vm_text::parse(id.number, &text);
+        let mut store = self.vms.lock();
         match parsed {
-            Ok(list) if holder.accept(id) => {
-                self.note_accepted("list of VMs", id);
+            Ok(list) if store.accept(resolved) => {
                 self.vms_tx.send_replace(Some(Arc::new(list)));
+                self.note_accepted(Kind::Vms, id);
             }
             Ok(_) => {}
             Err(err) => {
-                holder.refuse(id);
-                self.counters.refused.add_one();
-                spdlog::error!("list of VMs {id} refused, the last good one stays: {err}");
+                store.holder.refuse(id);
+                self.note_refused(Kind::Vms, id, &err);
             }
         }
     }
 
-    fn note_accepted(&self, what: &str, id: VersionId) {
+    fn note_accepted(&self, kind: Kind, id: VersionId) {
         self.counters.accepted.add_one();
-        spdlog::info!("{what} in force: version {id}");
+        self.changes.send_modify(|count| *count += 1);
+        spdlog::info!("{kind}: version {id} in force");
     }
 
-    fn note_conflict(&self, kind: Kind, id: VersionId) {
-        self.counters.conflicts.add_one();
-        spdlog::error!("{kind:?}: the platform published two texts as version {id}");
+    fn note_refused(&self, kind: Kind, id: VersionId, err: &dyn std::error::Error) {
+        self.counters.refused.add_one();
+        spdlog::error!("{kind}: version {id} refused, the last good one stays: {err}");
     }
 
-    fn holder(&self, kind: Kind) -> &Mutex<Holder> {
+    fn store(&self, kind: Kind) -> &Mutex<Store> {
         match kind {
             Kind::Rules => &self.rules,
             Kind::Vms => &self.vms,
--- a/lib/src/process/config/version_id.rs
+++ b/lib/src/process/config/version_id.rs
@@ -31,6 +31,7 @@
 /// on the same one. The hash decides only between two texts that the platform
 /// published under one number.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(from = "(u64, TextHash)", into = "(u64, TextHash)")]
 pub struct VersionId {
     /// Number by which the platform orders versions.
     pub number: u64,
@@ -45,6 +46,18 @@
     }
 }
 
+impl From<(u64, TextHash)> for VersionId {
+    fn from((number, hash): (u64, TextHash)) -> Self {
+        Self { number, hash }
+    }
+}
+
+impl From<VersionId> for (u64, TextHash) {
+    fn from(id: VersionId) -> Self {
+        (id.number, id.hash)
+    }
+}
+
 impl fmt::Display for VersionId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/{}", self.number, self.hash)
--- a/lib/src/process/daemon.rs
+++ b/lib/src/process/daemon.rs
@@ -127,7 +127,9 @@
             },
             platform: settings.platform.address,
             control: listeners.control,
+            start_spread: ConfigOptions::START_SPREAD,
             seed: rand::random(),
+            fault: None,
         });
         let node = Node::new(settings, addresses.peer, metrics, config);
         let mut daemon = Self {
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -133,7 +133,7 @@
     /// There are none while the daemon does not know whether it holds the
     /// newest version, at the start and after a pause.
     pub fn rules(&self) -> Option<Arc<ActiveRules>> {
-        if !*self.config.ready.borrow() {
+        if !self.config.is_ready() {
             return None;
         }
         self.config.rules.borrow().clone()
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,16 +4,19 @@
 
 mod broken_relay;
 mod cluster;
+mod fleet;
 mod test_admission;
 mod test_answers;
 mod test_bad_input;
 mod test_burn;
+mod test_config;
 mod test_context;
 mod test_examples;
 mod test_idempotency;
 mod test_leaving;
 mod test_membership;
 mod test_metrics;
+mod test_model_config;
 mod test_model_once;
 mod test_once;
 mod test_operators;
