demo: let submissions and matching wait for a slot

Cause looked for: submissions were refused while matching had capacity left, and the demonstration's rules said no-wait for both. The rule is not the cause; kept, since refusing critical work for want of a free slot at that instant is not what the services ask for.

--- a/lib/testutils/src/demo/deployment.rs
+++ b/lib/testutils/src/demo/deployment.rs
@@ -12,8 +12,8 @@
 
 /// Rules that the platform publishes at the start.
 pub(super) const RULES: &str = "\
-submission POST /expressions/** criticality=critical weight=10 non-idempotent retries=2 deadline=4s no-wait  # asked by Narantuya, review panel desk
-matching POST /match/** criticality=critical weight=10 idempotent retries=2 deadline=4s no-wait  # asked by Narantuya, review panel desk
+submission POST /expressions/** criticality=critical weight=10 non-idempotent retries=2 deadline=4s wait  # asked by Narantuya, review panel desk
+matching POST /match/** criticality=critical weight=10 idempotent retries=2 deadline=4s wait  # asked by Narantuya, review panel desk
 listings GET /** criticality=normal weight=2 retries=1 deadline=2s  # asked by Bat-Erdene, applicants' help line
 archive GET /packs/** criticality=deferrable weight=1 retries=1 deadline=8s wait  # asked by Oyuna, field offices
 ";
