--- a/lib/src/process/node/home.rs
+++ b/lib/src/process/node/home.rs
@@ -152,9 +152,9 @@
     pub fn usage(&self) -> TokenStatus {
         let issuer = &self.table.lock().issuer;
         TokenStatus {
-            running: issuer.running(),
-            mark_bytes: issuer.mark_bytes(),
-            answer_bytes: issuer.answer_bytes(),
+            used: issuer.running() + issuer.kept(),
+            kept_answers: issuer.kept(),
+            bytes: issuer.mark_bytes() + issuer.answer_bytes(),
         }
     }
 }
