log: write a line when a version, a peer or the regime changes

Cause: the log spoke of starts, drains and pauses only; versions were logged as free text, and lost peers and shedding not at all.

Ruled out: a line for each step of the admission level, which moves ten times a second in a surge.

After: each is a state change with keys. Shedding counts as ended after 5 s without refusals. A drained instance counts as lost once at the daemon that calls it, by test.

--- a/lib/src/process/config/shared.rs
+++ b/lib/src/process/config/shared.rs
@@ -13,6 +13,8 @@
 use super::document::Document;
 use super::document::Kind;
 use super::vm_text;
+use crate::process::log;
+use crate::process::log::StateChange;
 use crate::process::membership::VmList;
 use crate::version::rules::Rules;
 
@@ -75,7 +77,11 @@
             Err(err) => {
                 holder.refuse(id);
                 self.counters.refused.add_one();
-                spdlog::error!("rules {id} refused, the last good version stays: {err}");
+                log::write(&StateChange::VersionRefused {
+                    of: "rules",
+                    version: id,
+                    error: err.to_string(),
+                });
             }
         }
     }
@@ -86,26 +92,34 @@
         let mut holder = self.vms.lock();
         match parsed {
             Ok(list) if holder.accept(id) => {
-                self.note_accepted("list of VMs", id);
+                self.note_accepted("vms", id);
                 self.vms_tx.send_replace(Some(Arc::new(list)));
             }
             Ok(_) => {}
             Err(err) => {
                 holder.refuse(id);
                 self.counters.refused.add_one();
-                spdlog::error!("list of VMs {id} refused, the last good one stays: {err}");
+                log::write(&StateChange::VersionRefused {
+                    of: "vms",
+                    version: id,
+                    error: err.to_string(),
+                });
             }
         }
     }
 
-    fn note_accepted(&self, what: &str, id: VersionId) {
+    fn note_accepted(&self, of: &'static str, id: VersionId) {
         self.counters.accepted.add_one();
-        spdlog::info!("{what} in force: version {id}");
+        log::write(&StateChange::VersionInForce { of, version: id });
     }
 
     fn note_conflict(&self, kind: Kind, id: VersionId) {
         self.counters.conflicts.add_one();
-        spdlog::error!("{kind:?}: the platform published two texts as version {id}");
+        let of = match kind {
+            Kind::Rules => "rules",
+            Kind::Vms => "vms",
+        };
+        log::write(&StateChange::VersionConflict { of, version: id });
     }
 
     fn holder(&self, kind: Kind) -> &Mutex<Holder> {
--- a/lib/src/process/log/state_change.rs
+++ b/lib/src/process/log/state_change.rs
@@ -3,11 +3,10 @@
 use std::fmt;
 use std::time::Duration;
 
-use spdlog::Level;
-
 use crate::process::Incarnation;
 use crate::process::InstanceId;
-use crate::version::rules::RulesError;
+use crate::process::admission::Level;
+use crate::process::config::VersionId;
 
 /// Why a daemon began to leave.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -40,33 +39,29 @@
         /// Identity of this run.
         incarnation: Incarnation,
     },
-    /// A version of the rules is in force.
-    RulesInForce {
+    /// A version of the rules or of the list of VMs is in force.
+    VersionInForce {
+        /// What it is a version of.
+        of: &'static str,
         /// The version.
-        version: u64,
-        /// The version before it; 0 for none.
-        previous: u64,
-        /// Number of rules.
-        rules: usize,
+        version: VersionId,
     },
-    /// A version of the rules is refused; the one before stays in force.
-    RulesRefused {
+    /// A version is refused for its faults; the one before stays in force.
+    VersionRefused {
+        /// What it is a version of.
+        of: &'static str,
         /// The refused version.
-        version: u64,
+        version: VersionId,
         /// Every fault of it.
-        error: RulesError,
+        error: String,
     },
-    /// A version of the list of VMs is in force.
-    VmsInForce {
-        /// The version.
-        version: u64,
-        /// Number of VMs.
-        vms: usize,
+    /// The platform published two texts under one number.
+    VersionConflict {
+        /// What it is a version of.
+        of: &'static str,
+        /// The version that was met second.
+        version: VersionId,
     },
-    /// The platform stopped answering; what is in force stays so.
-    PlatformLost,
-    /// The platform answers again.
-    PlatformBack,
     /// A peer stopped answering and gets no new work.
     PeerLost {
         /// The peer.
@@ -77,13 +72,13 @@
         /// The peer.
         instance: InstanceId,
     },
-    /// The admission level that callers are told has changed.
-    LevelChanged {
-        /// The level before.
-        from: String,
-        /// The level now.
-        to: String,
+    /// The daemon has begun to refuse work that is less important.
+    SheddingBegan {
+        /// The admission level.
+        level: Level,
     },
+    /// The daemon takes all work again.
+    SheddingEnded,
     /// The process did not run for a while, and rechecks what it holds.
     PauseNoticed {
         /// Length of the gap.
@@ -103,31 +98,24 @@
         /// Requests that were cut off.
         in_progress: usize,
     },
-    /// A listener or another part failed, and the daemon goes on without it.
-    Fault {
-        /// The part that failed.
-        part: &'static str,
-        /// What failed, in the words of its error.
-        error: String,
-    },
 }
 
 impl StateChange {
     /// Returns how severe the change is.
-    pub(super) fn level(&self) -> Level {
+    pub(super) fn level(&self) -> spdlog::Level {
         match self {
-            Self::RulesRefused { .. } | Self::PatienceEnded { .. } | Self::Fault { .. } => {
-                Level::Error
+            Self::VersionRefused { .. }
+            | Self::VersionConflict { .. }
+            | Self::PatienceEnded { .. } => spdlog::Level::Error,
+            Self::PeerLost { .. } | Self::SheddingBegan { .. } | Self::PauseNoticed { .. } => {
+                spdlog::Level::Warn
             }
-            Self::PlatformLost | Self::PeerLost { .. } | Self::PauseNoticed { .. } => Level::Warn,
             Self::Started { .. }
-            | Self::RulesInForce { .. }
-            | Self::VmsInForce { .. }
-            | Self::PlatformBack
+            | Self::VersionInForce { .. }
             | Self::PeerBack { .. }
-            | Self::LevelChanged { .. }
+            | Self::SheddingEnded
             | Self::Draining { .. }
-            | Self::Drained => Level::Info,
+            | Self::Drained => spdlog::Level::Info,
         }
     }
 }
@@ -138,29 +126,19 @@
             Self::Started { instance, incarnation } => {
                 write!(f, "event=started instance={instance} incarnation={incarnation}")
             }
-            Self::RulesInForce { version, previous, rules } => {
-                write!(
-                    f,
-                    "event=rules-in-force version={version} previous={previous} rules={rules}"
-                )
+            Self::VersionInForce { of, version } => {
+                write!(f, "event=version-in-force of={of} version={version}")
             }
-            Self::RulesRefused { version, error } => {
-                let (problems, error) = (error.problems.len(), error.to_string());
-                write!(
-                    f,
-                    "event=rules-refused version={version} problems={problems} error={error:?}"
-                )
+            Self::VersionRefused { of, version, error } => {
+                write!(f, "event=version-refused of={of} version={version} error={error:?}")
             }
-            Self::VmsInForce { version, vms } => {
-                write!(f, "event=vms-in-force version={version} vms={vms}")
+            Self::VersionConflict { of, version } => {
+                write!(f, "event=version-conflict of={of} version={version}")
             }
-            Self::PlatformLost => f.write_str("event=platform-lost"),
-            Self::PlatformBack => f.write_str("event=platform-back"),
             Self::PeerLost { instance } => write!(f, "event=peer-lost instance={instance}"),
             Self::PeerBack { instance } => write!(f, "event=peer-back instance={instance}"),
-            Self::LevelChanged { from, to } => {
-                write!(f, "event=level-changed from={from} to={to}")
-            }
+            Self::SheddingBegan { level } => write!(f, "event=shedding-began level={level}"),
+            Self::SheddingEnded => f.write_str("event=shedding-ended"),
             Self::PauseNoticed { gap } => {
                 write!(f, "event=pause-noticed gap_ms={}", gap.as_millis())
             }
@@ -171,7 +149,6 @@
             Self::PatienceEnded { in_progress } => {
                 write!(f, "event=patience-ended in_progress={in_progress}")
             }
-            Self::Fault { part, error } => write!(f, "event=fault part={part} error={error:?}"),
         }
     }
 }
--- a/lib/src/process/node/gate.rs
+++ b/lib/src/process/node/gate.rs
@@ -1,6 +1,7 @@
 //! Drives the admission state machine for the requests of one process.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
@@ -18,6 +19,11 @@
 use crate::process::admission::Verdict;
 use crate::process::admission::Work;
 use crate::process::clock::Clock;
+use crate::process::log;
+use crate::process::log::StateChange;
+
+/// Time without refusals after which shedding counts as ended.
+const REGIME_HOLD: Duration = Duration::from_secs(5);
 
 /// The way to the local upstream, which lets through what admission decides.
 #[derive(Debug)]
@@ -33,6 +39,14 @@
     admission: Admission,
     waiting: IndexMap<Ticket, oneshot::Sender<Verdict>>,
     decisions: Vec<Decision>,
+    regime: Regime,
+}
+
+/// Whether the daemon refuses work, as far as operators were told.
+#[derive(Clone, Copy, Debug)]
+enum Regime {
+    Open,
+    Shedding { last_seen: Duration },
 }
 
 /// A slot at the upstream; it is freed when the permit is dropped.
@@ -52,7 +66,12 @@
     /// Creates a gate with all slots free.
     pub fn new(cfg: &AdmissionConfig, clock: Clock) -> Arc<Self> {
         let admission = Admission::new(cfg);
-        let table = Table { admission, waiting: IndexMap::new(), decisions: Vec::new() };
+        let table = Table {
+            admission,
+            waiting: IndexMap::new(),
+            decisions: Vec::new(),
+            regime: Regime::Open,
+        };
         Arc::new(Self { clock, table: Mutex::new(table), rescheduled: Notify::new() })
     }
 
@@ -129,7 +148,7 @@
         f(&self.table.lock().admission)
     }
 
-    fn update(&self, f: impl FnOnce(&mut Admission, std::time::Duration)) {
+    fn update(&self, f: impl FnOnce(&mut Admission, Duration)) {
         let mut table = self.table.lock();
         let now = self.clock.now();
         f(&mut table.admission, now);
@@ -138,13 +157,34 @@
 }
 
 impl Table {
-    fn settle(&mut self, now: std::time::Duration) {
+    fn settle(&mut self, now: Duration) {
         self.admission.poll(now, &mut self.decisions);
         for decision in self.decisions.drain(..) {
             let Some(tx) = self.waiting.swap_remove(&decision.ticket) else { continue };
             // A receiver that is gone withdraws its ticket itself.
             let _ = tx.send(decision.verdict);
         }
+        self.note_regime(now);
+    }
+
+    /// Tells operators when shedding begins, and when it has ended for a while.
+    fn note_regime(&mut self, now: Duration) {
+        let level = self.admission.level();
+        match (self.regime, level == Level::OPEN) {
+            (Regime::Open, true) => {}
+            (Regime::Open, false) => {
+                self.regime = Regime::Shedding { last_seen: now };
+                log::write(&StateChange::SheddingBegan { level });
+            }
+            (Regime::Shedding { .. }, false) => {
+                self.regime = Regime::Shedding { last_seen: now };
+            }
+            (Regime::Shedding { last_seen }, true) if now >= last_seen + REGIME_HOLD => {
+                self.regime = Regime::Open;
+                log::write(&StateChange::SheddingEnded);
+            }
+            (Regime::Shedding { .. }, true) => {}
+        }
     }
 }
 
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -114,6 +114,11 @@
         &self.members
     }
 
+    /// Returns whether an instance gets work other than probes.
+    pub fn works(&self, now: Duration, instance: &InstanceId) -> bool {
+        matches!(self.members.health(now, instance), Health::Working { .. })
+    }
+
     /// Counts a call that begins at an instance.
     pub fn started(&mut self, instance: &InstanceId) {
         *self.outstanding.entry(instance.clone()).or_default() += 1;
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderMap;
 use http::HeaderName;
@@ -23,10 +24,13 @@
 use crate::connection::strip::strip;
 use crate::process::InstanceId;
 use crate::process::admission::Level;
+use crate::process::log;
+use crate::process::log::StateChange;
 use crate::process::membership::Observation;
 use crate::process::membership::Vm;
 use crate::process::metrics::Counter;
 use crate::process::node::Node;
+use crate::process::routing::Router;
 use crate::request::CONTEXT;
 use crate::request::Context;
 use crate::request::LEAVING;
@@ -174,18 +178,41 @@
         Failure::Peer(_) => Observation::ConnectFailed,
         Failure::TimedOut => Observation::TimedOut,
     };
-    node.router.lock().observe(node.clock.now(), &vm.instance, seen);
+    observe(node, vm, |router, now| router.observe(now, &vm.instance, seen));
 }
 
 fn observe_answer(node: &Node, vm: &Vm, headers: &HeaderMap) {
+    observe(node, vm, |router, now| {
+        router.observe(now, &vm.instance, Observation::Answered);
+        if let Some(level) = read_header(headers, &LEVEL) {
+            router.observe(now, &vm.instance, Observation::Level(level));
+        }
+        if headers.contains_key(LEAVING) {
+            router.observe(now, &vm.instance, Observation::Leaving);
+        }
+    });
+}
+
+/// Tells the router what was seen, and operators if that changes whether the
+/// instance gets work.
+fn observe(node: &Node, vm: &Vm, see: impl FnOnce(&mut Router, Duration)) {
     let now = node.clock.now();
     let mut router = node.router.lock();
-    router.observe(now, &vm.instance, Observation::Answered);
-    if let Some(level) = read_header(headers, &LEVEL) {
-        router.observe(now, &vm.instance, Observation::Level(level));
-    }
-    if headers.contains_key(LEAVING) {
-        router.observe(now, &vm.instance, Observation::Leaving);
+    let worked = router.works(now, &vm.instance);
+    see(&mut router, now);
+    let works = router.works(now, &vm.instance);
+    drop(router);
+    let instance = vm.instance.clone();
+    match (worked, works) {
+        (true, false) => {
+            node.metrics.count(Counter::PeersLost);
+            log::write(&StateChange::PeerLost { instance });
+        }
+        (false, true) => {
+            node.metrics.count(Counter::PeersBack);
+            log::write(&StateChange::PeerBack { instance });
+        }
+        (true, true) | (false, false) => {}
     }
 }
 
--- a/lib/tests/test_metrics.rs
+++ b/lib/tests/test_metrics.rs
@@ -1,6 +1,8 @@
 use std::net::UdpSocket;
 
 use endivescale::process::DurationText;
+use endivescale::process::config::TextHash;
+use endivescale::process::config::VersionId;
 use endivescale::process::log::StateChange;
 use endivescale::process::metrics::Counter;
 use endivescale::process::metrics::Metrics;
@@ -45,9 +47,10 @@
 
 #[test]
 fn state_change_is_one_line() {
-    let error = Rules::parse("rules", "a\nb\n").unwrap_err();
-    let line = StateChange::RulesRefused { version: 7, error }.to_string();
-    assert!(line.starts_with("event=rules-refused version=7 problems=8 error=\""), "{line}");
+    let error = Rules::parse("rules", "a\nb\n").unwrap_err().to_string();
+    let version = VersionId { number: 7, hash: TextHash::of("a") };
+    let line = StateChange::VersionRefused { of: "rules", version, error }.to_string();
+    assert!(line.starts_with("event=version-refused of=rules version=7"), "{line}");
     assert!(!line.contains('\n'));
 }
 
--- a/lib/tests/test_operators.rs
+++ b/lib/tests/test_operators.rs
@@ -8,6 +8,7 @@
 use endivescale::process::burn::Origin;
 use endivescale::process::burn::Role;
 use endivescale::process::burn::merge;
+use endivescale::process::metrics::Counter;
 use endivescale::process::status::RulesReport;
 use endivescale::process::status::State;
 use endivescale::process::status::StatusReport;
@@ -74,6 +75,8 @@
     let req = Request::get("/calls").header("host", "listings").header(MARK, "m");
     let read = ask(&client, cluster.entries()[1], req).await.unwrap();
     assert_eq!(read.status, Reason::NoInstance.status());
+    let entry = cluster.instances[1].daemon.as_ref().unwrap().node();
+    assert_eq!(entry.metrics.get(Counter::PeersLost), 1);
     let after = burn(&cluster).await;
     let leaving = Fault::Refused(Reason::Leaving);
     let (_, _, causes) = class(&after, Role::Owner, "listings");
