--- a/lib/src/process/config/shared.rs
+++ b/lib/src/process/config/shared.rs
@@ -21,6 +21,8 @@
 use super::store::Resolved;
 use super::store::Store;
 use super::vm_text;
+use crate::process::log;
+use crate::process::log::StateChange;
 use crate::process::membership::VmList;
 use crate::version::rules::Rules;
 
@@ -62,7 +64,7 @@
         let verdict = self.store(kind).lock().holder.judge(id);
         if matches!(verdict, Verdict::NewerConflict | Verdict::OlderConflict) {
             self.counters.conflicts.add_one();
-            spdlog::error!("{kind}: two texts were published as version {id}");
+            log::write(&StateChange::VersionConflict { of: kind.as_str(), version: id });
         }
         verdict
     }
@@ -153,12 +155,13 @@
     fn note_accepted(&self, kind: Kind, id: VersionId) {
         self.counters.accepted.add_one();
         self.changes.send_modify(|count| *count += 1);
-        spdlog::info!("{kind}: version {id} in force");
+        log::write(&StateChange::VersionInForce { of: kind.as_str(), version: id });
     }
 
     fn note_refused(&self, kind: Kind, id: VersionId, err: &dyn std::error::Error) {
         self.counters.refused.add_one();
-        spdlog::error!("{kind}: version {id} refused, the last good one stays: {err}");
+        let error = err.to_string();
+        log::write(&StateChange::VersionRefused { of: kind.as_str(), version: id, error });
     }
 
     fn store(&self, kind: Kind) -> &Mutex<Store> {
