serve: say unknown of a call whose own request is gone

An upstream may repeat a call after the request that it worked for has ended here, or after this daemon was restarted. The answer said not-run, which is true of the attempt; an earlier attempt at the call may have run. Seen failing first in holds_not_run_call_after_its_request_has_ended: the call had run, and its repeat was told not-run.

bad_input_context_of_nobody expected not-run for a context of another incarnation. That is the same case, so it expects unknown now, as strictly.

--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -68,7 +68,8 @@
 ) -> Result<Response<RelayBody>, Refusal> {
     let handle: Option<Handle> = read_header(req.headers(), &CONTEXT);
     let parent = handle.and_then(|handle| node.parents.find(handle));
-    let parent = parent.ok_or(Refusal::not_run(Reason::ParentGone))?;
+    // An earlier attempt at the call may have run while its request was here.
+    let parent = parent.ok_or(Refusal::unknown(Reason::ParentGone))?;
     let (mut inbound, incoming) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
     strip(&mut inbound.headers, &[]);
     let earlier = pay_for_repeat(&parent, &inbound)?;
--- a/lib/tests/test_bad_input.rs
+++ b/lib/tests/test_bad_input.rs
@@ -117,7 +117,7 @@
     bad_input_token: At::Caller, post("endivescale-token: x\r\n", "")
         => "400", ["unknown", "token-malformed"];
     bad_input_context_of_nobody: At::Upstream, head("endivescale-context: 1-2\r\n")
-        => "410", ["not-run", "parent-gone"];
+        => "410", ["unknown", "parent-gone"];
     bad_input_call_head_too_long: At::Upstream, head(&format!("x: {}\r\n", "x".repeat(70_000)))
         => "431", ["not-run", "head-too-long"];
 }
--- a/lib/tests/test_once.rs
+++ b/lib/tests/test_once.rs
@@ -79,6 +79,28 @@
     (answers, entries.iter().filter(|entry| entry.mark == "child").count())
 }
 
+/// A call that an upstream repeats when its own request has ended may have run
+/// while it was in progress.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn holds_not_run_call_after_its_request_has_ended() {
+    let cluster = Cluster::start(&["submission", "listings"], 1, 8).await;
+    let caller = &cluster.instances[1];
+    caller.upstream.change(|it| it.service_ms = PARENT_MS);
+    let parent = Request::get("/").header("host", "listings").header(MARK, "parent");
+    let addr = caller.place.caller;
+    let parent = tokio::spawn(async move { ask(&Client::default(), addr, parent).await });
+    wait_until("the calling request", CAP, async || !cluster.entries_so_far().is_empty())
+        .await
+        .unwrap();
+    let context = cluster.entries_so_far()[0].context.clone().unwrap();
+    let call = || submission("child").header(CONTEXT, &context);
+    let (status, _) = post(caller.place.outbound, call(), "ten litres").await;
+    assert_eq!(status, StatusCode::OK);
+    parent.await.unwrap().unwrap();
+    let (_, headers) = post(caller.place.outbound, call(), "ten litres").await;
+    assert_eq!(told(&headers), ["unknown", "parent-gone"]);
+}
+
 macro_rules! cases {
     ($($name:ident: $calls:expr => $answers:expr, $runs:expr;)*) => {$(
         #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
