--- a/lib/tests/test_model_once/mod.rs
+++ b/lib/tests/test_model_once/mod.rs
@@ -1,5 +1,6 @@
 //! Exhaustive search of the core protocol; specified in `docs/spec/once.md`.
 
+mod attempt;
 mod fault;
 mod issuers;
 mod search;
