--- a/cli/src/bin/endivescaled.rs
+++ b/cli/src/bin/endivescaled.rs
@@ -15,6 +15,10 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+/// Threads that serve requests. A daemon has a small VM's share of its cores,
+/// and more threads cost processor time in waking one another.
+const WORKER_THREADS: usize = 2;
+
 /// Why the daemon ends with a failure.
 #[derive(Debug, Snafu)]
 enum RunError {
@@ -57,7 +61,11 @@
     }
     let Some(file) = matches.opt_str("settings") else { return NoSettingsSnafu.fail() };
     let settings = Settings::load(Path::new(&file)).context(SettingsSnafu)?;
-    let runtime = tokio::runtime::Runtime::new().context(RuntimeSnafu)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
     runtime.block_on(serve(settings))
 }
 
--- a/lib/benches/policy/main.rs
+++ b/lib/benches/policy/main.rs
@@ -4,56 +4,120 @@
 //! table; otherwise the default policy is held against its bounds.
 
 mod deployment;
+#[path = "../cost/figure.rs"]
+mod figure;
 mod report;
 mod scenario;
 mod sim;
 mod variant;
 
+use std::process::ExitCode;
+
+use deployment::Deployment;
+use figure::Figures;
+use report::Tally;
 use scenario::Cause;
 use scenario::Scenario;
 use variant::Variant;
 
 const SEED: u64 = 5;
 
-fn main() {
-    let filter: Vec<String> = std::env::args().skip(1).filter(|a| !a.starts_with("--")).collect();
+/// Share of the critical answers that capacity allows.
+const CRITICAL_PERCENT: f64 = 99.0;
+
+/// Share of the weighted answers that capacity allows, at three and at ten
+/// times the capacity.
+const WEIGHTED_PERCENT: f64 = 95.0;
+const WEIGHTED_PERCENT_AT_TEN: f64 = 90.0;
+
+/// Share of the upstreams' work that may serve no whole answer.
+const WASTED_PERCENT: f64 = 3.0;
+
+/// Time from the end of the cause until critical requests are answered again.
+const RECOVERY_SECONDS: f64 = 2.0;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let trial = args.iter().any(|arg| arg == "--trial");
+    let names: Vec<&String> = args.iter().filter(|arg| !arg.starts_with("--")).collect();
+    let mut figures = Figures::default();
     for dep in [&deployment::TSAGAAN, &deployment::COOPERATIVE] {
-        for scenario in scenarios() {
-            if !filter.is_empty() && !filter.iter().any(|f| scenario.name == *f || dep.name == f) {
-                continue;
+        let wanted = |s: &Scenario| names.is_empty() || names.iter().any(|name| **name == s.name);
+        for scenario in scenarios().into_iter().filter(wanted) {
+            let tallies =
+                compare(dep, &scenario, if trial { &variant::TRIALS } else { &variant::COMPARED });
+            for (variant, tally) in &tallies {
+                print_row(dep, &scenario, variant, tally);
             }
-            for variant in variants() {
-                print_row(dep, &scenario, &variant);
+            if !trial {
+                judge(dep, &scenario, &tallies, &mut figures);
             }
         }
     }
+    figures.exit_code()
 }
 
-fn print_row(dep: &deployment::Deployment, scenario: &Scenario, variant: &Variant) {
-    let began = std::time::Instant::now();
-    let tally = sim::Sim::new(dep, scenario, variant, SEED).run();
-    let classes: Vec<String> =
-        (0..5).map(|c| format!("{:5.1}", tally.class_goodput(c) * 100.0)).collect();
-    if std::env::var("D_RAW").is_ok() {
-        for c in 0..5 {
-            println!("   {} {:?}", dep.classes[c].name, tally.raw(c));
-        }
-    }
-    let second = |r: Option<f64>| r.map_or("never".to_owned(), |s| format!("{s:.2}"));
+/// Runs every variant on one scenario, with the same requests.
+fn compare<'a>(
+    dep: &Deployment,
+    scenario: &Scenario,
+    variants: &'a [Variant],
+) -> Vec<(&'a Variant, Tally)> {
+    std::thread::scope(|scope| {
+        let run = |variant| move || (variant, sim::Sim::new(dep, scenario, variant, SEED).run());
+        let threads: Vec<_> = variants.iter().map(|variant| scope.spawn(run(variant))).collect();
+        threads.into_iter().map(|thread| thread.join().expect("a run ends")).collect()
+    })
+}
+
+/// Holds the default policy, which comes last, against the targets and against
+/// the better of the baselines.
+fn judge(
+    dep: &Deployment,
+    scenario: &Scenario,
+    tallies: &[(&Variant, Tally)],
+    figures: &mut Figures,
+) {
+    let Some(((_, adaptive), baselines)) = tallies.split_last() else { return };
+    let best =
+        |value: fn(&Tally) -> f64| baselines.iter().map(|(_, t)| value(t)).fold(0.0, f64::max);
+    let critical: fn(&Tally) -> f64 = |tally| tally.class_goodput(0) * 100.0;
+    let weighted: fn(&Tally) -> f64 = |tally| tally.weighted_goodput() * 100.0;
+    let (critical_bound, weighted_bound) = match scenario.name.as_str() {
+        "demand-1.5" | "demand-3" => (CRITICAL_PERCENT, WEIGHTED_PERCENT),
+        "demand-10" => (best(critical), WEIGHTED_PERCENT_AT_TEN),
+        _ => (best(critical).min(CRITICAL_PERCENT), best(weighted).min(WEIGHTED_PERCENT)),
+    };
+    let name = |figure: &str| format!("policy/{}/{}/{figure}", dep.name, scenario.name);
+    figures.at_least(&name("critical_goodput"), critical(adaptive), "%", critical_bound);
+    figures.at_least(&name("weighted_goodput"), weighted(adaptive), "%", weighted_bound);
+    figures.at_most(&name("wasted_work"), adaptive.wasted() * 100.0, "%", WASTED_PERCENT);
+    let recovery = adaptive.recovery(&[0]).unwrap_or(f64::INFINITY);
+    figures.at_most(&name("critical_recovery"), recovery, "s", RECOVERY_SECONDS);
+}
+
+fn print_row(dep: &Deployment, scenario: &Scenario, variant: &Variant, tally: &Tally) {
+    let classes = 0..dep.classes.len();
+    let goodput = |class: usize| {
+        format!("{} {:.1}", dep.classes[class].name, tally.class_goodput(class) * 100.0)
+    };
+    let goodput: Vec<String> = classes.clone().map(goodput).collect();
+    let recovery =
+        |class| tally.recovery(&[class]).map_or("never".to_owned(), |s| format!("{s:.2}"));
+    let recovery: Vec<String> = classes.map(recovery).collect();
     println!(
-        "{:11} {:28} {:10} good {:5.1}% [{}] waste {:4.1}% recov {:>5} [{}] retries {:4.2} root {:4.1}% gaveup {:4.1}% ({:.1?})",
+        "# {} {} {}: weighted {:.1}% by class [{}]% wasted {:.1}% recovered [{}] s, retries {:.2}, \
+         refused at root {:.1}%, deadline passed {:.1}%",
         dep.name,
         scenario.name,
         variant.name,
         tally.weighted_goodput() * 100.0,
-        classes.join(" "),
+        goodput.join(" "),
         tally.wasted() * 100.0,
-        second(tally.recovery(&[0, 1, 2, 3, 4])),
-        (0..5).map(|c| second(tally.recovery(&[c]))).collect::<Vec<_>>().join("/"),
+        recovery.join(" "),
         tally.retries(),
         tally.root_share() * 100.0,
         tally.gave_up_share() * 100.0,
-        began.elapsed(),
     );
 }
 
@@ -90,25 +154,3 @@
     }
     all
 }
-
-fn variants() -> Vec<Variant> {
-    if std::env::args().any(|a| a == "--adaptive") {
-        return vec![variant::ADAPTIVE];
-    }
-    if std::env::args().any(|a| a == "--ablate") {
-        use endivescale::process::admission::LimitPolicy;
-        use endivescale::process::admission::QueueOrder;
-        let adaptive = variant::ADAPTIVE;
-        return vec![
-            Variant { name: "slots", limit: LimitPolicy::Slots, ..adaptive.clone() },
-            Variant { name: "fifo", order: QueueOrder::Fifo, ..adaptive.clone() },
-            Variant { name: "no-cut", deadline_cut: false, ..adaptive.clone() },
-            Variant { name: "local", feedback: false, ..adaptive.clone() },
-            Variant { name: "no-hints", hints: false, ..adaptive.clone() },
-            Variant { name: "no-retry", budget: 0, ..adaptive.clone() },
-            Variant { name: "random", balance: false, ..adaptive.clone() },
-            adaptive,
-        ];
-    }
-    vec![variant::NO_CONTROL, variant::FIXED_LIMIT, variant::ADAPTIVE]
-}
--- a/lib/benches/policy/report.rs
+++ b/lib/benches/policy/report.rs
@@ -103,11 +103,6 @@
         *total += used.as_secs_f64();
     }
 
-    pub(crate) fn raw(&self, class: usize) -> (f64, f64, u64) {
-        let class = &self.classes[class];
-        (class.whole, class.allowed, class.fresh)
-    }
-
     /// Whole answers of a class as a share of what capacity allowed.
     pub(crate) fn class_goodput(&self, class: usize) -> f64 {
         let class = &self.classes[class];
--- a/lib/benches/policy/variant.rs
+++ b/lib/benches/policy/variant.rs
@@ -61,6 +61,21 @@
 pub(crate) const FIXED_LIMIT: Variant =
     Variant { name: "fixed", policy: Policy::FixedLimit, ..NO_CONTROL };
 
+/// The baselines, and last the default policy.
+pub(crate) const COMPARED: [Variant; 3] = [NO_CONTROL, FIXED_LIMIT, ADAPTIVE];
+
+/// The default policy with one part left out or changed at a time.
+pub(crate) const TRIALS: [Variant; 8] = [
+    Variant { name: "slots", limit: LimitPolicy::Slots, ..ADAPTIVE },
+    Variant { name: "fifo", order: QueueOrder::Fifo, ..ADAPTIVE },
+    Variant { name: "no-cut", deadline_cut: false, ..ADAPTIVE },
+    Variant { name: "local", feedback: false, ..ADAPTIVE },
+    Variant { name: "no-hints", hints: false, ..ADAPTIVE },
+    Variant { name: "no-retry", budget: 0, ..ADAPTIVE },
+    Variant { name: "random", balance: false, ..ADAPTIVE },
+    ADAPTIVE,
+];
+
 impl Variant {
     pub(crate) fn admission(&self, slots: usize) -> AdmissionConfig {
         AdmissionConfig {
--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -88,6 +88,11 @@
         Ok(Self { name, child })
     }
 
+    /// Returns the number that the system gave the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to this process alone.
     pub fn signal(&self, signal: Signal) -> Result<(), StandInError> {
         let pid = self.child.id().to_string();
--- a/lib/testutils/src/upstream/work.rs
+++ b/lib/testutils/src/upstream/work.rs
@@ -214,7 +214,10 @@
 
 async fn work(shared: &Shared, behaviour: &Behaviour, job: &Job, due: Instant) -> Worked {
     let course = async {
-        tokio::time::sleep(service_time(shared, behaviour)).await;
+        let time = service_time(shared, behaviour);
+        if !time.is_zero() {
+            tokio::time::sleep(time).await;
+        }
         for call in behaviour.calls.iter().filter(|call| job.path.starts_with(&call.on)) {
             let answered = call_with_retries(shared, behaviour, job, call).await;
             if !answered && call.required {
