--- a/lib/src/process/membership/members.rs
+++ b/lib/src/process/membership/members.rs
@@ -143,9 +143,9 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns whether something was seen of an instance.
-    pub fn has_seen(&self, instance: &InstanceId) -> bool {
-        self.standings.contains_key(instance)
+    /// Returns the instances that something was seen of.
+    pub fn seen_instances(&self) -> impl Iterator<Item = &InstanceId> {
+        self.standings.keys()
     }
 
     /// Returns how many instances something was seen of.
