--- a/lib/src/process/config/reader.rs
+++ b/lib/src/process/config/reader.rs
@@ -51,8 +51,10 @@
         let _ = over.wait_for(|over| *over).await;
         let mut turns = Turns::new(self.fork_rng());
         loop {
-            match turns.next(self.zone_size(), self.is_told()) {
-                Turn::Watch(time) => self.watch_for(time).await,
+            let told = self.is_told();
+            match turns.next(self.zone_size(), told) {
+                Turn::Watch(time) if told => self.watch_for(time).await,
+                Turn::Watch(time) => self.watch_until_told(time).await,
                 Turn::Rest(time) => self.rest_for(time, &mut turns).await,
             }
         }
@@ -82,6 +84,20 @@
         tokio::join!(rules, vms);
     }
 
+    /// Watches because nobody tells this daemon, so no longer than that.
+    async fn watch_until_told(&mut self, time: Duration) {
+        let shared = self.shared.clone();
+        let told = async move {
+            // The senders outlive this task, so neither wait can fail.
+            let _ = shared.partners.subscribe().wait_for(|p| p.iter().any(Option::is_some)).await;
+            let _ = shared.rules_tx.subscribe().wait_for(Option::is_some).await;
+        };
+        tokio::select! {
+            () = self.watch_for(time) => {}
+            () = told => {}
+        }
+    }
+
     async fn rest_for(&self, time: Duration, turns: &mut Turns) {
         let mut vms = self.shared.vms_tx.subscribe();
         tokio::select! {
