--- a/lib/src/process/settings/reader.rs
+++ b/lib/src/process/settings/reader.rs
@@ -24,7 +24,7 @@
 use crate::process::burn::Objectives;
 
 const KIB: u64 = 1024;
-const MIB: u64 = 1024 * 1024;
+const MIB: u64 = 1024 * KIB;
 const SECOND: Duration = Duration::from_secs(1);
 const MINUTE: Duration = Duration::from_secs(60);
 const HOUR: Duration = Duration::from_secs(60 * 60);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -12,6 +12,7 @@
 mod test_config;
 mod test_config_graph;
 mod test_context;
+mod test_docs;
 mod test_examples;
 mod test_idempotency;
 mod test_leaving;
