testutils: hand out ports without listening on them first

Two of 61 program tests failed in each of two runs, other ones each time, with 'address already in use' at a port of the process's own block. Cause as far as can be told: a child that another test starts holds a copy of the listener of the check until it runs its own program. Ruled out: outgoing connections, whose ports begin at 32768. The block is the process's own, so the check is left out.

--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -65,15 +65,16 @@
     TcpListener::bind((Ipv4Addr::LOCALHOST, port as u16))
 }
 
-/// Returns `number` loopback addresses that nobody listens on, and that no
-/// other process gets from here while this one runs.
+/// Returns `number` loopback addresses that no other process gets from here
+/// while this one runs.
+///
+/// They are not tried out by listening: a child that another thread starts at
+/// that moment holds a copy of the listener until it runs its own program, and
+/// the address would be in use for as long.
 pub fn free_addrs(number: usize) -> Vec<SocketAddr> {
     let mut blocks = BLOCKS_HELD.lock();
-    let mut held = Vec::with_capacity(number);
-    while held.len() < number {
-        held.extend(listen(blocks.next_port()));
-    }
-    held.iter().filter_map(|listener| listener.local_addr().ok()).collect()
+    let ports = (0..number).map(|_| blocks.next_port() as u16);
+    ports.map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port))).collect()
 }
 
 /// A child process that is killed when this is dropped.
