--- a/lib/src/process/config/document.rs
+++ b/lib/src/process/config/document.rs
@@ -19,7 +19,7 @@
 
 impl Kind {
     /// Returns the word that stands in log lines.
-    pub(crate) fn name(self) -> &'static str {
+    pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Rules => "rules",
             Self::Vms => "vms",
--- a/lib/src/process/config/shared.rs
+++ b/lib/src/process/config/shared.rs
@@ -64,7 +64,7 @@
         let verdict = self.store(kind).lock().holder.judge(id);
         if matches!(verdict, Verdict::NewerConflict | Verdict::OlderConflict) {
             self.counters.conflicts.add_one();
-            log::write(&StateChange::VersionConflict { of: kind.name(), version: id });
+            log::write(&StateChange::VersionConflict { of: kind.as_str(), version: id });
         }
         verdict
     }
@@ -155,13 +155,13 @@
     fn note_accepted(&self, kind: Kind, id: VersionId) {
         self.counters.accepted.add_one();
         self.changes.send_modify(|count| *count += 1);
-        log::write(&StateChange::VersionInForce { of: kind.name(), version: id });
+        log::write(&StateChange::VersionInForce { of: kind.as_str(), version: id });
     }
 
     fn note_refused(&self, kind: Kind, id: VersionId, err: &dyn std::error::Error) {
         self.counters.refused.add_one();
         let error = err.to_string();
-        log::write(&StateChange::VersionRefused { of: kind.name(), version: id, error });
+        log::write(&StateChange::VersionRefused { of: kind.as_str(), version: id, error });
     }
 
     fn store(&self, kind: Kind) -> &Mutex<Store> {
--- a/lib/src/process/status/report.rs
+++ b/lib/src/process/status/report.rs
@@ -132,19 +132,12 @@
 /// Idempotency tokens that a daemon issued.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TokenStatus {
-    /// Requests in progress under a token.
-    pub running: usize,
-    /// Memory of the marks of used tokens, in bytes.
-    pub mark_bytes: usize,
-    /// Memory of the answers kept for resends, in bytes.
-    pub answer_bytes: usize,
-}
-
-impl TokenStatus {
-    /// Returns the memory of marks and kept answers, in bytes.
-    pub fn bytes(&self) -> usize {
-        self.mark_bytes + self.answer_bytes
-    }
+    /// Used tokens that the daemon remembers.
+    pub used: usize,
+    /// Answers kept for resends.
+    pub kept_answers: usize,
+    /// Memory of both, in bytes.
+    pub bytes: usize,
 }
 
 /// What a daemon holds of one peer.
@@ -170,9 +163,9 @@
     Working,
     /// It gets a growing share, because it is cold.
     Warming,
-    /// It stopped answering or said that it leaves; it gets a probe now and then.
-    Probed,
-    /// The platform removes it; it gets no new work.
+    /// It gets a probe now and then.
+    Lost,
+    /// It gets no new work and is not probed.
     Leaving,
 }
 
@@ -181,7 +174,7 @@
         f.pad(match self {
             Self::Working => "working",
             Self::Warming => "warming",
-            Self::Probed => "probed",
+            Self::Lost => "lost",
             Self::Leaving => "leaving",
         })
     }
