config: leave the line about a pause to the daemon's own watch

Cause: one pause wrote two lines, one of them without keys.

After: event=pause-noticed is the only line; the configuration's counter of pauses stays.

--- a/lib/src/process/config/driver.rs
+++ b/lib/src/process/config/driver.rs
@@ -153,7 +153,6 @@
         // ready in between.
         if heartbeat.is_paused() {
             counters.pauses.add_one();
-            spdlog::warn!("the process was paused: configuration is asked for anew");
             rounds.begin();
         }
         heartbeat.beat();
