--- a/lib/src/process/node/operated.rs
+++ b/lib/src/process/node/operated.rs
@@ -1,16 +1,18 @@
 //! The daemon as its operators see it.
 
-use std::time::Duration;
+use std::sync::Arc;
 
 use indexmap::IndexMap;
 
 use super::Node;
-use crate::process::admission::Admission;
 use crate::process::admission::Level;
 use crate::process::burn::BurnReport;
+use crate::process::burn::CauseReport;
+use crate::process::burn::ClassReport;
 use crate::process::log::DrainCause;
 use crate::process::membership::Health;
 use crate::process::membership::Vm;
+use crate::process::membership::VmState;
 use crate::process::routing::Router;
 use crate::process::status::AdmissionStatus;
 use crate::process::status::CauseOfRefusal;
@@ -27,8 +29,6 @@
 use crate::process::status::VmsStatus;
 use crate::version::Criticality;
 
-const FULL_SHARE: f64 = 1.0;
-
 impl Operated for Node {
     fn status(&self) -> StatusReport {
         let daemon = &self.settings.daemon;
@@ -42,12 +42,20 @@
             uptime: self.clock.now(),
             state: self.state(),
             in_progress: self.lifecycle.in_progress(),
-            rules: self.rules_status(),
-            vms: self.vms().map(|list| VmsStatus { version: list.version, vms: list.vms.len() }),
-            admission: self.gate.with_admission(|admission| self.admission_status(admission)),
+            rules: self.config.rules.borrow().as_ref().map(|active| RulesStatus {
+                version: active.version(),
+                rules: active.rules.iter().len(),
+            }),
+            vms: self
+                .config
+                .vms
+                .borrow()
+                .as_ref()
+                .map(|list| VmsStatus { version: list.version, vms: list.vms.len() }),
+            admission: self.admission_status(),
             tokens: self.token_status(),
-            peers: self.peers_status(),
-            refusals: refusals(&self.burn()),
+            peers: self.peer_status(),
+            refusals: causes(&self.burn()),
         }
     }
 
@@ -57,20 +65,18 @@
 
     fn counters(&self) -> IndexMap<String, u64> {
         let mut counters = self.metrics.snapshot();
-        let config = self.config.counters.snapshot().into_iter();
-        let counted = config.filter(|(_, value)| *value > 0);
-        counters.extend(counted.map(|(name, value)| (format!("config.{name}"), value)));
+        let config = self.config.counters.snapshot();
+        counters.extend(config.into_iter().map(|(name, value)| (format!("config.{name}"), value)));
         counters
     }
 
     fn rules(&self) -> Option<RulesReport> {
-        let rules = self.config.rules.borrow().clone()?;
-        Some(RulesReport { version: rules.version(), text: rules.text.to_string() })
+        let active = Node::rules(self)?;
+        Some(RulesReport { version: active.version(), text: active.text.to_string() })
     }
 
     fn drain(&self) -> DrainReport {
-        let began = !self.lifecycle.is_leaving();
-        self.lifecycle.leave(DrainCause::Operator);
+        let began = self.lifecycle.leave(DrainCause::Operator);
         DrainReport {
             instance: self.settings.daemon.instance.clone(),
             state: self.state(),
@@ -82,58 +88,62 @@
 
 impl Node {
     fn state(&self) -> State {
-        let is_ready = *self.config.ready.borrow();
-        match (self.lifecycle.is_leaving(), self.lifecycle.in_progress(), is_ready) {
-            (true, 0, _) => State::Drained,
-            (true, _, _) => State::Draining,
-            (false, _, true) => State::Serving,
-            (false, _, false) => State::Starting,
+        match (self.lifecycle.is_leaving(), self.lifecycle.in_progress()) {
+            (true, 0) => State::Drained,
+            (true, _) => State::Draining,
+            (false, _) if Node::rules(self).is_none() => State::Starting,
+            (false, _) => State::Serving,
         }
     }
 
-    fn rules_status(&self) -> Option<RulesStatus> {
-        let rules = self.config.rules.borrow().clone()?;
-        Some(RulesStatus { version: rules.version(), rules: rules.rules.iter().len() })
-    }
-
-    fn admission_status(&self, admission: &Admission) -> AdmissionStatus {
-        let queue =
-            |criticality| QueueStatus { criticality, waiting: admission.queued_of(criticality) };
-        AdmissionStatus {
-            limit: admission.limit(),
-            slots: self.settings.upstream.slots as usize,
-            in_progress: admission.in_progress(),
-            queues: Criticality::ALL.into_iter().map(queue).collect(),
-            level: level_text(admission.level()),
-        }
+    fn admission_status(&self) -> AdmissionStatus {
+        self.gate.with_admission(|admission| {
+            let queue = |criticality| QueueStatus {
+                criticality,
+                waiting: admission.queued_of(criticality),
+            };
+            AdmissionStatus {
+                limit: admission.limit(),
+                slots: self.settings.upstream.slots as usize,
+                in_progress: admission.in_progress(),
+                queues: Criticality::ALL.into_iter().map(queue).collect(),
+                level: level_text(admission.level()),
+            }
+        })
     }
 
     fn token_status(&self) -> TokenStatus {
         self.home.usage()
     }
 
-    fn peers_status(&self) -> Vec<PeerStatus> {
-        let now = self.clock.now();
+    fn peer_status(&self) -> Vec<PeerStatus> {
         let router = self.router.lock();
-        let members = router.members();
-        let peers = members.seen_instances().filter_map(|instance| members.vm(instance));
-        peers.map(|vm| peer_status(now, &router, vm)).collect()
+        let called = |vm: &Arc<Vm>| self.is_called(&router, vm).then(|| self.peer(&router, vm));
+        let list = self.config.vms.borrow();
+        let vms = list.iter().flat_map(|list| &list.vms);
+        vms.filter_map(|vm| called(router.members().vm(&vm.instance)?)).collect()
+    }
+
+    fn is_called(&self, router: &Router, vm: &Vm) -> bool {
+        router.members().has_seen(&vm.instance) || router.outstanding(&vm.instance) > 0
     }
-}
 
-fn peer_status(now: Duration, router: &Router, vm: &Vm) -> PeerStatus {
-    let members = router.members();
-    PeerStatus {
-        instance: vm.instance.clone(),
-        service: vm.service.clone(),
-        standing: match members.health(now, &vm.instance) {
-            Health::Working { share } if share >= FULL_SHARE => PeerStanding::Working,
-            Health::Working { .. } => PeerStanding::Warming,
-            Health::Probed { .. } => PeerStanding::Probed,
+    fn peer(&self, router: &Router, vm: &Vm) -> PeerStatus {
+        let now = self.clock.now();
+        let standing = match router.members().health(now, &vm.instance) {
+            _ if vm.state == VmState::Leaving => PeerStanding::Leaving,
             Health::Gone => PeerStanding::Leaving,
-        },
-        outstanding: router.outstanding(&vm.instance),
-        level: members.level(now, &vm.instance).map(level_text),
+            Health::Probed { .. } => PeerStanding::Lost,
+            Health::Working { share } if share < 1.0 => PeerStanding::Warming,
+            Health::Working { .. } => PeerStanding::Working,
+        };
+        PeerStatus {
+            instance: vm.instance.clone(),
+            service: vm.service.clone(),
+            standing,
+            outstanding: router.outstanding(&vm.instance),
+            level: router.members().level(now, &vm.instance).map(level_text),
+        }
     }
 }
 
@@ -146,19 +156,16 @@
     format!("{} {share:.0}%", level.criticality)
 }
 
-fn refusals(burn: &BurnReport) -> Vec<CauseOfRefusal> {
-    let mut refusals: Vec<_> = burn
-        .classes
-        .iter()
-        .flat_map(|class| {
-            class.causes.iter().map(|cause| CauseOfRefusal {
-                role: class.role,
-                service: class.service.clone(),
-                criticality: class.criticality,
-                cause: *cause,
-            })
-        })
-        .collect();
-    refusals.sort_by_key(|refusal| std::cmp::Reverse(refusal.cause.count));
-    refusals
+fn causes(burn: &BurnReport) -> Vec<CauseOfRefusal> {
+    let of_class = |class: &ClassReport| {
+        let (role, service, criticality) = (class.role, class.service.clone(), class.criticality);
+        let cause = move |cause: &CauseReport| CauseOfRefusal {
+            role,
+            service: service.clone(),
+            criticality,
+            cause: *cause,
+        };
+        class.causes.iter().map(cause).collect::<Vec<_>>()
+    };
+    burn.classes.iter().flat_map(of_class).collect()
 }
