config: prove that a daemon that slept does not serve by its old version

First seen failing: the status of a daemon woken by SIGCONT, asked while it slept, said that it served by version 1, as the report looked at the ready flag alone, which the pause check clears up to 250 ms later. It now asks whether the process was paused, as requests already did.

--- a/cli/tests/processes.rs
+++ b/cli/tests/processes.rs
@@ -26,7 +26,7 @@
 
 const PROBE: &str = "probe";
 
-const RULES: &str = "\
+pub(crate) const RULES: &str = "\
 listings GET /chain/** criticality=normal retries=3 deadline=30s wait  # asked by Bat-Erdene, help line
 listings GET /** criticality=normal retries=1 deadline=30s wait  # asked by Bat-Erdene, help line
 submission POST /expressions/** criticality=critical weight=10 non-idempotent retries=2 deadline=30s wait  # asked by Narantuya, review panel desk
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -5,6 +5,7 @@
 mod processes;
 mod test_burn_command;
 mod test_check_command;
+mod test_config_pause;
 mod test_drain_command;
 mod test_explain_command;
 mod test_help_command;
--- /dev/null
+++ b/cli/tests/test_config_pause.rs
@@ -0,0 +1,62 @@
+//! A daemon that slept shows no version of before its sleep; see
+//! `docs/design/configuration.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use endivescale_testutils::error::StandInError;
+use endivescale_testutils::http::Client;
+use endivescale_testutils::http::full;
+use endivescale_testutils::platform::Mode;
+use endivescale_testutils::process::Signal;
+use endivescale_testutils::process::wait_until;
+use http::Request;
+use http_body_util::BodyExt as _;
+
+use crate::processes::CAP;
+use crate::processes::Processes;
+use crate::processes::RULES;
+
+/// Index of the daemon that sleeps.
+const SLEEPER: usize = 0;
+
+/// Longer than the gap that a daemon takes for a pause.
+const SLEEP: Duration = Duration::from_secs(3);
+
+/// Returns the version by which a daemon serves; `None` while it serves by none.
+async fn version(operator: SocketAddr) -> Result<Option<u64>, StandInError> {
+    let client = Client::default();
+    let req = Request::get("/status").header("host", "operator").body(full("")).unwrap();
+    let (answer, _busy) = client.send(operator, req).await?;
+    let body = answer.into_body().collect().await.unwrap().to_bytes();
+    let status: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    let serves = status["state"] == "serving";
+    Ok(status["rules"]["version"].as_u64().filter(|_| serves))
+}
+
+async fn until_version(operator: SocketAddr, wanted: u64) {
+    let holds = async || version(operator).await.ok().flatten() == Some(wanted);
+    wait_until("the version is in force", CAP, holds).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn holds_config_daemon_that_slept() {
+    let processes = Processes::start("1m").await;
+    let operator = |daemon: usize| processes.places[daemon].operator;
+    until_version(operator(SLEEPER), 1).await;
+    processes.daemons[SLEEPER].signal(Signal::Stop).unwrap();
+
+    processes.platform.put_rules(Some(2), &format!("# Version 2.\n{RULES}"));
+    for daemon in SLEEPER + 1..processes.daemons.len() {
+        until_version(operator(daemon), 2).await;
+    }
+    processes.platform.set_mode(Mode::Down);
+
+    // The question waits in the sleeper's socket, to be answered as it wakes.
+    let asked = tokio::spawn(version(operator(SLEEPER)));
+    tokio::time::sleep(SLEEP).await;
+    processes.daemons[SLEEPER].signal(Signal::Cont).unwrap();
+    let first = asked.await.unwrap().unwrap();
+    assert_ne!(first, Some(1), "it serves by the version of before its sleep");
+    until_version(operator(SLEEPER), 2).await;
+}
--- a/lib/src/process/node/operated.rs
+++ b/lib/src/process/node/operated.rs
@@ -82,7 +82,7 @@
 
 impl Node {
     fn state(&self) -> State {
-        let is_ready = *self.config.ready.borrow();
+        let is_ready = self.config.is_ready();
         match (self.lifecycle.is_leaving(), self.lifecycle.in_progress(), is_ready) {
             (true, 0, _) => State::Drained,
             (true, _, _) => State::Draining,
