--- a/lib/src/operators/status.rs
+++ b/lib/src/operators/status.rs
@@ -12,8 +12,6 @@
 use crate::process::status::QueueStatus;
 use crate::process::status::StatusReport;
 
-const BYTES_PER_KIB: usize = 1024;
-
 /// What one daemon or several are doing.
 #[derive(Clone, Debug, Serialize)]
 #[serde(transparent)]
@@ -111,10 +109,10 @@
 fn daemon_row(daemon: &StatusReport) -> Vec<String> {
     let or_dash = |version: Option<u64>| version.map_or("-".to_owned(), |v| v.to_string());
     let admission = &daemon.admission;
-    let probed = daemon.peers.iter().filter(|peer| peer.standing == PeerStanding::Probed).count();
-    let peers = match probed {
+    let lost = daemon.peers.iter().filter(|peer| peer.standing == PeerStanding::Lost).count();
+    let peers = match lost {
         0 => daemon.peers.len().to_string(),
-        probed => format!("{} ({probed} probed)", daemon.peers.len()),
+        lost => format!("{} ({lost} lost)", daemon.peers.len()),
     };
     vec![
         daemon.instance.to_string(),
@@ -128,7 +126,7 @@
         admission.in_progress.to_string(),
         waiting(&admission.queues),
         admission.level.clone(),
-        format!("{}K", daemon.tokens.bytes() / BYTES_PER_KIB),
+        daemon.tokens.used.to_string(),
         peers,
     ]
 }
--- a/lib/src/process/config/document.rs
+++ b/lib/src/process/config/document.rs
@@ -17,6 +17,16 @@
     Vms,
 }
 
+impl Kind {
+    /// Returns the word that stands in log lines.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Rules => "rules",
+            Self::Vms => "vms",
+        }
+    }
+}
+
 impl fmt::Display for Kind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
