--- a/lib/src/process/admission/level_control.rs
+++ b/lib/src/process/admission/level_control.rs
@@ -71,11 +71,6 @@
         self.arrivals = [0; POSITIONS];
     }
 
-    /// Closes a window in which the last cut has not yet shown its effect.
-    pub(super) fn hold(&mut self) {
-        self.arrivals = [0; POSITIONS];
-    }
-
     fn cut(&mut self, late: Criticality, served: f64) {
         let first = usize::from(late.rank()) * BUCKETS + LEAST_POSITIONS;
         self.open = self.open.min(first - LEAST_POSITIONS + BUCKETS);
--- a/lib/src/process/admission/state.rs
+++ b/lib/src/process/admission/state.rs
@@ -62,15 +62,9 @@
     pacing: ReturnPacing,
     decisions: Vec<Decision>,
     window_start: Duration,
-    /// When the effect of the last cut of the level can be seen.
-    cut_settles: Duration,
     others_waited: Option<Duration>,
 }
 
-/// Times that a request holds a slot before a cut of the level shows: requests
-/// that callers had sent by then still arrive.
-const SETTLE_HOLDS: f64 = 2.0;
-
 impl Admission {
     /// Creates the state machine with all slots free.
     pub fn new(cfg: &AdmissionConfig) -> Self {
@@ -87,7 +81,6 @@
             pacing: ReturnPacing::default(),
             decisions: Vec::new(),
             window_start: Duration::ZERO,
-            cut_settles: Duration::ZERO,
             others_waited: None,
         }
     }
@@ -333,14 +326,7 @@
             self.trim();
         }
         let in_use = self.running.len() as f64 / self.limit.get() as f64;
-        match late {
-            Some(_) if now < self.cut_settles => self.level.hold(),
-            _ => self.level.roll(late, served, in_use),
-        }
-        if let Some(criticality) = late.filter(|_| now >= self.cut_settles) {
-            let hold = self.latencies.hold_seconds(criticality);
-            self.cut_settles = now + Duration::from_secs_f64(SETTLE_HOLDS * hold);
-        }
+        self.level.roll(late, served, in_use);
         self.limit.in_use(self.running.len());
         self.limit.roll();
     }
