docs: join proofs and capacity, check shedding at a daemon

The rows of proof stand in one page in the order of the promises, with what is not proved; the control plane's slopes stand in CAPACITY.md.

--- a/cli/tests/test_once.rs
+++ b/cli/tests/test_once.rs
@@ -1,5 +1,5 @@
 //! A submission runs at most once, and `not-run` means not run; the upstreams'
-//! ledgers are the judge. See `docs/proofs/once.md`.
+//! ledgers are the judge. See `docs/proofs.md`.
 
 use std::net::SocketAddr;
 
--- a/cli/tests/test_retries.rs
+++ b/cli/tests/test_retries.rs
@@ -1,5 +1,5 @@
 //! The bound on retries through real daemons, counted at the upstreams; see
-//! `docs/proofs/retries.md`.
+//! `docs/proofs.md`.
 
 use endivescale_testutils::headers::MARK;
 use endivescale_testutils::http::Client;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -29,4 +29,5 @@
 mod test_rules;
 mod test_settings;
 mod test_shedding;
+mod test_shedding_daemons;
 mod test_standins;
