--- /dev/null
+++ b/lib/src/process/admission/state/dispatch.rs
@@ -0,0 +1,72 @@
+//! Gives free slots to waiting requests.
+
+use std::time::Duration;
+
+use super::Admission;
+use super::CAP_MEMORY;
+use crate::process::admission::Decision;
+use crate::process::admission::Fault;
+use crate::process::admission::Policy;
+use crate::process::admission::QueueOrder;
+use crate::process::admission::ShedReason;
+use crate::process::admission::Ticket;
+use crate::process::admission::Verdict;
+use crate::version::Criticality;
+
+impl Admission {
+    /// Starts waiting requests while slots are free.
+    pub(super) fn dispatch(&mut self, now: Duration) {
+        if self.cfg.fault == Some(Fault::LeaveSlotIdle) {
+            return;
+        }
+        while let Some(ticket) = self.next_ticket(now) {
+            let Some(waiting) = self.queue.remove(ticket) else { return };
+            if self.is_doomed(now, &waiting.work) {
+                let shed = self.shed(&waiting.work, ShedReason::Deadline);
+                self.decisions.push(Decision { ticket, verdict: Verdict::Shed(shed) });
+                continue;
+            }
+            self.start(now, ticket, waiting.work.criticality);
+            self.decisions.push(Decision { ticket, verdict: Verdict::Admitted });
+        }
+    }
+
+    /// Returns the waiting request that a free slot goes to.
+    fn next_ticket(&self, now: Duration) -> Option<Ticket> {
+        let unranked =
+            self.cfg.policy != Policy::Adaptive || self.cfg.fault == Some(Fault::IgnoreCriticality);
+        if unranked {
+            let free = self.running.len() < self.limit();
+            return free.then(|| self.queue.oldest()).flatten();
+        }
+        Criticality::ALL
+            .into_iter()
+            .filter(|&criticality| self.has_slot(now, criticality))
+            .find_map(|criticality| {
+                self.queue.next(criticality, self.young_first(now, criticality))
+            })
+    }
+
+    fn young_first(&self, now: Duration, criticality: Criticality) -> bool {
+        match self.cfg.order {
+            QueueOrder::Fifo => false,
+            QueueOrder::YoungFirst => self.is_late(now, criticality),
+        }
+    }
+
+    /// Tells whether deferrable work would hold slots that others need soon.
+    ///
+    /// The slots count as needed while others have lately waited, or while a
+    /// slot would come back from deferrable work too late for the target delay.
+    pub(super) fn caps_deferrable(&self, now: Duration) -> bool {
+        let waited = self.others_waited.is_some_and(|at| now.saturating_sub(at) < CAP_MEMORY);
+        let hold = self.latencies.hold_seconds(Criticality::Deferrable);
+        let turnover = hold / self.limit.get() as f64;
+        waited || turnover > self.cfg.target_delay.as_secs_f64()
+    }
+
+    pub(super) fn deferrable_cap(&self) -> usize {
+        let cap = self.limit.get() as f64 * self.cfg.deferrable_share;
+        (cap as usize).max(1)
+    }
+}
--- a/lib/src/process/admission/state.rs
+++ b/lib/src/process/admission/state/mod.rs
@@ -1,31 +1,33 @@
 //! The admission state machine.
 
+mod dispatch;
+mod overload;
+
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use rustc_hash::FxBuildHasher;
 
-use super::AdmissionConfig;
-use super::Arrival;
-use super::Completion;
-use super::Decision;
-use super::Fault;
-use super::Level;
-use super::Policy;
-use super::QueueOrder;
-use super::Shed;
-use super::ShedReason;
-use super::Ticket;
-use super::Verdict;
-use super::Work;
-use super::latency::DrainRate;
-use super::latency::Latencies;
-use super::level_control::LevelControl;
-use super::limit::ConcurrencyLimit;
-use super::pacing::ReturnPacing;
-use super::queue::WaitQueue;
-use super::queue::Waiting;
-use super::queue::shed_key;
+use crate::process::admission::AdmissionConfig;
+use crate::process::admission::Arrival;
+use crate::process::admission::Completion;
+use crate::process::admission::Decision;
+use crate::process::admission::Fault;
+use crate::process::admission::Level;
+use crate::process::admission::Policy;
+use crate::process::admission::Shed;
+use crate::process::admission::ShedReason;
+use crate::process::admission::Ticket;
+use crate::process::admission::Verdict;
+use crate::process::admission::Work;
+use crate::process::admission::latency::DrainRate;
+use crate::process::admission::latency::Latencies;
+use crate::process::admission::level_control::LevelControl;
+use crate::process::admission::limit::ConcurrencyLimit;
+use crate::process::admission::pacing::ReturnPacing;
+use crate::process::admission::queue::WaitQueue;
+use crate::process::admission::queue::Waiting;
+use crate::process::admission::queue::shed_key;
 use crate::version::Criticality;
 
 /// Time for which the slots of deferrable work stay capped after other work
@@ -316,129 +318,6 @@
         }
     }
 
-    fn roll(&mut self, now: Duration, elapsed: Duration) {
-        self.window_start = now;
-        self.drain.roll(elapsed);
-        let served = self.completions_per_second() * elapsed.as_secs_f64();
-        self.pacing.roll(served);
-        let late = self.late_class();
-        if late.is_some() && self.cfg.policy == Policy::Adaptive {
-            self.trim();
-        }
-        let in_use = self.running.len() as f64 / self.limit.get() as f64;
-        self.level.roll(late, served, in_use);
-        self.limit.in_use(self.running.len());
-        self.limit.roll();
-    }
-
-    /// Returns the most critical class that waits too long.
-    ///
-    /// The wait is taken as the time in which the upstream serves all that
-    /// goes before. Deferrable work may wait while there is room for it.
-    fn late_class(&self) -> Option<Criticality> {
-        let mut ahead = 0;
-        for criticality in [Criticality::Critical, Criticality::High, Criticality::Normal] {
-            ahead += self.queue.len_of(criticality);
-            if ahead > self.target_entries() && self.queue.len_of(criticality) > 0 {
-                return Some(criticality);
-            }
-        }
-        (self.queue.len() * 2 > self.cfg.queue_entries).then_some(Criticality::Deferrable)
-    }
-
-    /// Returns the rate at which the upstream completes requests when it is
-    /// fully used.
-    ///
-    /// The measured rate alone would be too low after a time with idle slots,
-    /// and a level cut to it would keep the slots idle.
-    fn completions_per_second(&self) -> f64 {
-        let expected = Criticality::ALL.into_iter().map(|criticality| {
-            let held = self.held[usize::from(criticality.rank())] as f64;
-            let hold = self.latencies.hold_seconds(criticality);
-            if hold > 0.0 { held / hold } else { 0.0 }
-        });
-        self.drain.per_second().max(expected.sum())
-    }
-
-    /// Returns how many requests may wait within the target delay.
-    fn target_entries(&self) -> usize {
-        let deep = self.queue.least_worth().is_some_and(|((_, depth, _), _)| depth.0 > 0);
-        let target = if deep { self.cfg.deep_target_delay } else { self.cfg.target_delay };
-        let entries = self.completions_per_second() * target.as_secs_f64();
-        (entries as usize).max(1)
-    }
-
-    /// Sheds what waits beyond the target delay, the least worth first.
-    fn trim(&mut self) {
-        let kept = self.target_entries();
-        let deferrable = self.cfg.queue_entries / 2;
-        let others = |queue: &WaitQueue| queue.len() - queue.len_of(Criticality::Deferrable);
-        while others(&self.queue) > kept || self.queue.len() > kept.max(deferrable) {
-            let Some((_, ticket)) = self.queue.least_worth() else { return };
-            self.settle_shed(ticket, ShedReason::Level);
-        }
-    }
-
-    fn is_late(&self, now: Duration, criticality: Criticality) -> bool {
-        self.queue.age(now, criticality).is_some_and(|age| age > self.cfg.target_delay)
-    }
-
-    /// Starts waiting requests while slots are free.
-    fn dispatch(&mut self, now: Duration) {
-        if self.cfg.fault == Some(Fault::LeaveSlotIdle) {
-            return;
-        }
-        while let Some(ticket) = self.next_ticket(now) {
-            let Some(waiting) = self.queue.remove(ticket) else { return };
-            if self.is_doomed(now, &waiting.work) {
-                let shed = self.shed(&waiting.work, ShedReason::Deadline);
-                self.decisions.push(Decision { ticket, verdict: Verdict::Shed(shed) });
-                continue;
-            }
-            self.start(now, ticket, waiting.work.criticality);
-            self.decisions.push(Decision { ticket, verdict: Verdict::Admitted });
-        }
-    }
-
-    /// Returns the waiting request that a free slot goes to.
-    fn next_ticket(&self, now: Duration) -> Option<Ticket> {
-        let unranked =
-            self.cfg.policy != Policy::Adaptive || self.cfg.fault == Some(Fault::IgnoreCriticality);
-        if unranked {
-            let free = self.running.len() < self.limit();
-            return free.then(|| self.queue.oldest()).flatten();
-        }
-        Criticality::ALL
-            .into_iter()
-            .filter(|&criticality| self.has_slot(now, criticality))
-            .find_map(|criticality| {
-                self.queue.next(criticality, self.young_first(now, criticality))
-            })
-    }
-
-    fn young_first(&self, now: Duration, criticality: Criticality) -> bool {
-        match self.cfg.order {
-            QueueOrder::Fifo => false,
-            QueueOrder::YoungFirst => self.is_late(now, criticality),
-        }
-    }
-
-    /// Tells whether deferrable work would hold slots that others need soon.
-    ///
-    /// The slots count as needed while others have lately waited, or while a
-    /// slot would come back from deferrable work too late for the target delay.
-    fn caps_deferrable(&self, now: Duration) -> bool {
-        let waited = self.others_waited.is_some_and(|at| now.saturating_sub(at) < CAP_MEMORY);
-        let hold = self.latencies.hold_seconds(Criticality::Deferrable);
-        let turnover = hold / self.limit.get() as f64;
-        waited || turnover > self.cfg.target_delay.as_secs_f64()
-    }
-
-    fn deferrable_cap(&self) -> usize {
-        let cap = self.limit.get() as f64 * self.cfg.deferrable_share;
-        (cap as usize).max(1)
-    }
-
     fn sample(&mut self, now: Duration, criticality: Criticality, latency: Duration) {
         self.latencies.sample(now, criticality, latency);
     }
