admission: let enough requests wait to cover random arrivals

Cause: in the demo's surge the matching service kept 2.1 of 3 slots at work while submissions were refused, and its level swung between 3% and 30%. The queue target of 20 ms is less than one request at 3 slots of 100 ms, so each lull left slots idle and each burst cut the level.

Ruled out: waiting for two holds after a cut, and half the slots' number of waiting requests (both without effect on the demo), four requests at any size (less wasted-work gain with fewer slots than stated).

--- a/lib/src/process/admission/state/overload.rs
+++ b/lib/src/process/admission/state/overload.rs
@@ -8,6 +8,10 @@
 use crate::process::admission::queue::WaitQueue;
 use crate::version::Criticality;
 
+/// Waiting requests that cover the random variation of arrivals, for each
+/// square root of a slot; with fewer, slots stay idle at an even load.
+const VARIATION_ENTRIES: f64 = 2.0;
+
 impl Admission {
     pub(super) fn roll(&mut self, now: Duration, elapsed: Duration) {
         self.window_start = now;
@@ -53,12 +57,14 @@
         self.drain.per_second().max(expected.sum())
     }
 
-    /// Returns how many requests may wait within the target delay.
+    /// Returns how many requests may wait within the target delay, or to cover
+    /// the random variation of arrivals if that takes more.
     fn target_entries(&self) -> usize {
         let deep = self.queue.least_worth().is_some_and(|((_, depth, _), _)| depth.0 > 0);
         let target = if deep { self.cfg.deep_target_delay } else { self.cfg.target_delay };
         let entries = self.completions_per_second() * target.as_secs_f64();
-        (entries as usize).max(1)
+        let variation = VARIATION_ENTRIES * (self.limit() as f64).sqrt();
+        entries.max(variation).ceil() as usize
     }
 
     /// Sheds what waits beyond the target delay, the least worth first.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod fleet;
 mod test_admission;
+mod test_admission_load;
 mod test_answers;
 mod test_bad_input;
 mod test_burn;
