log: write the settings at start as one line

Cause: they were logged as one record of many lines, which no tool that reads lines can take apart. Now the line holds event=settings and the TOML as one quoted value.

--- a/cli/src/bin/endivescaled.rs
+++ b/cli/src/bin/endivescaled.rs
@@ -71,7 +71,7 @@
 
 async fn serve(settings: Settings) -> Result<(), RunError> {
     log::init(settings.log.level).context(LogSnafu)?;
-    spdlog::info!("event=settings\n{settings}");
+    spdlog::info!("event=settings toml={:?}", settings.to_string());
     let daemon = Daemon::start(settings).await.context(StartSnafu)?;
     let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
