--- a/cli/src/bin/endivescaled.rs
+++ b/cli/src/bin/endivescaled.rs
@@ -2,13 +2,19 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use endivescale::process::daemon::Daemon;
+use endivescale::process::daemon::Edge;
 use endivescale::process::daemon::StartError;
 use endivescale::process::log;
 use endivescale::process::log::LogError;
+use endivescale::process::settings::AdapterKind;
 use endivescale::process::settings::Settings;
 use endivescale::process::settings::SettingsError;
+use endivescale_platform::Store;
+use endivescale_platform::StoreDialect;
+use endivescale_platform::StoreOptions;
 use getopts::Options;
 use snafu::ResultExt as _;
 use snafu::Snafu;
@@ -69,10 +75,26 @@
     runtime.block_on(serve(settings))
 }
 
+/// Returns what the daemon meets on the platform that the settings name.
+fn edge(settings: &Settings) -> Edge {
+    let Some(adapter) = &settings.adapter else { return Edge::default() };
+    match adapter.platform {
+        AdapterKind::Store => {
+            let store = Store::new(StoreOptions {
+                address: settings.platform.address,
+                zones: adapter.zones.clone(),
+                peer_port: settings.listen.peer.port(),
+            });
+            Edge { dialect: Arc::new(StoreDialect), catalog: Some(Arc::new(store)) }
+        }
+    }
+}
+
 async fn serve(settings: Settings) -> Result<(), RunError> {
     log::init(settings.log.level).context(LogSnafu)?;
     spdlog::info!("event=settings toml={:?}", settings.to_string());
-    let daemon = Daemon::start(settings).await.context(StartSnafu)?;
+    let edge = edge(&settings);
+    let daemon = Daemon::start_at(settings, edge).await.context(StartSnafu)?;
     let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
     tokio::select! {
--- a/lib/benches/pieces.rs
+++ b/lib/benches/pieces.rs
@@ -69,6 +69,7 @@
         criticality: Criticality::High,
         hash: 0xbeef,
         remaining: Duration::from_millis(250),
+        objective: Duration::from_millis(250),
         retries: 3,
         depth: 4,
         non_idempotent: true,
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -4,4 +4,5 @@
 pub mod listener;
 pub mod peers;
 pub mod strip;
+pub mod tcp;
 pub mod upstream;
--- a/lib/src/process/admission/config.rs
+++ b/lib/src/process/admission/config.rs
@@ -97,6 +97,12 @@
             fault: None,
         }
     }
+
+    /// Takes in another number of slots, and the length of queue that goes with it.
+    pub(super) fn set_slots(&mut self, slots: usize) {
+        self.slots = slots;
+        self.queue_entries = slots * QUEUE_ENTRIES_PER_SLOT;
+    }
 }
 
 /// Default length of the queue for each slot.
--- a/lib/src/process/admission/state/mod.rs
+++ b/lib/src/process/admission/state/mod.rs
@@ -168,6 +168,21 @@
         window_end.into_iter().chain(self.queue.next_expiry()).min()
     }
 
+    /// Returns the most requests that the upstream serves at once.
+    pub fn slots(&self) -> usize {
+        self.cfg.slots
+    }
+
+    /// Takes in how many requests the upstream serves at once.
+    pub fn set_slots(&mut self, now: Duration, slots: usize) {
+        if slots == self.cfg.slots {
+            return;
+        }
+        self.cfg.set_slots(slots);
+        self.limit = ConcurrencyLimit::new(self.cfg.limit, slots);
+        self.dispatch(now);
+    }
+
     /// Returns the level that callers should apply on our behalf.
     pub fn level(&self) -> Level {
         match self.cfg.policy {
--- /dev/null
+++ b/lib/src/process/catalog/follower.rs
@@ -0,0 +1,297 @@
+//! Follows a catalog: reads it once, then waits for its changes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::Catalog;
+use super::CatalogError;
+use super::Change;
+use super::News;
+use super::Page;
+use super::Published;
+use super::Revision;
+use super::Roster;
+use super::Topic;
+use crate::process::config::ActiveRules;
+use crate::process::config::ConfigCounters;
+use crate::process::config::ConfigHandle;
+use crate::process::config::Holder;
+use crate::process::config::VersionId;
+use crate::process::log;
+use crate::process::log::StateChange;
+use crate::process::membership::VmList;
+
+/// Longest wait of one call for changes: what the platform allows.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// How much longer than the asked wait an answer may take.
+const ANSWER_PATIENCE: Duration = Duration::from_secs(3);
+/// Wait after the first of several failures.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+/// Longest wait after several failures: a daemon that has lost the catalog has
+/// seconds to put a version in force after it is back.
+const RETRY_MAX: Duration = Duration::from_secs(1);
+
+/// What following a catalog needs to know.
+#[derive(Debug)]
+pub struct CatalogOptions {
+    /// The catalog.
+    pub catalog: Arc<dyn Catalog>,
+    /// Seed of all random waits.
+    pub seed: u64,
+}
+
+/// Starts to follow a catalog.
+pub fn spawn(options: CatalogOptions) -> ConfigHandle {
+    let CatalogOptions { catalog, seed } = options;
+    let counters = Arc::new(ConfigCounters::default());
+    let (rules_tx, rules) = watch::channel(None);
+    let (vms_tx, vms) = watch::channel(None);
+    let (ready_tx, ready) = watch::channel(false);
+    let (heard_tx, heard) = watch::channel(0);
+    let caller = |stream| {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(stream);
+        Caller { catalog: catalog.clone(), counters: counters.clone(), rng, failures: 0 }
+    };
+    let policy = PolicyFollower { caller: caller(0), holder: Holder::default(), rules_tx, heard };
+    let roster = RosterFollower { caller: caller(1), roster: Roster::default(), vms_tx };
+    let mut tasks = JoinSet::new();
+    tasks.spawn(policy.run());
+    tasks.spawn(roster.run());
+    tasks.spawn(note_ready(rules.clone(), vms.clone(), ready_tx));
+    ConfigHandle::new(rules, vms, ready, counters, heard_tx, tasks)
+}
+
+/// Says that the daemon may serve once it holds a text and a list.
+async fn note_ready(
+    mut rules: watch::Receiver<Option<Arc<ActiveRules>>>,
+    mut vms: watch::Receiver<Option<Arc<VmList>>>,
+    ready: watch::Sender<bool>,
+) {
+    let has_rules = rules.wait_for(Option::is_some).await.is_ok();
+    let has_vms = vms.wait_for(Option::is_some).await.is_ok();
+    ready.send_replace(has_rules && has_vms);
+    // The receivers keep their channels open for as long as the daemon runs.
+    std::future::pending::<()>().await;
+}
+
+/// Calls the catalog, with a wait after each failure.
+struct Caller {
+    catalog: Arc<dyn Catalog>,
+    counters: Arc<ConfigCounters>,
+    rng: ChaCha8Rng,
+    /// Failures in a row.
+    failures: u32,
+}
+
+impl Caller {
+    /// Waits for the answer to a call, which may itself wait for `wait`.
+    async fn settle<T>(
+        &mut self,
+        topic: Topic,
+        wait: Duration,
+        answer: impl Future<Output = Result<T, CatalogError>>,
+    ) -> Result<T, CatalogError> {
+        self.counters.platform_calls.add_one();
+        let answered = timeout(wait + ANSWER_PATIENCE, answer).await;
+        let answered = answered.unwrap_or(Err(CatalogError::Timeout));
+        match &answered {
+            Ok(_) => self.note_success(topic),
+            Err(err) => self.note_failure(topic, err),
+        }
+        answered
+    }
+
+    fn note_success(&mut self, topic: Topic) {
+        if self.failures > 0 {
+            let failures = self.failures;
+            log::write(&StateChange::CatalogBack { topic, failures });
+        }
+        self.failures = 0;
+    }
+
+    fn note_failure(&mut self, topic: Topic, err: &CatalogError) {
+        self.counters.platform_failures.add_one();
+        // History that is gone is no outage: the catalog is read anew at once.
+        if matches!(err, CatalogError::Forgotten) {
+            return;
+        }
+        if self.failures == 0 {
+            let error = err.to_string();
+            log::write(&StateChange::CatalogLost { topic, error });
+        }
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Waits as long as the failures in a row ask for.
+    async fn back_off(&mut self) {
+        let Some(doublings) = self.failures.checked_sub(1) else { return };
+        let full = (RETRY_MIN * (1 << doublings.min(8))).min(RETRY_MAX);
+        sleep(full.mul_f64(self.rng.random_range(0.5..=1.0))).await;
+    }
+}
+
+/// Puts versions of the operators' text in force.
+struct PolicyFollower {
+    caller: Caller,
+    holder: Holder,
+    rules_tx: watch::Sender<Option<Arc<ActiveRules>>>,
+    /// The newest version that another daemon named.
+    heard: watch::Receiver<u64>,
+}
+
+impl PolicyFollower {
+    async fn run(mut self) {
+        loop {
+            let after = self.read().await;
+            self.watch(after).await;
+        }
+    }
+
+    /// Reads the text until that succeeds.
+    async fn read(&mut self) -> Revision {
+        loop {
+            let catalog = Arc::clone(&self.caller.catalog);
+            let read = self.caller.settle(Topic::Policy, Duration::ZERO, catalog.policy()).await;
+            match read {
+                Ok(news) => return self.take(news),
+                Err(_) => self.caller.back_off().await,
+            }
+        }
+    }
+
+    /// Takes in changes until some may have been missed or another daemon knows
+    /// a newer version.
+    async fn watch(&mut self, mut after: Revision) {
+        loop {
+            let catalog = Arc::clone(&self.caller.catalog);
+            let watched = catalog.watch(Topic::Policy, after, WATCH_WAIT);
+            let news = tokio::select! {
+                news = self.caller.settle(Topic::Policy, WATCH_WAIT, watched) => news,
+                () = overtaken(&mut self.heard, &self.rules_tx) => return,
+            };
+            match news {
+                Ok(news) => after = self.take(news),
+                Err(CatalogError::Forgotten) => return,
+                Err(_) => self.caller.back_off().await,
+            }
+        }
+    }
+
+    fn take(&mut self, news: News) -> Revision {
+        for change in news.changes {
+            match change {
+                Change::Policy(Ok(published)) => self.put_in_force(published),
+                Change::Policy(Err(err)) => {
+                    self.caller.counters.refused.add_one();
+                    log::write(&StateChange::PolicyUnreadable { error: err.to_string() });
+                }
+                Change::Written(..) | Change::Removed(..) => {}
+            }
+        }
+        news.revision
+    }
+
+    fn put_in_force(&mut self, published: Published) {
+        let Published { number, text, policy } = published;
+        let id = VersionId::of(number, &text);
+        if !self.holder.accept(id) {
+            return;
+        }
+        self.caller.counters.accepted.add_one();
+        self.rules_tx.send_replace(Some(Arc::new(ActiveRules { id, text, policy })));
+        log::write(&StateChange::VersionInForce { of: "policy", version: id });
+    }
+}
+
+/// Waits until another daemon has named a version newer than the one in force.
+async fn overtaken(
+    heard: &mut watch::Receiver<u64>,
+    rules: &watch::Sender<Option<Arc<ActiveRules>>>,
+) {
+    let held = rules.borrow().as_ref().map_or(0, |rules| rules.version());
+    if heard.wait_for(|heard| *heard > held).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Keeps the list of VMs.
+struct RosterFollower {
+    caller: Caller,
+    roster: Roster,
+    vms_tx: watch::Sender<Option<Arc<VmList>>>,
+}
+
+impl RosterFollower {
+    async fn run(mut self) {
+        loop {
+            let after = self.read().await;
+            self.watch(after).await;
+        }
+    }
+
+    /// Reads all entries until that succeeds.
+    async fn read(&mut self) -> Revision {
+        loop {
+            match self.read_pages().await {
+                Ok((pages, revision)) => {
+                    self.roster.replace(pages);
+                    self.publish();
+                    return revision;
+                }
+                Err(_) => self.caller.back_off().await,
+            }
+        }
+    }
+
+    /// Reads all pages; changes are to be heard from the revision of the first.
+    async fn read_pages(&mut self) -> Result<(Vec<Page>, Revision), CatalogError> {
+        let catalog = Arc::clone(&self.caller.catalog);
+        let mut pages: Vec<Page> = Vec::new();
+        loop {
+            let after = pages.last().and_then(|page| page.entries.last()).map(|(key, ..)| key);
+            let asked = catalog.page(after);
+            let page = self.caller.settle(Topic::Vms, Duration::ZERO, asked).await?;
+            let is_last = !page.has_more || page.entries.is_empty();
+            pages.push(page);
+            if is_last {
+                let revision = pages[0].revision;
+                return Ok((pages, revision));
+            }
+        }
+    }
+
+    /// Takes in changes until some may have been missed.
+    async fn watch(&mut self, mut after: Revision) {
+        loop {
+            let catalog = Arc::clone(&self.caller.catalog);
+            let watched = catalog.watch(Topic::Vms, after, WATCH_WAIT);
+            match self.caller.settle(Topic::Vms, WATCH_WAIT, watched).await {
+                Ok(news) => {
+                    after = news.revision;
+                    let mut differs = false;
+                    for change in news.changes {
+                        differs |= self.roster.change(change);
+                    }
+                    if differs {
+                        self.publish();
+                    }
+                }
+                Err(CatalogError::Forgotten) => return,
+                Err(_) => self.caller.back_off().await,
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        self.vms_tx.send_replace(Some(Arc::new(self.roster.list())));
+    }
+}
--- a/lib/src/process/config/active.rs
+++ b/lib/src/process/config/active.rs
@@ -1,19 +1,19 @@
-//! The rules in force.
+//! The operators' text in force.
 
 use std::sync::Arc;
 
 use super::VersionId;
-use crate::version::rules::Rules;
+use crate::version::Policy;
 
-/// A version of the rules that is in force.
+/// A version of the operators' text that is in force.
 #[derive(Debug)]
 pub struct ActiveRules {
     /// Number and hash of the version.
     pub id: VersionId,
     /// The text as the platform published it.
     pub text: Arc<str>,
-    /// The rules that the text holds.
-    pub rules: Rules,
+    /// What the text says.
+    pub policy: Policy,
 }
 
 impl ActiveRules {
--- a/lib/src/process/config/driver.rs
+++ b/lib/src/process/config/driver.rs
@@ -71,6 +71,27 @@
 }
 
 impl ConfigHandle {
+    /// Returns the view of a daemon that reads a catalog and has no partners.
+    pub(crate) fn new(
+        rules: watch::Receiver<Option<Arc<ActiveRules>>>,
+        vms: watch::Receiver<Option<Arc<VmList>>>,
+        ready: watch::Receiver<bool>,
+        counters: Arc<ConfigCounters>,
+        heard: watch::Sender<u64>,
+        mut tasks: JoinSet<()>,
+    ) -> Self {
+        let heartbeat = Arc::new(Heartbeat::new());
+        let beats = Arc::clone(&heartbeat);
+        tasks.spawn(async move {
+            loop {
+                beats.beat();
+                tokio::time::sleep(BEAT_INTERVAL).await;
+            }
+        });
+        let (_, partners) = watch::channel(Default::default());
+        Self { rules, vms, ready, partners, counters, heard, heartbeat, _tasks: tasks }
+    }
+
     /// Tells of a version that a peer's request named, which begins a catch-up
     /// if it is newer than the rules in force.
     pub fn heard_of(&self, number: u64) {
--- a/lib/src/process/config/shared.rs
+++ b/lib/src/process/config/shared.rs
@@ -24,6 +24,7 @@
 use crate::process::log;
 use crate::process::log::StateChange;
 use crate::process::membership::VmList;
+use crate::version::Policy;
 use crate::version::rules::Rules;
 
 /// The texts in force and those who wait for newer ones.
@@ -124,7 +125,8 @@
         let mut store = self.rules.lock();
         match parsed {
             Ok(rules) if store.accept(resolved) => {
-                self.rules_tx.send_replace(Some(Arc::new(ActiveRules { id, text, rules })));
+                let policy = Policy::Rules(rules);
+                self.rules_tx.send_replace(Some(Arc::new(ActiveRules { id, text, policy })));
                 self.note_accepted(Kind::Rules, id);
             }
             Ok(_) => {}
--- a/lib/src/process/config/vm_text.rs
+++ b/lib/src/process/config/vm_text.rs
@@ -67,7 +67,7 @@
         "leaving" => VmState::Leaving,
         _ => return InvalidFieldSnafu { line, field: "state" }.fail(),
     };
-    Ok(Vm { instance, service, zone, region, peer, control, state })
+    Ok(Vm { instance, service, zone, region, peer, control, state, upstream: None })
 }
 
 fn address(line: usize, field: &'static str, text: &str) -> Result<SocketAddr, VmTextError> {
--- a/lib/src/process/daemon.rs
+++ b/lib/src/process/daemon.rs
@@ -7,7 +7,10 @@
 
 use http::HeaderName;
 use http::Request;
+use http::Response;
+use http::StatusCode;
 use hyper::body::Incoming;
+use snafu::OptionExt as _;
 use snafu::ResultExt as _;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -17,7 +20,11 @@
 use tower::ServiceBuilder;
 use tower::service_fn;
 
+use super::catalog;
+use super::catalog::Catalog;
+use super::catalog::CatalogOptions;
 use super::config;
+use super::config::ConfigHandle;
 use super::config::ConfigOptions;
 use super::log;
 use super::log::DrainCause;
@@ -29,6 +36,7 @@
 use super::routing::Place;
 use super::settings::Settings;
 use super::status;
+use crate::connection::body;
 use crate::connection::listener;
 use crate::connection::listener::BindError;
 use crate::connection::listener::OnMalformed;
@@ -36,6 +44,8 @@
 use crate::connection::strip::OnStripped;
 use crate::connection::strip::StripLayer;
 use crate::request;
+use crate::request::dialect::Dialect;
+use crate::request::dialect::OwnDialect;
 use crate::request::serve;
 
 /// Time for which a leaving daemon goes on to answer, so that peers and callers
@@ -46,8 +56,6 @@
 /// Shortest gap between two checks that counts as a pause.
 const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 
-/// Headers of ours that an outside caller may send.
-static CALLER_HEADERS: [HeaderName; 2] = [request::TOKEN, request::DEADLINE_MS];
 /// Headers of ours that the local upstream may send.
 static UPSTREAM_HEADERS: [HeaderName; 3] = [request::CONTEXT, request::TOKEN, request::DEADLINE_MS];
 
@@ -65,6 +73,9 @@
         /// Why it cannot start.
         source: BindError,
     },
+    /// Daemons that spread configuration among themselves need a listener for it.
+    #[snafu(display("listen.control is not set and no platform is read in its place"))]
+    NoControl,
     /// Counters cannot be sent.
     #[snafu(display("counters cannot be sent to statsd"))]
     Metrics {
@@ -83,7 +94,7 @@
     /// For other daemons' requests.
     pub peer: SocketAddr,
     /// For other daemons' control messages.
-    pub control: SocketAddr,
+    pub control: Option<SocketAddr>,
     /// For operators.
     pub operator: SocketAddr,
 }
@@ -102,12 +113,29 @@
     background: JoinSet<()>,
 }
 
+/// What a daemon meets at its edges: its own interface, or a foreign platform's.
+#[derive(Debug)]
+pub struct Edge {
+    /// How callers and the local upstream speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// What the platform publishes; without it, the daemon reads the project's
+    /// own configuration service.
+    pub catalog: Option<Arc<dyn Catalog>>,
+}
+
+impl Default for Edge {
+    fn default() -> Self {
+        Self { dialect: Arc::new(OwnDialect), catalog: None }
+    }
+}
+
 struct Listeners {
     caller: TcpListener,
-    upstream: TcpListener,
+    upstream: Option<TcpListener>,
     peer: TcpListener,
-    control: TcpListener,
+    control: Option<TcpListener>,
     operator: TcpListener,
+    ready: Option<TcpListener>,
 }
 
 impl Daemon {
@@ -117,22 +145,20 @@
     ///
     /// Fails if one of the addresses cannot be used.
     pub async fn start(settings: Settings) -> Result<Self, StartError> {
+        Self::start_at(settings, Edge::default()).await
+    }
+
+    /// Does as [`Self::start`] at another edge than the project's own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of the addresses cannot be used.
+    pub async fn start_at(settings: Settings, edge: Edge) -> Result<Self, StartError> {
         let metrics = Metrics::new(settings.metrics.statsd).context(MetricsSnafu)?;
-        let listeners = Listeners::bind(&settings).await?;
+        let mut listeners = Listeners::bind(&settings).await?;
         let addresses = listeners.addresses();
-        let config = config::spawn(ConfigOptions {
-            here: Place {
-                instance: settings.daemon.instance.clone(),
-                zone: settings.daemon.zone.clone(),
-                region: settings.daemon.region.clone(),
-            },
-            platform: settings.platform.address,
-            control: listeners.control,
-            start_spread: ConfigOptions::START_SPREAD,
-            seed: rand::random(),
-            fault: None,
-        });
-        let node = Node::new(settings, addresses.peer, metrics, config);
+        let config = follow_config(&settings, edge.catalog, listeners.control.take())?;
+        let node = Node::new(settings, addresses.peer, edge.dialect, metrics, config);
         let mut daemon = Self {
             node,
             addresses,
@@ -144,8 +170,13 @@
         };
         daemon.serve_callers(listeners.caller);
         daemon.serve_peers(listeners.peer);
-        daemon.serve_upstream(listeners.upstream);
+        if let Some(upstream) = listeners.upstream {
+            daemon.serve_upstream(upstream);
+        }
         daemon.serve_operators(listeners.operator);
+        if let Some(ready) = listeners.ready {
+            daemon.serve_ready(ready);
+        }
         daemon.spawn_background();
         log::write(&StateChange::Started {
             instance: daemon.node.settings.daemon.instance.clone(),
@@ -196,7 +227,7 @@
     fn serve_callers(&mut self, listener: TcpListener) {
         let node = Arc::clone(&self.node);
         let service = ServiceBuilder::new()
-            .layer(StripLayer::new(&CALLER_HEADERS, self.count_stripped()))
+            .layer(StripLayer::new(self.node.dialect.caller_headers(), self.count_stripped()))
             .service(service_fn(move |req| serve::serve_caller(Arc::clone(&node), req)));
         let stop = self.stop_outside.clone();
         let malformed = self.count_malformed();
@@ -232,6 +263,21 @@
         self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop, malformed));
     }
 
+    /// Tells the platform whether this daemon takes requests.
+    fn serve_ready(&mut self, listener: TcpListener) {
+        let node = Arc::clone(&self.node);
+        let service = service_fn(move |_: Request<Incoming>| {
+            let mut rsp = Response::new(body::empty());
+            if !node.takes_requests() {
+                *rsp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            async move { Ok::<_, Infallible>(rsp) }
+        });
+        let stop = self.stop_inside.clone();
+        let malformed = self.count_malformed();
+        self.inside.spawn(listener::serve(listener, Protocol::Http1, service, stop, malformed));
+    }
+
     fn count_malformed(&self) -> OnMalformed {
         let node = Arc::clone(&self.node);
         Arc::new(move || node.metrics.count(Counter::MalformedInput))
@@ -253,12 +299,14 @@
 impl Listeners {
     async fn bind(settings: &Settings) -> Result<Self, StartError> {
         let listen = &settings.listen;
+        let ready = settings.adapter.as_ref().map(|adapter| adapter.ready);
         Ok(Self {
             caller: bind("caller", listen.caller).await?,
-            upstream: bind("upstream", listen.upstream).await?,
+            upstream: bind_if_set("upstream", listen.upstream).await?,
             peer: bind("peer", listen.peer).await?,
-            control: bind("control", listen.control).await?,
+            control: bind_if_set("control", listen.control).await?,
             operator: bind("operator", listen.operator).await?,
+            ready: bind_if_set("ready", ready).await?,
         })
     }
 
@@ -268,9 +316,9 @@
         };
         Addresses {
             caller: local(&self.caller),
-            upstream: local(&self.upstream),
+            upstream: local(self.upstream.as_ref().unwrap_or(&self.caller)),
             peer: local(&self.peer),
-            control: local(&self.control),
+            control: self.control.as_ref().map(local),
             operator: local(&self.operator),
         }
     }
@@ -280,6 +328,41 @@
     listener::bind(address).await.context(BindSnafu { listener })
 }
 
+async fn bind_if_set(
+    listener: &'static str,
+    address: Option<SocketAddr>,
+) -> Result<Option<TcpListener>, StartError> {
+    match address {
+        Some(address) => bind(listener, address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Starts to read the configuration from where the daemon finds it.
+fn follow_config(
+    settings: &Settings,
+    catalog: Option<Arc<dyn Catalog>>,
+    control: Option<TcpListener>,
+) -> Result<ConfigHandle, StartError> {
+    let seed = rand::random();
+    if let Some(catalog) = catalog {
+        return Ok(catalog::spawn(CatalogOptions { catalog, seed }));
+    }
+    let control = control.context(NoControlSnafu)?;
+    Ok(config::spawn(ConfigOptions {
+        here: Place {
+            instance: settings.daemon.instance.clone(),
+            zone: settings.daemon.zone.clone(),
+            region: settings.daemon.region.clone(),
+        },
+        platform: settings.platform.address,
+        control,
+        start_spread: ConfigOptions::START_SPREAD,
+        seed,
+        fault: None,
+    }))
+}
+
 /// Sends counters to statsd now and then.
 async fn flush_metrics(node: Arc<Node>) {
     loop {
--- a/lib/src/process/ids.rs
+++ b/lib/src/process/ids.rs
@@ -1,4 +1,4 @@
-//! Names of instances, services and zones, and the identity of one process run.
+//! Names of instances, requests, services and zones, and the identity of one process run.
 
 use std::fmt;
 use std::str::FromStr;
@@ -23,6 +23,12 @@
             }
         }
 
+        impl std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl From<&str> for $name {
             fn from(s: &str) -> Self {
                 Self(s.into())
@@ -42,6 +48,11 @@
     InstanceId
 }
 
+name_type! {
+    /// Name that a caller gives one attempt at a request.
+    RequestName
+}
+
 name_type! {
     /// Name of a service, which several instances serve alike.
     ServiceName
--- a/lib/src/process/log/state_change.rs
+++ b/lib/src/process/log/state_change.rs
@@ -6,6 +6,7 @@
 use crate::process::Incarnation;
 use crate::process::InstanceId;
 use crate::process::admission::Level;
+use crate::process::catalog::Topic;
 use crate::process::config::VersionId;
 
 /// Why a daemon began to leave.
@@ -62,6 +63,25 @@
         /// The version that was met second.
         version: VersionId,
     },
+    /// A published text cannot be read; the version before stays in force.
+    PolicyUnreadable {
+        /// What is wrong with it.
+        error: String,
+    },
+    /// A part of the platform's catalog cannot be read; what is held stays in force.
+    CatalogLost {
+        /// Which part.
+        topic: Topic,
+        /// Why the first call failed.
+        error: String,
+    },
+    /// A part of the platform's catalog can be read again.
+    CatalogBack {
+        /// Which part.
+        topic: Topic,
+        /// Calls that failed meanwhile.
+        failures: u32,
+    },
     /// A peer stopped answering and gets no new work.
     PeerLost {
         /// The peer.
@@ -106,13 +126,16 @@
         match self {
             Self::VersionRefused { .. }
             | Self::VersionConflict { .. }
+            | Self::PolicyUnreadable { .. }
             | Self::PatienceEnded { .. } => spdlog::Level::Error,
-            Self::PeerLost { .. } | Self::SheddingBegan { .. } | Self::PauseNoticed { .. } => {
-                spdlog::Level::Warn
-            }
+            Self::PeerLost { .. }
+            | Self::CatalogLost { .. }
+            | Self::SheddingBegan { .. }
+            | Self::PauseNoticed { .. } => spdlog::Level::Warn,
             Self::Started { .. }
             | Self::VersionInForce { .. }
             | Self::PeerBack { .. }
+            | Self::CatalogBack { .. }
             | Self::SheddingEnded
             | Self::Draining { .. }
             | Self::Drained => spdlog::Level::Info,
@@ -135,6 +158,15 @@
             Self::VersionConflict { of, version } => {
                 write!(f, "event=version-conflict of={of} version={version}")
             }
+            Self::PolicyUnreadable { error } => {
+                write!(f, "event=policy-unreadable error={error:?}")
+            }
+            Self::CatalogLost { topic, error } => {
+                write!(f, "event=catalog-lost topic={topic} error={error:?}")
+            }
+            Self::CatalogBack { topic, failures } => {
+                write!(f, "event=catalog-back topic={topic} failures={failures}")
+            }
             Self::PeerLost { instance } => write!(f, "event=peer-lost instance={instance}"),
             Self::PeerBack { instance } => write!(f, "event=peer-back instance={instance}"),
             Self::SheddingBegan { level } => write!(f, "event=shedding-began level={level}"),
--- a/lib/src/process/membership/mod.rs
+++ b/lib/src/process/membership/mod.rs
@@ -7,6 +7,7 @@
 pub use members::Health;
 pub use members::Membership;
 pub use standing::Observation;
+pub use vm::UpstreamFacts;
 pub use vm::Vm;
 pub use vm::VmList;
 pub use vm::VmState;
--- a/lib/src/process/membership/vm.rs
+++ b/lib/src/process/membership/vm.rs
@@ -1,6 +1,7 @@
 //! The platform's list of VMs.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -37,6 +38,22 @@
     pub control: SocketAddr,
     /// What the platform wants of the VM.
     pub state: VmState,
+    /// What the upstream says of itself, where the platform publishes it.
+    #[serde(skip)]
+    pub upstream: Option<UpstreamFacts>,
+}
+
+/// What an upstream says of itself in the platform's list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UpstreamFacts {
+    /// Where the upstream listens; only its own VM can reach it.
+    pub address: SocketAddr,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// How much longer it stays slow after its start, when this was published.
+    pub cold_for: Duration,
+    /// When it started, in milliseconds of the Unix epoch by its own clock.
+    pub born_ms: u64,
 }
 
 /// A version of the list of VMs; it lags behind reality.
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod burn;
+pub mod catalog;
 pub mod clock;
 pub mod config;
 pub mod daemon;
@@ -19,6 +20,7 @@
 pub use ids::InstanceId;
 pub use ids::ParseIncarnationError;
 pub use ids::Region;
+pub use ids::RequestName;
 pub use ids::ServiceName;
 pub use ids::Zone;
 pub use units::DurationText;
--- a/lib/src/process/node/gate.rs
+++ b/lib/src/process/node/gate.rs
@@ -143,6 +143,11 @@
         self.table.lock().admission.level()
     }
 
+    /// Takes in how many requests the upstream serves at once.
+    pub fn set_slots(&self, slots: usize) {
+        self.update(|admission, now| admission.set_slots(now, slots));
+    }
+
     /// Returns the state machine's own figures, for operators.
     pub fn with_admission<T>(&self, f: impl FnOnce(&Admission) -> T) -> T {
         f(&self.table.lock().admission)
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -44,17 +44,19 @@
 use super::settings::Settings;
 use crate::connection::peers::PeerPool;
 use crate::connection::upstream::UpstreamPool;
+use crate::request::dialect::Dialect;
 use crate::request::idempotency::IssuerConfig;
 use crate::request::parent::Parents;
+use crate::version::PlanKey;
 
 /// What makes two callers' requests visit the same services: the service and
-/// the rule that serves them.
+/// the rule or route that serves them.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct PathKey {
     /// Service that the caller asks.
     pub service: ServiceName,
-    /// Line of the rule.
-    pub line: usize,
+    /// The rule or route.
+    pub plan: PlanKey,
 }
 
 /// Everything that the requests of one daemon share.
@@ -66,6 +68,8 @@
     pub incarnation: Incarnation,
     /// Where other daemons reach this one.
     pub peer_addr: SocketAddr,
+    /// How callers and the local upstream speak.
+    pub dialect: Arc<dyn Dialect>,
     /// Time since the start.
     pub clock: Clock,
     /// Requests in progress at the local upstream.
@@ -96,6 +100,7 @@
     pub fn new(
         settings: Settings,
         peer_addr: SocketAddr,
+        dialect: Arc<dyn Dialect>,
         metrics: Metrics,
         config: ConfigHandle,
     ) -> Arc<Self> {
@@ -112,6 +117,7 @@
         Arc::new(Self {
             incarnation,
             peer_addr,
+            dialect,
             clock,
             parents: Parents::new(incarnation),
             home: Home::new(peer_addr, incarnation, &issuer_config(&settings.idempotency)),
@@ -139,6 +145,11 @@
         self.config.rules.borrow().clone()
     }
 
+    /// Whether new requests of callers should come here.
+    pub fn takes_requests(&self) -> bool {
+        self.rules().is_some() && !self.lifecycle.is_leaving()
+    }
+
     /// Returns the list of VMs in force; `None` before the first is heard of.
     pub fn vms(&self) -> Option<Arc<VmList>> {
         self.config.vms.borrow().clone()
@@ -165,6 +176,19 @@
         })
     }
 
+    /// Takes in what the local upstream says of itself in the list.
+    ///
+    /// Of several entries with its address, the youngest speaks of it: the
+    /// address may have belonged to another upstream before.
+    fn heed_own_entry(&self, list: &VmList) {
+        let address = self.settings.upstream.address;
+        let facts = list.vms.iter().filter_map(|vm| vm.upstream);
+        let own = facts.filter(|facts| facts.address == address);
+        if let Some(own) = own.max_by_key(|facts| facts.born_ms) {
+            self.gate.set_slots(own.slots as usize);
+        }
+    }
+
     /// Hands each new list of VMs to the router, for as long as lists come.
     pub async fn follow_vms(self: Arc<Self>) {
         let mut vms: watch::Receiver<_> = self.config.vms.clone();
@@ -172,6 +196,7 @@
             let list = vms.borrow_and_update().clone();
             if let Some(list) = list {
                 self.router.lock().apply(self.clock.now(), &list);
+                self.heed_own_entry(&list);
                 if self.is_listed_as_leaving(&list) {
                     self.lifecycle.leave(DrainCause::Platform);
                 }
--- a/lib/src/process/node/operated.rs
+++ b/lib/src/process/node/operated.rs
@@ -44,7 +44,7 @@
             in_progress: self.lifecycle.in_progress(),
             rules: self.config.rules.borrow().as_ref().map(|active| RulesStatus {
                 version: active.version(),
-                rules: active.rules.iter().len(),
+                rules: active.policy.len(),
             }),
             vms: self
                 .config
@@ -104,7 +104,7 @@
             };
             AdmissionStatus {
                 limit: admission.limit(),
-                slots: self.settings.upstream.slots as usize,
+                slots: admission.slots(),
                 in_progress: admission.in_progress(),
                 queues: Criticality::ALL.into_iter().map(queue).collect(),
                 level: level_text(admission.level()),
--- a/lib/src/process/settings/check.rs
+++ b/lib/src/process/settings/check.rs
@@ -35,15 +35,18 @@
     }
 }
 
-fn listener_addresses(settings: &Settings) -> [(&'static str, SocketAddr); 5] {
+fn listener_addresses(settings: &Settings) -> Vec<(&'static str, SocketAddr)> {
     let listen = &settings.listen;
-    [
-        ("listen.caller", listen.caller),
+    let addresses = [
+        ("listen.caller", Some(listen.caller)),
         ("listen.upstream", listen.upstream),
-        ("listen.peer", listen.peer),
+        ("listen.peer", Some(listen.peer)),
         ("listen.control", listen.control),
-        ("listen.operator", listen.operator),
-    ]
+        ("listen.operator", Some(listen.operator)),
+        ("adapter.ready", settings.adapter.as_ref().map(|adapter| adapter.ready)),
+    ];
+    let set = |(key, address): (&'static str, Option<SocketAddr>)| Some((key, address?));
+    addresses.into_iter().filter_map(set).collect()
 }
 
 fn listeners(settings: &Settings, problems: &mut Vec<Problem>) {
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -10,6 +10,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use serde::Serialize;
 use serde_with::serde_as;
 use snafu::ResultExt as _;
@@ -48,6 +49,31 @@
     pub limits: Limits,
     /// How many requests of each criticality may fail.
     pub objectives: Objectives,
+    /// The foreign platform that the daemon runs on, if any.
+    pub adapter: Option<Adapter>,
+}
+
+/// The foreign platform that a daemon runs on.
+///
+/// With it, the platform publishes routes and entries in a store in place of
+/// rules and a list, callers and upstreams speak the platform's language, and
+/// the local upstream's own calls arrive at the listener for callers.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Adapter {
+    /// Which platform it is.
+    pub platform: AdapterKind,
+    /// Where the platform asks whether the daemon takes requests.
+    pub ready: SocketAddr,
+    /// Region of each availability zone.
+    pub zones: IndexMap<Zone, Region>,
+}
+
+/// The foreign platforms that there is an adapter for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum AdapterKind {
+    /// A metadata store that can only be read.
+    Store,
 }
 
 /// Who a daemon is and where it runs.
@@ -68,12 +94,14 @@
 pub struct Listen {
     /// Outside callers, HTTP/1.1.
     pub caller: SocketAddr,
-    /// The local upstream's own calls, HTTP/1.1.
-    pub upstream: SocketAddr,
+    /// The local upstream's own calls, HTTP/1.1; without it they arrive at the
+    /// listener for callers.
+    pub upstream: Option<SocketAddr>,
     /// Requests from other daemons, HTTP/2.
     pub peer: SocketAddr,
-    /// Control messages from other daemons, `tarpc`.
-    pub control: SocketAddr,
+    /// Control messages from other daemons, `tarpc`; without it daemons do not
+    /// spread configuration among themselves.
+    pub control: Option<SocketAddr>,
     /// Operators, HTTP/1.1 with JSON answers.
     pub operator: SocketAddr,
 }
@@ -83,7 +111,8 @@
 pub struct Upstream {
     /// Address that the upstream listens on.
     pub address: SocketAddr,
-    /// Requests that the upstream can work on at once.
+    /// Requests that the upstream can work on at once; the platform's entry of
+    /// the upstream goes before it.
     pub slots: u32,
     /// Connections that the upstream accepts.
     pub connections: u32,
--- a/lib/src/process/settings/reader.rs
+++ b/lib/src/process/settings/reader.rs
@@ -6,6 +6,8 @@
 
 use toml::Table;
 
+use super::Adapter;
+use super::AdapterKind;
 use super::AdmissionSettings;
 use super::Daemon;
 use super::IdempotencySettings;
@@ -30,20 +32,27 @@
 const HOUR: Duration = Duration::from_secs(60 * 60);
 
 const SECTIONS: &str = "daemon, listen, upstream, platform, stop, metrics, log, admission, \
-                        idempotency, limits, objectives";
+                        idempotency, limits, objectives, adapter";
 
 const NAME: &str = "a name of letters, digits, '-', '_' and '.'";
 const ADDRESS: &str = "an IP address and port, such as \"127.0.0.1:7001\"";
 
+/// Slots of an upstream until the platform's entry says how many it has.
+const UNLISTED_SLOTS: u32 = 16;
+/// Connections to an upstream where the settings name no number; the limit of
+/// slots binds before it.
+const UNLISTED_CONNECTIONS: u32 = 4_096;
+
 const NO_ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
 /// Reads a file into settings; they are usable only if no problem is returned.
 pub(super) fn read(mut file: Table) -> (Settings, Vec<Problem>) {
     let mut problems = Vec::new();
+    let adapted = file.contains_key("adapter");
     let settings = Settings {
         daemon: daemon(Section::take(&mut file, "daemon", &mut problems)),
-        listen: listen(Section::take(&mut file, "listen", &mut problems)),
-        upstream: upstream(Section::take(&mut file, "upstream", &mut problems)),
+        listen: listen(Section::take(&mut file, "listen", &mut problems), adapted),
+        upstream: upstream(Section::take(&mut file, "upstream", &mut problems), adapted),
         platform: platform(Section::take(&mut file, "platform", &mut problems)),
         stop: stop(Section::take(&mut file, "stop", &mut problems)),
         metrics: metrics(Section::take(&mut file, "metrics", &mut problems)),
@@ -52,6 +61,7 @@
         idempotency: idempotency(Section::take(&mut file, "idempotency", &mut problems)),
         limits: limits(Section::take(&mut file, "limits", &mut problems)),
         objectives: objectives(Section::take(&mut file, "objectives", &mut problems)),
+        adapter: adapted.then(|| adapter(Section::take(&mut file, "adapter", &mut problems))),
     };
     for key in file.keys() {
         let expected = SECTIONS.to_owned();
@@ -71,29 +81,43 @@
     daemon
 }
 
-fn listen(mut section: Section<'_>) -> Listen {
+fn listen(mut section: Section<'_>, adapted: bool) -> Listen {
     let mut address = |key| section.required(key, ADDRESS, NO_ADDRESS);
-    let listen = Listen {
-        caller: address("caller"),
-        upstream: address("upstream"),
-        peer: address("peer"),
-        control: address("control"),
-        operator: address("operator"),
-    };
+    let caller = address("caller");
+    let upstream = (!adapted).then(|| address("upstream"));
+    let peer = address("peer");
+    let control = (!adapted).then(|| address("control"));
+    let listen = Listen { caller, upstream, peer, control, operator: address("operator") };
     section.finish();
     listen
 }
 
-fn upstream(mut section: Section<'_>) -> Upstream {
+fn upstream(mut section: Section<'_>, adapted: bool) -> Upstream {
+    let address = section.required("address", ADDRESS, NO_ADDRESS);
+    let mut number = |key, default| match adapted {
+        true => section.number(key, 1..=100_000, default),
+        false => section.required_number(key, 1..=100_000),
+    };
     let upstream = Upstream {
-        address: section.required("address", ADDRESS, NO_ADDRESS),
-        slots: section.required_number("slots", 1..=100_000),
-        connections: section.required_number("connections", 1..=100_000),
+        address,
+        slots: number("slots", UNLISTED_SLOTS),
+        connections: number("connections", UNLISTED_CONNECTIONS),
     };
     section.finish();
     upstream
 }
 
+fn adapter(mut section: Section<'_>) -> Adapter {
+    let zones = section.optional("zones", "a table of availability zones and their regions");
+    let adapter = Adapter {
+        platform: section.required("platform", "the platform \"store\"", AdapterKind::Store),
+        ready: section.required("ready", ADDRESS, NO_ADDRESS),
+        zones: zones.unwrap_or_default(),
+    };
+    section.finish();
+    adapter
+}
+
 fn platform(mut section: Section<'_>) -> Platform {
     let platform = Platform { address: section.required("address", ADDRESS, NO_ADDRESS) };
     section.finish();
--- a/lib/src/request/context.rs
+++ b/lib/src/request/context.rs
@@ -34,6 +34,8 @@
     pub hash: u16,
     /// Time left for the whole answer.
     pub remaining: Duration,
+    /// Time left in which an answer has its full worth.
+    pub objective: Duration,
     /// Retry tokens that the receiver may spend or split; see
     /// `docs/design/retries.md`.
     pub retries: u32,
@@ -76,7 +78,7 @@
             | u8::from(self.may_wait) << 2;
         write!(
             f,
-            "{};{};{:x};{};{};{};{};{};{}",
+            "{};{};{:x};{};{};{};{};{};{};{}",
             self.id,
             self.criticality.rank(),
             self.hash,
@@ -86,6 +88,7 @@
             flags,
             self.sender,
             self.weight,
+            self.objective.as_micros(),
         )
     }
 }
@@ -106,11 +109,13 @@
         let flags = flags.context(InvalidFieldSnafu { field: "flags" })?;
         let sender = next("sender")?.parse().ok();
         let weight = next("weight")?.parse().ok();
+        let objective = next("objective")?.parse().ok().map(Duration::from_micros);
         Ok(Self {
             id: RequestId(id.context(InvalidFieldSnafu { field: "id" })?),
             criticality: criticality.context(InvalidFieldSnafu { field: "criticality" })?,
             hash: hash.context(InvalidFieldSnafu { field: "hash" })?,
             remaining: remaining.context(InvalidFieldSnafu { field: "remaining" })?,
+            objective: objective.context(InvalidFieldSnafu { field: "objective" })?,
             retries: retries.context(InvalidFieldSnafu { field: "retries" })?,
             depth: depth.context(InvalidFieldSnafu { field: "depth" })?,
             non_idempotent: flags & 1 != 0,
--- /dev/null
+++ b/lib/src/request/dialect/own.rs
@@ -0,0 +1,90 @@
+//! The project's own interface.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+
+use super::Asked;
+use super::Claim;
+use super::Dialect;
+use super::Handover;
+use crate::connection::body::RelayBody;
+use crate::process::RequestName;
+use crate::request::CONTEXT;
+use crate::request::DEADLINE_MS;
+use crate::request::OUTCOME;
+use crate::request::Outcome;
+use crate::request::REASON;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::TOKEN;
+
+/// Headers of ours that an outside caller may send.
+static CALLER_HEADERS: [HeaderName; 2] = [TOKEN, DEADLINE_MS];
+
+/// The project's own interface: the host names the service, idempotency tokens
+/// name non-idempotent requests, and upstreams copy a handle onto their calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OwnDialect;
+
+impl Dialect for OwnDialect {
+    fn caller_headers(&self) -> &'static [HeaderName] {
+        &CALLER_HEADERS
+    }
+
+    fn answer_headers(&self) -> &'static [HeaderName] {
+        &[]
+    }
+
+    fn names_attempts(&self) -> bool {
+        false
+    }
+
+    fn ends_by_close(&self) -> bool {
+        false
+    }
+
+    fn take_asked(&self, headers: &mut HeaderMap) -> Result<Asked, Refusal> {
+        let Some(value) = headers.remove(DEADLINE_MS) else { return Ok(Asked::default()) };
+        let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+        let millis = millis.ok_or(Refusal::not_run(Reason::Malformed))?;
+        Ok(Asked { name: None, deadline: Some(Duration::from_millis(millis)) })
+    }
+
+    fn parent_of<'a>(&self, _name: &'a RequestName) -> Option<&'a str> {
+        None
+    }
+
+    fn hand_over(&self, headers: &mut HeaderMap, handover: &Handover<'_>) {
+        if let Ok(host) = HeaderValue::from_str(handover.service.as_str()) {
+            headers.insert(header::HOST, host);
+        }
+        if let Ok(handle) = HeaderValue::try_from(handover.handle.to_string()) {
+            headers.insert(CONTEXT, handle);
+        }
+        let left_ms = u64::try_from(handover.left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(DEADLINE_MS, left_ms.into());
+    }
+
+    fn claim(&self, status: StatusCode, headers: &HeaderMap, _name: Option<&RequestName>) -> Claim {
+        let says_not_run = headers.get(OUTCOME).is_some_and(|value| value == "not-run");
+        match says_not_run && status == StatusCode::SERVICE_UNAVAILABLE {
+            true => Claim::Shed,
+            false => Claim::Answered,
+        }
+    }
+
+    fn mark_failure(&self, headers: &mut HeaderMap) {
+        headers.insert(OUTCOME, HeaderValue::from_static(Outcome::Ran.as_str()));
+        headers.insert(REASON, HeaderValue::from_static(Reason::UpstreamFailed.as_str()));
+    }
+
+    fn refuse(&self, refusal: Refusal) -> Response<RelayBody> {
+        refusal.into_response()
+    }
+}
--- a/lib/src/request/headers.rs
+++ b/lib/src/request/headers.rs
@@ -32,6 +32,18 @@
 /// Strictest admission level of the hops that the request visited.
 pub const PATH_LEVEL: HeaderName = HeaderName::from_static("endivescale-path-level");
 
+/// Name that the caller gave this attempt, between daemons.
+pub const NAME: HeaderName = HeaderName::from_static("endivescale-name");
+
+/// Service that the request is for, between daemons, where the host does not name it.
+pub const SERVICE: HeaderName = HeaderName::from_static("endivescale-service");
+
+/// Service of the VM where the request began, between daemons.
+pub const ORIGIN: HeaderName = HeaderName::from_static("endivescale-origin");
+
+/// The one instance that may run the request, between daemons.
+pub const INSTANCE: HeaderName = HeaderName::from_static("endivescale-instance");
+
 /// Set by a daemon that is leaving; peers send it no new work.
 pub const LEAVING: HeaderName = HeaderName::from_static("endivescale-leaving");
 
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Uri;
@@ -20,9 +21,10 @@
 use super::idempotency::Fingerprint;
 use crate::connection::body;
 use crate::connection::body::RelayBody;
+use crate::process::RequestName;
 use crate::process::ServiceName;
-use crate::version::rules::Rule;
-use crate::version::rules::Rules;
+use crate::version::Plan;
+use crate::version::Policy;
 
 /// Longest request body that is held so that the request can be sent again.
 const HELD_BODY_BYTES: u64 = 64 * 1024;
@@ -44,8 +46,14 @@
 /// A request for a service, read from a listener.
 #[derive(Debug)]
 pub struct Inbound {
+    /// Host that the caller named, with its port if it gave one.
+    pub host: String,
     /// Service that the request is for.
     pub service: ServiceName,
+    /// Name that the caller gave this attempt.
+    pub name: Option<RequestName>,
+    /// Service of the VM where the request began.
+    pub origin: Option<ServiceName>,
     /// Method of the request.
     pub method: Method,
     /// Path with query.
@@ -75,18 +83,28 @@
         if head_bytes(&parts) > max_head {
             return Err(Refusal::not_run(Reason::HeadTooLong));
         }
-        let service = service_name(&parts).ok_or(Refusal::not_run(Reason::Malformed))?;
+        let host = host(&parts).ok_or(Refusal::not_run(Reason::Malformed))?.to_owned();
+        let service = service_name(&host).ok_or(Refusal::not_run(Reason::Malformed))?;
         let path = parts.uri.path_and_query().cloned();
         let path = path.ok_or(Refusal::not_run(Reason::Malformed))?;
         let mut headers = parts.headers;
         headers.remove(header::HOST);
         remove_hop_by_hop(&mut headers);
-        Ok((Self { service, method: parts.method, path, headers }, body))
+        let inbound =
+            Self { host, service, name: None, origin: None, method: parts.method, path, headers };
+        Ok((inbound, body))
     }
 
-    /// Returns the rule that serves the request.
-    pub fn rule<'a>(&self, rules: &'a Rules) -> &'a Rule {
-        rules.find(self.service.as_str(), &self.method, self.path.path())
+    /// Finds how the request is served, and with it its service.
+    ///
+    /// # Errors
+    ///
+    /// Fails if nothing serves the request.
+    pub fn plan(&mut self, policy: &Policy) -> Result<Plan, Refusal> {
+        let plan = policy.plan(&self.host, &self.method, self.path.path());
+        let plan = plan.ok_or(Refusal::not_run(Reason::NoRoute))?;
+        self.service = plan.service.clone();
+        Ok(plan)
     }
 
     /// Returns the caller's name for the request, if it gave one.
@@ -116,6 +134,40 @@
         })
     }
 
+    /// Adds what a daemon tells another of the request, beside its context.
+    fn tell_peer(&self, headers: &mut HeaderMap) {
+        let mut insert = |name, text: &str, is_unique| {
+            let Ok(mut value) = HeaderValue::from_str(text) else { return };
+            // A value that never comes again is kept out of the table of headers
+            // that the connection compresses by.
+            value.set_sensitive(is_unique);
+            headers.insert(name, value);
+        };
+        insert(super::SERVICE, self.service.as_str(), false);
+        if let Some(origin) = &self.origin {
+            insert(super::ORIGIN, origin.as_str(), false);
+        }
+        if let Some(name) = &self.name {
+            insert(super::NAME, name.as_str(), true);
+        }
+    }
+
+    /// Takes what [`Self::to_request`] added on the other daemon.
+    pub fn hear_peer(&mut self) {
+        let mut take = |name| {
+            let value = self.headers.remove(name)?;
+            value.to_str().ok().map(str::to_owned)
+        };
+        let service = take(super::SERVICE);
+        let origin = take(super::ORIGIN);
+        let name = take(super::NAME);
+        if let Some(service) = service {
+            self.service = service.as_str().into();
+        }
+        self.origin = origin.map(|origin| origin.as_str().into());
+        self.name = name.map(|name| name.as_str().into());
+    }
+
     /// Builds a request with the URI that an HTTP/2 connection needs.
     ///
     /// # Errors
@@ -124,7 +176,7 @@
     pub fn to_request(&self, body: RelayBody) -> Result<Request<RelayBody>, Refusal> {
         let uri = Uri::builder()
             .scheme("http")
-            .authority(self.service.as_str())
+            .authority(self.host.as_str())
             .path_and_query(self.path.clone())
             .build()
             .map_err(|_| Refusal::not_run(Reason::Malformed))?;
@@ -132,6 +184,7 @@
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = uri;
         *req.headers_mut() = self.headers.clone();
+        self.tell_peer(req.headers_mut());
         Ok(req)
     }
 }
@@ -189,10 +242,13 @@
     headers + parts.uri.path().len() + parts.uri.query().map_or(0, str::len)
 }
 
-fn service_name(parts: &request::Parts) -> Option<ServiceName> {
-    let from_uri = parts.uri.authority().map(|authority| authority.host());
+fn host(parts: &request::Parts) -> Option<&str> {
+    let from_uri = parts.uri.authority().map(|authority| authority.as_str());
     let from_host = || parts.headers.get(header::HOST)?.to_str().ok();
-    let host = from_uri.or_else(from_host)?;
+    from_uri.or_else(from_host)
+}
+
+fn service_name(host: &str) -> Option<ServiceName> {
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let is_valid = !name.is_empty()
         && name.len() <= SERVICE_NAME_BYTES
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! What lives for one request.
 
 mod context;
+pub mod dialect;
 mod headers;
 pub mod idempotency;
 pub mod message;
--- a/lib/src/request/parent.rs
+++ b/lib/src/request/parent.rs
@@ -19,6 +19,7 @@
 use super::retries::CallLedger;
 use super::retries::RetryAccount;
 use crate::process::Incarnation;
+use crate::process::RequestName;
 use crate::process::admission::Level;
 
 /// Names a request in progress towards the local upstream.
@@ -58,6 +59,8 @@
 pub struct Parent {
     /// What the sending daemon told of the request; its time left is stale.
     pub cx: Context,
+    /// Name that the caller gave this attempt.
+    pub name: Option<RequestName>,
     /// When the whole answer must have arrived.
     pub deadline: Instant,
     /// Retry tokens that calls on behalf of the request may spend.
@@ -115,6 +118,18 @@
 struct Table {
     next: u64,
     open: IndexMap<u64, Arc<Parent>>,
+    /// The latest request in progress of each name.
+    named: IndexMap<RequestName, u64>,
+}
+
+impl Table {
+    fn close(&mut self, sequence: u64) {
+        let Some(parent) = self.open.swap_remove(&sequence) else { return };
+        let Some(name) = &parent.name else { return };
+        if self.named.get(name) == Some(&sequence) {
+            self.named.swap_remove(name);
+        }
+    }
 }
 
 /// Keeps a request open; its calls are cancelled when this is dropped.
@@ -137,12 +152,14 @@
     pub fn open(
         self: &Arc<Self>,
         cx: Context,
+        name: Option<RequestName>,
         deadline: Instant,
         path_level: Arc<Mutex<Level>>,
     ) -> OpenParent {
         let account = Arc::new(Mutex::new(RetryAccount::receive(Some(cx.retries))));
         let parent = Arc::new(Parent {
             cx,
+            name,
             deadline,
             account,
             calls: Mutex::default(),
@@ -154,6 +171,9 @@
         let mut table = self.table.lock();
         let sequence = table.next;
         table.next += 1;
+        if let Some(name) = &parent.name {
+            table.named.insert(name.clone(), sequence);
+        }
         table.open.insert(sequence, Arc::clone(&parent));
         let handle = Handle { incarnation: self.incarnation, sequence };
         OpenParent { parents: Arc::clone(self), handle, parent }
@@ -167,6 +187,13 @@
         self.table.lock().open.get(&handle.sequence).cloned()
     }
 
+    /// Returns the request in progress that a caller called `name`.
+    pub fn find_named(&self, name: &str) -> Option<Arc<Parent>> {
+        let table = self.table.lock();
+        let sequence = table.named.get(name)?;
+        table.open.get(sequence).cloned()
+    }
+
     /// Returns the number of requests in progress.
     pub fn len(&self) -> usize {
         self.table.lock().open.len()
@@ -192,7 +219,7 @@
 
 impl Drop for OpenParent {
     fn drop(&mut self) {
-        self.parents.table.lock().open.swap_remove(&self.handle.sequence);
+        self.parents.table.lock().close(self.handle.sequence);
         self.parent.ended.cancel();
     }
 }
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -61,6 +61,8 @@
     BadBody = "bad-body", BAD_REQUEST;
     /// The daemon holds no rules yet.
     NoConfiguration = "no-configuration", SERVICE_UNAVAILABLE;
+    /// No route serves the request's host and path.
+    NoRoute = "no-route", NOT_FOUND;
     /// No instance of the service is known.
     UnknownService = "unknown-service", NOT_FOUND;
     /// No instance of the service accepts work.
@@ -77,6 +79,10 @@
     UpstreamUnreachable = "upstream-unreachable", BAD_GATEWAY;
     /// The upstream failed before it answered.
     UpstreamFailed = "upstream-failed", BAD_GATEWAY;
+    /// Another upstream holds the address of the one that was meant.
+    UpstreamMoved = "upstream-moved", BAD_GATEWAY;
+    /// The upstream answered another request than the one at hand.
+    AnswerForeign = "answer-foreign", BAD_GATEWAY;
     /// The upstream itself refused the request.
     UpstreamShed = "upstream-shed", SERVICE_UNAVAILABLE;
     /// No connection could be made to another daemon.
@@ -132,11 +138,14 @@
             | Self::UnknownService
             | Self::UpstreamUnreachable
             | Self::UpstreamFailed
+            | Self::UpstreamMoved
+            | Self::AnswerForeign
             | Self::UpstreamShed
             | Self::PeerUnreachable
             | Self::PeerFailed
             | Self::Other => true,
             Self::Malformed
+            | Self::NoRoute
             | Self::HeadTooLong
             | Self::BadBody
             | Self::Expired
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -33,6 +33,7 @@
 use crate::process::routing::Router;
 use crate::request::CONTEXT;
 use crate::request::Context;
+use crate::request::INSTANCE;
 use crate::request::LEAVING;
 use crate::request::LEVEL;
 use crate::request::Outcome;
@@ -82,16 +83,18 @@
     };
     let outstanding = Outstanding::begin(node, &vm.instance);
     let grant = call.account.lock().split_for_child();
+    let now = Instant::now();
     let cx = Context {
-        remaining: call.deadline.saturating_duration_since(Instant::now()),
+        remaining: call.deadline.saturating_duration_since(now),
+        objective: call.objective.saturating_duration_since(now),
         retries: grant.tokens(),
         ..call.cx.clone()
     };
-    let is_local = vm.instance == node.settings.daemon.instance;
+    let is_local = vm.peer == node.peer_addr;
     let give_up = call.give_up();
     let answered = match is_local {
-        true => Ok(owner::serve(node, cx, &call.inbound, body).await),
-        false => match peer_request(node, &cx, &call.inbound, body) {
+        true => Ok(owner::serve(node, cx, &call.inbound, &vm.instance, body).await),
+        false => match peer_request(node, &cx, &call.inbound, &vm.instance, body) {
             Ok(req) => send(node, vm.peer, req, give_up).await,
             Err(refusal) => Err(Failure::Malformed(refusal)),
         },
@@ -120,7 +123,7 @@
         return Err(refusal);
     }
     call.answered(node, path_level.unwrap_or(Level::OPEN));
-    strip(rsp.headers_mut(), &[]);
+    strip(rsp.headers_mut(), node.dialect.answer_headers());
     Ok(rsp.map(|body| GuardedBody::new(body, give_up, outstanding).boxed_unsync()))
 }
 
@@ -147,13 +150,18 @@
     node: &Node,
     cx: &Context,
     inbound: &Inbound,
+    instance: &InstanceId,
     body: RelayBody,
 ) -> Result<Request<RelayBody>, Refusal> {
     let mut req = inbound.to_request(body)?;
     let headers = req.headers_mut();
-    if let Ok(value) = HeaderValue::try_from(cx.to_string()) {
+    if let Ok(mut value) = HeaderValue::try_from(cx.to_string()) {
+        value.set_sensitive(true);
         headers.insert(CONTEXT, value);
     }
+    if let Ok(value) = HeaderValue::try_from(instance.as_str()) {
+        headers.insert(INSTANCE, value);
+    }
     if let Some(rules) = node.rules() {
         headers.insert(RULES_VERSION, rules.version().into());
     }
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -45,6 +45,8 @@
     pub(super) cx: Context,
     /// When the whole answer must have arrived.
     pub(super) deadline: Instant,
+    /// Until when an answer has its full worth.
+    pub(super) objective: Instant,
     /// Retry tokens that the attempts spend and lend.
     pub(super) account: Arc<Mutex<RetryAccount>>,
     /// The path that the request takes from here on.
@@ -63,6 +65,21 @@
         }
     }
 
+    /// Makes this a call on behalf of a request in progress here.
+    ///
+    /// It matters as much as that request and ends with it at the latest. What
+    /// it may be sent to is its own, as for any other request.
+    pub(super) fn join(&mut self, parent: Arc<Parent>) {
+        self.cx.id = parent.cx.id;
+        self.cx.criticality = parent.cx.criticality;
+        self.cx.hash = parent.cx.hash;
+        self.cx.depth = parent.cx.depth.saturating_add(1);
+        self.cx.rerun = parent.cx.rerun;
+        self.deadline = self.deadline.min(parent.deadline);
+        self.objective = self.objective.min(self.deadline);
+        self.parent = Some(parent);
+    }
+
     /// Notes the level of the hops below, as a whole answer carried it.
     pub(super) fn answered(&self, node: &Node, level: Level) {
         let now = node.clock.now();
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -13,10 +13,10 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use super::attempt::read_header;
 use super::call::Call;
 use super::call::call;
 use super::once;
+use super::outbound::run_for;
 use super::track::Tracked;
 use crate::connection::body::GuardedBody;
 use crate::connection::body::RelayBody;
@@ -26,7 +26,6 @@
 use crate::process::node::Node;
 use crate::process::node::PathKey;
 use crate::request::Context;
-use crate::request::DEADLINE_MS;
 use crate::request::Reason;
 use crate::request::Refusal;
 use crate::request::RequestId;
@@ -35,7 +34,7 @@
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
 use crate::request::retries::RetryAccount;
-use crate::version::rules::Rule;
+use crate::version::Plan;
 
 /// Time for which an answer in progress is relayed beyond its deadline.
 pub(super) const BODY_GRACE: Duration = Duration::from_secs(60);
@@ -76,6 +75,7 @@
     let Prepared { token, call: request } = prepared;
     tracked.describe(&request.inbound.service, request.cx.criticality, request.cx.weight);
     match token {
+        _ if node.dialect.names_attempts() => serve_named(node, request).await,
         Some(token) if token.issuer == node.peer_addr => {
             once::run_under_token(node, &token, request).await
         }
@@ -88,7 +88,15 @@
     }
 }
 
-/// A caller's request that was read and found its rule.
+/// Serves a request whose attempt bears a name of its own: it needs no token.
+async fn serve_named(node: &Arc<Node>, request: Call) -> Result<Response<RelayBody>, Refusal> {
+    match request.parent.clone() {
+        Some(parent) => run_for(&parent, call(node, request)).await,
+        None => call(node, request).await,
+    }
+}
+
+/// A caller's request that was read and found its plan.
 struct Prepared {
     token: Option<Token>,
     call: Call,
@@ -97,14 +105,21 @@
 async fn prepare(node: &Node, req: Request<Incoming>) -> Result<Prepared, Refusal> {
     let (mut inbound, body) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
     let token = take_token(&mut inbound.headers)?;
-    let wanted = take_deadline(&mut inbound.headers)?;
+    let asked = node.dialect.take_asked(&mut inbound.headers)?;
     strip(&mut inbound.headers, &[]);
+    inbound.origin = Some(node.settings.daemon.service.clone());
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
-    let rule = inbound.rule(&rules.rules);
-    let deadline = deadline(node, rule, wanted);
+    let plan = inbound.plan(&rules.policy)?;
+    let parent = asked.name.as_ref().and_then(|name| node.dialect.parent_of(name));
+    let parent = parent.and_then(|parent| node.parents.find_named(parent));
+    inbound.name = asked.name;
+    let deadline = deadline(node, &plan, asked.deadline);
     let payload = Payload::read(body, deadline).await?;
     let seed = token.as_ref().map_or_else(rand::random, |token| token.sequence.0);
-    let mut call = root_call(node, inbound, payload, rule, deadline, seed);
+    let mut call = root_call(node, inbound, payload, &plan, deadline, seed);
+    if let Some(parent) = parent {
+        call.join(parent);
+    }
     // Whatever the rule says now, the token promises one run at most.
     call.cx.non_idempotent |= token.is_some();
     Ok(Prepared { token, call })
@@ -123,10 +138,10 @@
     }
 }
 
-/// Returns when the whole answer must have arrived: by the rule, unless the
+/// Returns when the whole answer must have arrived: by the plan, unless the
 /// sender `wanted` it sooner.
-pub(super) fn deadline(node: &Node, rule: &Rule, wanted: Option<Duration>) -> Instant {
-    let allowed = rule.deadline.min(node.settings.limits.max_deadline);
+pub(super) fn deadline(node: &Node, plan: &Plan, wanted: Option<Duration>) -> Instant {
+    let allowed = plan.deadline.min(node.settings.limits.max_deadline);
     Instant::now() + wanted.unwrap_or(allowed).min(allowed)
 }
 
@@ -135,27 +150,29 @@
     node: &Node,
     inbound: Inbound,
     payload: Payload,
-    rule: &Rule,
+    plan: &Plan,
     deadline: Instant,
     seed: u64,
 ) -> Call {
     let id = RequestId(u128::from(node.incarnation.0) << 64 | u128::from(seed));
     let cx = Context {
         id,
-        criticality: rule.criticality,
+        criticality: plan.criticality,
         hash: admission_hash(id),
         remaining: Duration::ZERO,
+        objective: Duration::ZERO,
         retries: 0,
         depth: 0,
-        non_idempotent: !rule.idempotent,
-        weight: rule.weight,
-        may_wait: rule.may_wait,
+        non_idempotent: !plan.idempotent,
+        weight: plan.weight,
+        may_wait: plan.may_wait,
         rerun: false,
         sender: node.incarnation,
     };
-    let account = Arc::new(Mutex::new(RetryAccount::mint(rule.retries)));
-    let path = PathKey { service: inbound.service.clone(), line: rule.line };
-    Call { inbound, payload, cx, deadline, account, path, parent: None }
+    let account = Arc::new(Mutex::new(RetryAccount::mint(plan.retries)));
+    let path = PathKey { service: inbound.service.clone(), plan: plan.key };
+    let objective = deadline.min(Instant::now() + plan.objective);
+    Call { inbound, payload, cx, deadline, objective, account, path, parent: None }
 }
 
 /// Spreads requests evenly over the hashes that admission levels speak of.
@@ -173,13 +190,3 @@
     let token = value.to_str().ok().and_then(|text| text.parse().ok());
     token.map(Some).ok_or(Refusal::unknown(Reason::TokenMalformed))
 }
-
-/// Takes the deadline that the sender asks for, in place of the rule's longer one.
-pub(super) fn take_deadline(headers: &mut HeaderMap) -> Result<Option<Duration>, Refusal> {
-    if !headers.contains_key(DEADLINE_MS) {
-        return Ok(None);
-    }
-    let wanted = read_header(headers, &DEADLINE_MS).map(Duration::from_millis);
-    headers.remove(DEADLINE_MS);
-    wanted.map(Some).ok_or(Refusal::not_run(Reason::Malformed))
-}
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -36,7 +36,7 @@
 use crate::request::parent::Parent;
 use crate::request::retries;
 use crate::request::retries::Attempt;
-use crate::version::rules::Rule;
+use crate::version::Plan;
 
 /// Answers one call of the local upstream.
 ///
@@ -76,8 +76,8 @@
     let payload = Payload::read(incoming, parent.deadline).await;
     let payload = payload.map_err(|refusal| refusal.after(earlier))?;
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration).after(earlier))?;
-    let rule = inbound.rule(&rules.rules);
-    let call = child_call(node, &parent, inbound, payload, rule);
+    let plan = inbound.plan(&rules.policy).map_err(|refusal| refusal.after(earlier))?;
+    let call = child_call(node, &parent, inbound, payload, &plan);
     tracked.describe(&call.inbound.service, call.cx.criticality, call.cx.weight);
     parent.child_may_run();
     let served = run_child(node, &parent, call).await;
@@ -113,19 +113,21 @@
     parent: &Arc<Parent>,
     inbound: Inbound,
     payload: Payload,
-    rule: &Rule,
+    plan: &Plan,
 ) -> Call {
     let cx = Context {
         depth: parent.cx.depth.saturating_add(1),
-        non_idempotent: !rule.idempotent,
+        non_idempotent: !plan.idempotent,
         sender: node.incarnation,
         ..parent.cx.clone()
     };
-    let deadline = parent.deadline.min(Instant::now() + rule.deadline);
-    let path = PathKey { service: inbound.service.clone(), line: rule.line };
+    let now = Instant::now();
+    let deadline = parent.deadline.min(now + plan.deadline);
+    let objective = deadline.min(now + plan.objective);
+    let path = PathKey { service: inbound.service.clone(), plan: plan.key };
     let account = Arc::clone(&parent.account);
     let parent = Some(Arc::clone(parent));
-    Call { inbound, payload, cx, deadline, account, path, parent }
+    Call { inbound, payload, cx, deadline, objective, account, path, parent }
 }
 
 async fn run_child(
@@ -136,8 +138,16 @@
     if request.cx.non_idempotent {
         return run_non_idempotent(node, parent, request).await;
     }
+    run_for(parent, call(node, request)).await
+}
+
+/// Runs a call until it or the request on whose behalf it is made ends.
+pub(super) async fn run_for(
+    parent: &Parent,
+    served: impl Future<Output = Result<Response<RelayBody>, Refusal>>,
+) -> Result<Response<RelayBody>, Refusal> {
     tokio::select! {
-        served = call(node, request) => served,
+        served = served => served,
         () = parent.ended.cancelled() => Err(Refusal::unknown(Reason::ParentGone)),
     }
 }
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -8,7 +8,6 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
@@ -26,6 +25,7 @@
 use crate::connection::body::RelayBody;
 use crate::connection::strip::strip;
 use crate::connection::upstream::Lease;
+use crate::process::InstanceId;
 use crate::process::admission::Completion;
 use crate::process::admission::Level;
 use crate::process::admission::Shed;
@@ -36,17 +36,16 @@
 use crate::process::node::InProgress;
 use crate::process::node::Node;
 use crate::process::node::Permit;
-use crate::request::CONTEXT;
 use crate::request::Context;
-use crate::request::DEADLINE_MS;
 use crate::request::LEAVING;
 use crate::request::LEVEL;
-use crate::request::OUTCOME;
 use crate::request::Outcome;
 use crate::request::PATH_LEVEL;
 use crate::request::RETRIES_LEFT;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::dialect::Claim;
+use crate::request::dialect::Handover;
 use crate::request::message::Inbound;
 use crate::request::message::remove_hop_by_hop;
 use crate::request::parent::OpenParent;
@@ -66,13 +65,14 @@
     node: &Arc<Node>,
     cx: Context,
     inbound: &Inbound,
+    instance: &InstanceId,
     body: RelayBody,
 ) -> Response<RelayBody> {
     let mut tracked = Tracked::begin(node, Role::Owner);
     tracked.describe(&inbound.service, cx.criticality, cx.weight);
     let retries = cx.retries;
     let path_level = Arc::new(Mutex::new(Level::OPEN));
-    let served = try_serve(node, cx, inbound, body, &path_level).await;
+    let served = try_serve(node, cx, inbound, instance, body, &path_level).await;
     let mut rsp = served.unwrap_or_else(|refusal| {
         // What was refused before it began has spent nothing.
         let left = match refusal.outcome {
@@ -107,6 +107,7 @@
     node: &Arc<Node>,
     cx: Context,
     inbound: &Inbound,
+    instance: &InstanceId,
     body: RelayBody,
     path_level: &Arc<Mutex<Level>>,
 ) -> Result<Response<RelayBody>, Refusal> {
@@ -128,8 +129,9 @@
         return Err(Refusal::not_run(Reason::Expired));
     }
     let non_idempotent = cx.non_idempotent;
-    let parent = node.parents.open(cx, deadline, Arc::clone(path_level));
-    let req = upstream_request(node, inbound, body, &parent, deadline);
+    let name = inbound.name.clone();
+    let parent = node.parents.open(cx, name, deadline, Arc::clone(path_level));
+    let req = upstream_request(node, inbound, instance, body, &parent, deadline);
     let exchange = Exchange { parent, permit, _in_progress: in_progress, deadline };
     match non_idempotent {
         true => run_detached(node, req, exchange).await,
@@ -235,30 +237,43 @@
             return Err(Refusal::unknown(Reason::DeadlineExceeded));
         }
     };
-    if is_shed(&rsp, &exchange) {
-        let retries = exchange.parent.parent().take_retries();
-        exchange.complete(Completion::Overloaded);
-        return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
+    match claim(node, &rsp, &exchange) {
+        Claim::Answered => {}
+        Claim::Shed => {
+            let retries = exchange.parent.parent().take_retries();
+            exchange.complete(Completion::Overloaded);
+            return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
+        }
+        Claim::Elsewhere => {
+            exchange.complete(Completion::Failed);
+            return Err(Refusal::not_run(Reason::UpstreamMoved));
+        }
+        Claim::Foreign => {
+            exchange.complete(Completion::Failed);
+            return Err(Refusal::unknown(Reason::AnswerForeign));
+        }
     }
-    if !is_delimited(&rsp) {
+    if !is_delimited(&rsp) && !node.dialect.ends_by_close() {
         exchange.complete(Completion::Failed);
         return Err(Refusal::ran(Reason::AnswerUndelimited));
     }
     exchange.permit.answer_started();
     remove_hop_by_hop(rsp.headers_mut());
-    strip(rsp.headers_mut(), &[]);
+    strip(rsp.headers_mut(), node.dialect.answer_headers());
     Ok((rsp, lease, exchange))
 }
 
-/// Whether the upstream says that it did not run the request.
+/// Returns what the upstream says of the request.
 ///
-/// It is believed only if no call was made on the request's behalf: what ran
-/// below belongs to the request, too.
-fn is_shed(rsp: &Response<Incoming>, exchange: &Exchange) -> bool {
-    let says_not_run = rsp.headers().get(OUTCOME).is_some_and(|value| value == "not-run");
-    says_not_run
-        && rsp.status() == StatusCode::SERVICE_UNAVAILABLE
-        && !exchange.parent.parent().has_child_that_may_have_run()
+/// That it did not run is believed only if no call was made on the request's
+/// behalf: what ran below belongs to the request, too.
+fn claim(node: &Node, rsp: &Response<Incoming>, exchange: &Exchange) -> Claim {
+    let parent = exchange.parent.parent();
+    let claim = node.dialect.claim(rsp.status(), rsp.headers(), parent.name.as_ref());
+    match claim {
+        Claim::Shed if parent.has_child_that_may_have_run() => Claim::Answered,
+        claim => claim,
+    }
 }
 
 /// Whether the end of the answer's body can be told from a cut; see
@@ -313,6 +328,7 @@
 fn upstream_request(
     node: &Node,
     inbound: &Inbound,
+    instance: &InstanceId,
     body: RelayBody,
     parent: &OpenParent,
     deadline: Instant,
@@ -325,18 +341,18 @@
     *req.headers_mut() = inbound.headers.clone();
     let headers = req.headers_mut();
     strip(headers, &[]);
-    let host = HeaderValue::from_str(node.settings.daemon.service.as_str());
-    if let Ok(host) = host {
-        headers.insert(header::HOST, host);
-    }
     if is_chunked {
         headers.insert(header::TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
     }
-    if let Ok(handle) = HeaderValue::try_from(parent.handle().to_string()) {
-        headers.insert(CONTEXT, handle);
-    }
-    let left = deadline.saturating_duration_since(Instant::now());
-    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    headers.insert(DEADLINE_MS, left_ms.into());
+    let handover = Handover {
+        host: &inbound.host,
+        name: inbound.name.as_ref(),
+        origin: inbound.origin.as_ref(),
+        service: &node.settings.daemon.service,
+        instance,
+        left: deadline.saturating_duration_since(Instant::now()),
+        handle: parent.handle(),
+    };
+    node.dialect.hand_over(headers, &handover);
     req
 }
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -11,19 +11,22 @@
 use super::call::Call;
 use super::entry::deadline;
 use super::entry::root_call;
-use super::entry::take_deadline;
 use super::entry::take_token;
 use super::once;
 use super::owner;
 use crate::connection::body;
 use crate::connection::body::RelayBody;
+use crate::process::InstanceId;
 use crate::process::node::Node;
 use crate::request::CONTEXT;
 use crate::request::Context;
+use crate::request::INSTANCE;
 use crate::request::RULES_VERSION;
 use crate::request::Reason;
 use crate::request::Refusal;
 use crate::request::TOKEN;
+use crate::request::dialect::Dialect as _;
+use crate::request::dialect::OwnDialect;
 use crate::request::idempotency::Token;
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
@@ -54,12 +57,15 @@
 ) -> Result<Response<RelayBody>, Refusal> {
     let cx: Option<Context> = read_header(req.headers(), &CONTEXT);
     let cx = cx.ok_or(Refusal::not_run(Reason::Malformed))?;
-    let (inbound, incoming) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
+    let instance = req.headers().get(INSTANCE).and_then(|value| value.to_str().ok());
+    let instance = instance.map_or(node.settings.daemon.instance.clone(), InstanceId::from);
+    let (mut inbound, incoming) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
+    inbound.hear_peer();
     // The address may have been taken over by an instance of another service.
     if inbound.service != node.settings.daemon.service {
         return Err(Refusal::not_run(Reason::UnknownService));
     }
-    Ok(owner::serve(node, cx, &inbound, body::relay(incoming)).await)
+    Ok(owner::serve(node, cx, &inbound, &instance, body::relay(incoming)).await)
 }
 
 /// Serves a request under a token that this daemon issued.
@@ -76,12 +82,13 @@
     let (mut inbound, incoming) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
     let token = take_token(&mut inbound.headers)?;
     let token = token.ok_or(Refusal::unknown(Reason::TokenMalformed))?;
-    let wanted = take_deadline(&mut inbound.headers)?;
+    let asked = OwnDialect.take_asked(&mut inbound.headers)?;
+    inbound.hear_peer();
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
-    let rule = inbound.rule(&rules.rules);
-    let deadline = deadline(node, rule, wanted);
+    let plan = inbound.plan(&rules.policy)?;
+    let deadline = deadline(node, &plan, asked.deadline);
     let payload = Payload::read(incoming, deadline).await?;
-    let mut call = root_call(node, inbound, payload, rule, deadline, token.sequence.0);
+    let mut call = root_call(node, inbound, payload, &plan, deadline, token.sequence.0);
     // Whatever the rule says now, the token promises one run at most.
     call.cx.non_idempotent = true;
     Ok((token, call))
--- a/lib/src/request/serve/track.rs
+++ b/lib/src/request/serve/track.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::HeaderValue;
 use http::Response;
 
 use crate::connection::body::BodyEnd;
@@ -19,9 +18,7 @@
 use crate::process::metrics::Counter;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
-use crate::request::OUTCOME;
 use crate::request::Outcome;
-use crate::request::REASON;
 use crate::request::Reason;
 use crate::request::Refusal;
 use crate::version::Criticality;
@@ -78,7 +75,10 @@
         let origin = refusal.origin;
         let fault = Fault::Refused(refusal.reason);
         self.failure = Some(Cause { fault, outcome: refusal.outcome, origin });
-        refusal.into_response()
+        match self.role {
+            Role::Entry | Role::Outbound => self.node.dialect.refuse(refusal),
+            Role::Owner => refusal.into_response(),
+        }
     }
 
     /// Marks an answer by which the upstream says that it failed.
@@ -94,9 +94,7 @@
         let origin = if self.role == Role::Owner { Origin::Here } else { Origin::Below };
         self.failure = Some(Cause { fault, outcome: Outcome::Ran, origin });
         if self.role != Role::Owner {
-            let headers = rsp.headers_mut();
-            headers.insert(OUTCOME, HeaderValue::from_static(Outcome::Ran.as_str()));
-            headers.insert(REASON, HeaderValue::from_static(reason.as_str()));
+            self.node.dialect.mark_failure(rsp.headers_mut());
         }
     }
 
--- /dev/null
+++ b/lib/src/version/routes/table.rs
@@ -0,0 +1,92 @@
+//! All routes of one version, found by host and path.
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use rustc_hash::FxBuildHasher;
+
+use super::RequestLimits;
+use super::Route;
+use super::Target;
+use crate::process::ServiceName;
+use crate::version::Plan;
+use crate::version::PlanKey;
+
+/// Weight of an answer where no text names one.
+const WEIGHT: u32 = 1;
+
+/// The routes of one version.
+#[derive(Debug)]
+pub struct RouteTable {
+    /// Routes by host, the longest prefix first.
+    hosts: IndexMap<String, Vec<Route>, FxBuildHasher>,
+    services: IndexSet<ServiceName, FxBuildHasher>,
+    limits: RequestLimits,
+}
+
+impl RouteTable {
+    /// Returns a table of routes between the named services.
+    pub fn new(
+        routes: Vec<Route>,
+        services: impl IntoIterator<Item = ServiceName>,
+        limits: RequestLimits,
+    ) -> Self {
+        let mut hosts: IndexMap<_, Vec<Route>, _> = IndexMap::default();
+        for route in routes {
+            hosts.entry(route.host.clone()).or_default().push(route);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        Self { hosts, services: services.into_iter().collect(), limits }
+    }
+
+    /// Returns the route with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        self.hosts.get(host)?.iter().find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// Returns how a request is served, and counts it among a split's shares.
+    pub fn plan(&self, host: &str, path: &str) -> Option<Plan> {
+        let route = self.find(host, path)?;
+        let service = match &route.target {
+            Target::One(service) => service,
+            Target::Split(split) => split.next(),
+        };
+        Some(Plan {
+            service: service.clone(),
+            key: PlanKey::of_name(&route.name),
+            criticality: route.criticality,
+            weight: WEIGHT,
+            idempotent: route.idempotent,
+            retries: route.attempts.saturating_sub(1),
+            deadline: route.timeout,
+            objective: route.objective,
+            may_wait: true,
+        })
+    }
+
+    /// Whether the text names a service.
+    pub fn has_service(&self, service: &ServiceName) -> bool {
+        self.services.contains(service)
+    }
+
+    /// Returns the routes, those of one host together.
+    pub fn iter(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flatten()
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
+    /// Whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Returns what requests may take.
+    pub fn limits(&self) -> &RequestLimits {
+        &self.limits
+    }
+}
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -25,6 +25,7 @@
         peer: "127.0.0.1:1".parse().expect("an address"),
         control: "127.0.0.1:2".parse().expect("an address"),
         state: VmState::Live,
+        upstream: None,
     }
 }
 
--- a/lib/tests/test_path.rs
+++ b/lib/tests/test_path.rs
@@ -67,7 +67,7 @@
             zone: "a".to_owned(),
             region: "r".to_owned(),
             peer: daemon.addresses().peer,
-            control: daemon.addresses().control,
+            control: daemon.addresses().control.expect("a control listener"),
             state: "live".to_owned(),
         });
         instances.push(Instance { daemon, upstream });
