--- a/cli/src/bin/endivescaled.rs
+++ b/cli/src/bin/endivescaled.rs
@@ -3,12 +3,14 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use endivescale::process::daemon::Daemon;
 use endivescale::process::daemon::Edge;
 use endivescale::process::daemon::StartError;
 use endivescale::process::log;
 use endivescale::process::log::LogError;
+use endivescale::process::log::StateChange;
 use endivescale::process::settings::AdapterKind;
 use endivescale::process::settings::Settings;
 use endivescale::process::settings::SettingsError;
@@ -25,6 +27,10 @@
 /// and more threads cost processor time in waking one another.
 const WORKER_THREADS: usize = 2;
 
+/// Time after which the settings file is read again, since it may change
+/// without a signal. What takes effect at once bounds the load of minutes.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Why the daemon ends with a failure.
 #[derive(Debug, Snafu)]
 enum RunError {
@@ -72,7 +78,15 @@
         .enable_all()
         .build()
         .context(RuntimeSnafu)?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(Path::new(&file), settings))
+}
+
+/// Reads the settings file again; a file that cannot be used changes nothing.
+fn reload(file: &Path, daemon: &mut Daemon) {
+    match Settings::load(file) {
+        Ok(settings) => daemon.reload(&settings),
+        Err(err) => log::write(&StateChange::SettingsRefused { error: err.to_string() }),
+    }
 }
 
 /// Returns what the daemon meets on the platform that the settings name.
@@ -90,17 +104,25 @@
     }
 }
 
-async fn serve(settings: Settings) -> Result<(), RunError> {
+async fn serve(file: &Path, settings: Settings) -> Result<(), RunError> {
     log::init(settings.log.level).context(LogSnafu)?;
     spdlog::info!("event=settings toml={:?}", settings.to_string());
     let edge = edge(&settings);
-    let daemon = Daemon::start_at(settings, edge).await.context(StartSnafu)?;
+    // Before anything else: without a handler, the signals end the process.
     let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = daemon.node().lifecycle.wait_leaving() => {}
+    let mut hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
+    let mut daemon = Daemon::start_at(settings, edge).await.context(StartSnafu)?;
+    let node = Arc::clone(daemon.node());
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            () = node.lifecycle.wait_leaving() => break,
+            _ = hangup.recv() => {}
+            () = tokio::time::sleep(RELOAD_INTERVAL) => {}
+        }
+        reload(file, &mut daemon);
     }
     match daemon.stop().await {
         0 => Ok(()),
--- a/cli/tests/test_stopping.rs
+++ b/cli/tests/test_stopping.rs
@@ -153,6 +153,17 @@
     assert!(seen.submissions.unknown > 0, "{:?}", seen.submissions);
 }
 
+/// Without a handler, the signal would end the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hangup_ends_no_daemon() {
+    let processes = Processes::start("60s").await;
+    let leaver = vec![processes.places[LEAVER].caller];
+    let asked = tokio::spawn(caller::run(plan(leaver, vec![submissions()], 50.0, 2_000)));
+    processes.daemons[LEAVER].signal(Signal::Hup).unwrap();
+    let seen = only(asked.await.unwrap());
+    assert_eq!(seen.whole, seen.asked, "{seen:?}");
+}
+
 /// Asks over and over on one kept connection; it must end between two answers.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn holds_stop_kept_connections_end_between_answers() {
--- a/lib/benches/pieces.rs
+++ b/lib/benches/pieces.rs
@@ -75,6 +75,7 @@
         non_idempotent: true,
         rerun: false,
         may_wait: true,
+        repeat: false,
         weight: 4,
         sender: Incarnation(9),
     };
--- a/lib/src/connection/peers.rs
+++ b/lib/src/connection/peers.rs
@@ -14,16 +14,18 @@
 use parking_lot::Mutex;
 use snafu::ResultExt as _;
 use snafu::Snafu;
-use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::unbounded_channel;
 
 use super::body::RelayBody;
+use super::tcp;
+use super::tcp::ConnectError;
 
-/// Longest wait for a peer to accept a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause between pings on a connection that carries requests.
-const PING_INTERVAL: Duration = Duration::from_secs(2);
+const PING_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest wait for the answer to a ping before the connection is given up.
-const PING_TIMEOUT: Duration = Duration::from_secs(3);
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bytes that one unread answer may hold in the daemon.
 const STREAM_WINDOW_BYTES: u32 = 128 * 1024;
 /// Bytes that all unread answers of one peer may hold in the daemon.
@@ -35,18 +37,10 @@
 #[derive(Debug, Snafu)]
 pub enum PeerError {
     /// No connection could be made; not a byte was sent.
-    #[snafu(display("cannot connect to the peer at {address}"))]
+    #[snafu(display("cannot connect to the peer"))]
     Connect {
-        /// Address of the peer.
-        address: SocketAddr,
-        /// What the system reported.
-        source: std::io::Error,
-    },
-    /// The peer did not accept a connection in time; not a byte was sent.
-    #[snafu(display("the peer at {address} accepted no connection within {CONNECT_TIMEOUT:?}"))]
-    ConnectTimeout {
-        /// Address of the peer.
-        address: SocketAddr,
+        /// Why there is no connection.
+        source: ConnectError,
     },
     /// The HTTP handshake failed; not a byte of the request was sent.
     #[snafu(display("cannot open an HTTP connection to the peer"))]
@@ -69,10 +63,7 @@
     /// Whether not a byte of the request can have reached the peer.
     pub fn is_unsent(&self) -> bool {
         match self {
-            Self::Connect { .. }
-            | Self::ConnectTimeout { .. }
-            | Self::Handshake { .. }
-            | Self::NotSent => true,
+            Self::Connect { .. } | Self::Handshake { .. } | Self::NotSent => true,
             Self::Failed { .. } => false,
         }
     }
@@ -81,12 +72,19 @@
 type Sender = http2::SendRequest<RelayBody>;
 
 /// Open connections to peers, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerPool {
     senders: Mutex<IndexMap<SocketAddr, Sender>>,
+    ended_tx: UnboundedSender<SocketAddr>,
 }
 
 impl PeerPool {
+    /// Returns a pool without connections, and where it tells of those that end.
+    pub fn new() -> (Self, UnboundedReceiver<SocketAddr>) {
+        let (ended_tx, ended) = unbounded_channel();
+        (Self { senders: Mutex::default(), ended_tx }, ended)
+    }
+
     fn open(&self, address: SocketAddr) -> Option<Sender> {
         let mut senders = self.senders.lock();
         let sender = senders.get(&address)?;
@@ -98,13 +96,7 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Sender, PeerError> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        let Ok(connected) = connecting.await else {
-            return ConnectTimeoutSnafu { address }.fail();
-        };
-        let stream = connected.context(ConnectSnafu { address })?;
-        // A lost Nagle setting costs latency, not correctness.
-        let _ = stream.set_nodelay(true);
+        let stream = tcp::connect(address).await.context(ConnectSnafu)?;
         let (sender, connection) = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
             .keep_alive_interval(PING_INTERVAL)
@@ -114,7 +106,13 @@
             .handshake(TokioIo::new(stream))
             .await
             .context(HandshakeSnafu)?;
-        tokio::spawn(connection);
+        let ended_tx = self.ended_tx.clone();
+        tokio::spawn(async move {
+            // How it ended is seen by the requests that it carried.
+            let _ = connection.await;
+            // Nobody listens any more once the daemon has stopped.
+            let _ = ended_tx.send(address);
+        });
         Ok(self.keep(address, sender))
     }
 
--- a/lib/src/connection/upstream.rs
+++ b/lib/src/connection/upstream.rs
@@ -6,7 +6,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -15,20 +18,20 @@
 use parking_lot::Mutex;
 use snafu::ResultExt as _;
 use snafu::Snafu;
-use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 use super::body::RelayBody;
+use super::tcp;
+use super::tcp::ConnectError;
 
 /// Why a request to the local upstream got no answer.
 #[derive(Debug, Snafu)]
 pub enum UpstreamError {
     /// No connection could be made; not a byte was sent.
-    #[snafu(display("cannot connect to the upstream at {address}"))]
+    #[snafu(display("cannot connect to the upstream"))]
     Connect {
-        /// Address of the upstream.
-        address: SocketAddr,
-        /// What the system reported.
-        source: std::io::Error,
+        /// Why there is no connection.
+        source: ConnectError,
     },
     /// The HTTP handshake failed; not a byte of the request was sent.
     #[snafu(display("cannot open an HTTP connection to the upstream"))]
@@ -57,6 +60,11 @@
     }
 }
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Part of the time that the upstream states for which an idle connection is
+/// used: a request must not meet the upstream's close on its way.
+const KEPT_PART: f64 = 0.8;
+
 type Sender = http1::SendRequest<RelayBody>;
 
 /// Idle connections to one upstream, the most recently used last.
@@ -64,7 +72,22 @@
 pub struct UpstreamPool {
     address: SocketAddr,
     capacity: usize,
-    idle: Mutex<Vec<Sender>>,
+    idle: Mutex<Vec<Idle>>,
+}
+
+/// A connection without a request.
+#[derive(Debug)]
+struct Idle {
+    sender: Sender,
+    /// Until when the upstream may be trusted not to close it.
+    fresh_until: Option<Instant>,
+}
+
+impl Idle {
+    fn is_usable(&self) -> bool {
+        let is_fresh = self.fresh_until.is_none_or(|until| Instant::now() < until);
+        is_fresh && self.sender.is_ready()
+    }
 }
 
 /// A connection that carries one request.
@@ -72,6 +95,8 @@
 pub struct Lease {
     sender: Sender,
     pool: Arc<UpstreamPool>,
+    /// For how long the upstream keeps the connection open without a request.
+    keep_alive: Option<Duration>,
 }
 
 impl UpstreamPool {
@@ -82,19 +107,16 @@
 
     fn take_idle(&self) -> Option<Sender> {
         let mut idle = self.idle.lock();
-        while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        while let Some(last) = idle.pop() {
+            if last.is_usable() {
+                return Some(last.sender);
             }
         }
         None
     }
 
     async fn connect(&self) -> Result<Sender, UpstreamError> {
-        let stream = TcpStream::connect(self.address);
-        let stream = stream.await.context(ConnectSnafu { address: self.address })?;
-        // A lost Nagle setting costs latency, not correctness.
-        let _ = stream.set_nodelay(true);
+        let stream = tcp::connect(self.address).await.context(ConnectSnafu)?;
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
         tokio::spawn(connection);
@@ -131,7 +153,10 @@
         req: Request<RelayBody>,
     ) -> Result<(Response<Incoming>, Lease), (UpstreamError, Option<Box<Request<RelayBody>>>)> {
         match sender.try_send_request(req).await {
-            Ok(rsp) => Ok((rsp, Lease { sender, pool: Arc::clone(self) })),
+            Ok(rsp) => {
+                let keep_alive = keep_alive(rsp.headers());
+                Ok((rsp, Lease { sender, pool: Arc::clone(self), keep_alive }))
+            }
             Err(mut err) => match err.take_message() {
                 Some(req) => Err((UpstreamError::NotSent, Some(Box::new(req)))),
                 None => Err((UpstreamError::Failed { source: err.into_error() }, None)),
@@ -153,10 +178,19 @@
             if self.sender.ready().await.is_err() {
                 return;
             }
+            let fresh_until = self.keep_alive.map(|time| Instant::now() + time.mul_f64(KEPT_PART));
             let mut idle = self.pool.idle.lock();
+            idle.retain(Idle::is_usable);
             if idle.len() < self.pool.capacity {
-                idle.push(self.sender);
+                idle.push(Idle { sender: self.sender, fresh_until });
             }
         });
     }
 }
+
+/// Reads for how long the other side keeps a connection without a request.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.parse().ok().map(Duration::from_secs)
+}
--- a/lib/src/process/daemon.rs
+++ b/lib/src/process/daemon.rs
@@ -35,6 +35,7 @@
 use super::node::Node;
 use super::routing::Place;
 use super::settings::Settings;
+use super::settings::SettingsChange;
 use super::status;
 use crate::connection::body;
 use crate::connection::listener;
@@ -51,6 +52,8 @@
 /// Time for which a leaving daemon goes on to answer, so that peers and callers
 /// hear of it before its listeners close.
 const LEAVE_NOTICE: Duration = Duration::from_secs(3);
+/// Time by which a stop ends before a foreign platform would kill the process.
+const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// Interval at which a pause of the process is looked for.
 const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest gap between two checks that counts as a pause.
@@ -102,6 +105,8 @@
 /// A running daemon.
 #[derive(Debug)]
 pub struct Daemon {
+    /// The settings as last read; the node keeps those of the start.
+    settings: Settings,
     node: Arc<Node>,
     addresses: Addresses,
     /// Stops the listeners that bring new work from outside this VM.
@@ -160,6 +165,7 @@
         let config = follow_config(&settings, edge.catalog, listeners.control.take())?;
         let node = Node::new(settings, addresses.peer, edge.dialect, metrics, config);
         let mut daemon = Self {
+            settings: node.settings.clone(),
             node,
             addresses,
             stop_outside: CancellationToken::new(),
@@ -195,12 +201,26 @@
         self.addresses
     }
 
+    /// Takes in settings that were read again, as far as they take effect at once.
+    pub fn reload(&mut self, settings: &Settings) {
+        let change = SettingsChange::between(&self.settings, settings);
+        if change.is_empty() {
+            return;
+        }
+        log::set_level(settings.log.level);
+        if let (Some(repeats), Some(bound)) = (&self.node.repeats, &settings.repeats) {
+            repeats.lock().set_bound(bound.ratio, bound.slack);
+        }
+        self.settings = settings.clone();
+        log::write(&StateChange::SettingsReloaded { change });
+    }
+
     /// Stops gracefully: no new work, then the end of all work in progress.
     ///
     /// Returns the number of requests that the settings' patience cut off.
     pub async fn stop(mut self) -> usize {
         self.node.lifecycle.leave(DrainCause::Signal);
-        let give_up = Instant::now() + self.node.settings.stop.patience;
+        let give_up = Instant::now() + self.patience();
         tokio::time::sleep(LEAVE_NOTICE).await;
         self.stop_outside.cancel();
         let finished = tokio::time::timeout_at(give_up, self.finish()).await;
@@ -217,6 +237,15 @@
         }
     }
 
+    /// Returns how long the stop may take.
+    fn patience(&self) -> Duration {
+        let patience = self.settings.stop.patience;
+        match self.node.settings.adapter {
+            Some(_) => patience.saturating_sub(KILL_MARGIN).max(LEAVE_NOTICE),
+            None => patience,
+        }
+    }
+
     async fn finish(&mut self) {
         while self.outside.join_next().await.is_some() {}
         self.node.lifecycle.wait_idle().await;
@@ -291,6 +320,7 @@
     fn spawn_background(&mut self) {
         self.background.spawn(Arc::clone(&self.node.gate).run_timer());
         self.background.spawn(Arc::clone(&self.node).follow_vms());
+        self.background.spawn(Arc::clone(&self.node).follow_peers());
         self.background.spawn(flush_metrics(Arc::clone(&self.node)));
         self.background.spawn(watch_pauses(Arc::clone(&self.node)));
     }
--- a/lib/src/process/log/mod.rs
+++ b/lib/src/process/log/mod.rs
@@ -55,6 +55,11 @@
     Ok(())
 }
 
+/// Sets the least severe level that is written from now on.
+pub fn set_level(level: LogLevel) {
+    spdlog::default_logger().set_level_filter(LevelFilter::MoreSevereEqual(threshold(level)));
+}
+
 /// Writes the line of one change of state.
 pub fn write(change: &StateChange) {
     spdlog::log!(change.level(), "{change}");
--- a/lib/src/process/log/state_change.rs
+++ b/lib/src/process/log/state_change.rs
@@ -8,6 +8,7 @@
 use crate::process::admission::Level;
 use crate::process::catalog::Topic;
 use crate::process::config::VersionId;
+use crate::process::settings::SettingsChange;
 
 /// Why a daemon began to leave.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -63,6 +64,16 @@
         /// The version that was met second.
         version: VersionId,
     },
+    /// The settings file was read again and differs.
+    SettingsReloaded {
+        /// What differs.
+        change: SettingsChange,
+    },
+    /// The settings file cannot be used; what was read before stays in force.
+    SettingsRefused {
+        /// Every fault of it.
+        error: String,
+    },
     /// A published text cannot be read; the version before stays in force.
     PolicyUnreadable {
         /// What is wrong with it.
@@ -127,6 +138,7 @@
             Self::VersionRefused { .. }
             | Self::VersionConflict { .. }
             | Self::PolicyUnreadable { .. }
+            | Self::SettingsRefused { .. }
             | Self::PatienceEnded { .. } => spdlog::Level::Error,
             Self::PeerLost { .. }
             | Self::CatalogLost { .. }
@@ -136,6 +148,7 @@
             | Self::VersionInForce { .. }
             | Self::PeerBack { .. }
             | Self::CatalogBack { .. }
+            | Self::SettingsReloaded { .. }
             | Self::SheddingEnded
             | Self::Draining { .. }
             | Self::Drained => spdlog::Level::Info,
@@ -158,6 +171,15 @@
             Self::VersionConflict { of, version } => {
                 write!(f, "event=version-conflict of={of} version={version}")
             }
+            Self::SettingsReloaded { change: SettingsChange { at_once, at_next_start } } => write!(
+                f,
+                "event=settings-reloaded at_once={:?} at_next_start={:?}",
+                at_once.join(","),
+                at_next_start.join(",")
+            ),
+            Self::SettingsRefused { error } => {
+                write!(f, "event=settings-refused error={error:?}")
+            }
             Self::PolicyUnreadable { error } => {
                 write!(f, "event=policy-unreadable error={error:?}")
             }
--- a/lib/src/process/membership/members.rs
+++ b/lib/src/process/membership/members.rs
@@ -1,5 +1,6 @@
 //! The platform's list and what was seen on the wire, put together.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,6 +33,11 @@
     Gone,
 }
 
+/// Whether two entries of one name speak of the same start of the upstream.
+fn is_same_start(left: &Vm, right: &Vm) -> bool {
+    left.upstream.map(|facts| facts.born_ms) == right.upstream.map(|facts| facts.born_ms)
+}
+
 /// Every instance that may exist, and what was seen of those that this daemon calls.
 ///
 /// The list only says who may exist: whether an instance gets work follows from
@@ -65,7 +71,8 @@
         for vm in &list.vms {
             let vm = Arc::new(vm.clone());
             self.services.entry(vm.service.clone()).or_default().push(vm.clone());
-            if !first && !old.contains_key(&vm.instance) {
+            let known = old.get(&vm.instance).is_some_and(|known| is_same_start(known, &vm));
+            if !first && !known {
                 self.standings.insert(vm.instance.clone(), Standing::new(Some(now)));
             }
             self.by_name.insert(vm.instance.clone(), vm);
@@ -111,6 +118,9 @@
         let Some(standing) = self.standings.get(instance) else {
             return Health::Working { share: 1.0 };
         };
+        if standing.is_gone() {
+            return Health::Gone;
+        }
         match standing.probe_at() {
             Some(at) => Health::Probed { at },
             None => Health::Working { share: standing.share(now) },
@@ -143,6 +153,12 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the instances of which something was seen whose daemon is at an address.
+    pub fn at_peer(&self, peer: SocketAddr) -> Vec<InstanceId> {
+        let is_there = |id: &&InstanceId| self.by_name.get(*id).is_some_and(|vm| vm.peer == peer);
+        self.standings.keys().filter(is_there).cloned().collect()
+    }
+
     /// Returns whether something was seen of an instance.
     pub fn has_seen(&self, instance: &InstanceId) -> bool {
         self.standings.contains_key(instance)
--- a/lib/src/process/membership/mod.rs
+++ b/lib/src/process/membership/mod.rs
@@ -1,9 +1,11 @@
 //! Which instances exist and which of them work; see `docs/design/membership.md`.
 
+mod departed;
 mod members;
 mod standing;
 mod vm;
 
+pub use departed::Departed;
 pub use members::Health;
 pub use members::Membership;
 pub use standing::Observation;
--- a/lib/src/process/membership/standing.rs
+++ b/lib/src/process/membership/standing.rs
@@ -14,6 +14,8 @@
 /// Wait before an instance that said it was leaving is probed; a restarted one
 /// answers the probe, one that still leaves refuses it.
 const LEAVING_PROBE_INTERVAL: Duration = Duration::from_secs(30);
+/// Wait before an instance is probed whose leaving daemon has ended its connection.
+const RESTART_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeouts in a row, without an answer between them, that make an instance suspected.
 const TIMEOUTS_TO_SUSPECT: u32 = 3;
 /// How long an admission level is believed after it was last heard.
@@ -34,6 +36,10 @@
     TimedOut,
     /// The instance said that it takes no new work.
     Leaving,
+    /// Another upstream holds the instance's address.
+    Gone,
+    /// The connection to the instance's daemon ended.
+    Disconnected,
     /// The instance told its admission level.
     Level(Level),
 }
@@ -43,6 +49,7 @@
     Working,
     Suspected { failures: u32 },
     Leaving,
+    Gone,
 }
 
 /// What is known of one instance.
@@ -80,6 +87,8 @@
             Observation::ConnectFailed => self.suspect(now, rng),
             Observation::TimedOut => self.timed_out(now, rng),
             Observation::Leaving => self.leave(now),
+            Observation::Gone => self.condition = Condition::Gone,
+            Observation::Disconnected => self.disconnected(now),
             Observation::Level(level) => self.level = Some((level, now)),
         }
     }
@@ -89,6 +98,11 @@
         self.condition == Condition::Working
     }
 
+    /// Whether the instance is no longer at its address.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.condition == Condition::Gone
+    }
+
     /// Returns when the instance may be probed, unless it works.
     pub(crate) fn probe_at(&self) -> Option<Duration> {
         (!self.works()).then_some(self.probe_at)
@@ -125,7 +139,14 @@
             Condition::Working => {}
             Condition::Suspected { .. } => self.recover(now),
             Condition::Leaving if self.probing => self.recover(now),
-            Condition::Leaving => {}
+            Condition::Leaving | Condition::Gone => {}
+        }
+    }
+
+    /// A daemon that was leaving may be back once its connection has ended.
+    fn disconnected(&mut self, now: Duration) {
+        if self.condition == Condition::Leaving {
+            self.probe_at = self.probe_at.min(now + RESTART_PROBE_INTERVAL);
         }
     }
 
@@ -146,7 +167,8 @@
         let failures = match self.condition {
             Condition::Working => 1,
             Condition::Suspected { failures } if self.probing => failures.saturating_add(1),
-            Condition::Suspected { .. } | Condition::Leaving => return,
+            Condition::Leaving if self.probing => 1,
+            Condition::Suspected { .. } | Condition::Leaving | Condition::Gone => return,
         };
         self.probing = false;
         self.condition = Condition::Suspected { failures };
@@ -155,6 +177,9 @@
     }
 
     fn leave(&mut self, now: Duration) {
+        if self.condition == Condition::Gone {
+            return;
+        }
         self.condition = Condition::Leaving;
         self.probing = false;
         self.probe_at = now + LEAVING_PROBE_INTERVAL;
@@ -162,7 +187,7 @@
 
     fn interval(&self, rng: &mut impl Rng) -> Duration {
         match self.condition {
-            Condition::Working | Condition::Leaving => LEAVING_PROBE_INTERVAL,
+            Condition::Working | Condition::Leaving | Condition::Gone => LEAVING_PROBE_INTERVAL,
             Condition::Suspected { failures } => {
                 let doublings = failures.saturating_sub(1).min(16);
                 let full = (PROBE_INTERVAL_MIN * (1 << doublings)).min(PROBE_INTERVAL_MAX);
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -11,6 +11,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod node;
+pub mod repeats;
 pub mod routing;
 pub mod settings;
 pub mod status;
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 
 pub use self::gate::Gate;
@@ -35,12 +36,16 @@
 use super::config::ActiveRules;
 use super::config::ConfigHandle;
 use super::log::DrainCause;
+use super::membership::Departed;
 use super::membership::VmList;
 use super::membership::VmState;
 use super::metrics::Metrics;
+use super::repeats::RepeatAccount;
+use super::repeats::RepeatBound;
 use super::routing::Place;
 use super::routing::Router;
 use super::settings::IdempotencySettings;
+use super::settings::RepeatSettings;
 use super::settings::Settings;
 use crate::connection::peers::PeerPool;
 use crate::connection::upstream::UpstreamPool;
@@ -80,8 +85,14 @@
     pub router: Mutex<Router>,
     /// The way to the local upstream.
     pub gate: Arc<Gate>,
+    /// Repeats that may reach the local upstream, if that is bounded.
+    pub repeats: Option<Mutex<RepeatAccount>>,
+    /// Instances known to be no longer at the local upstream's address.
+    pub departed: Mutex<Departed>,
     /// Connections to other daemons.
     pub peers: PeerPool,
+    /// Addresses of peers whose connections have ended, until they are followed.
+    ended_peers: Mutex<Option<UnboundedReceiver<SocketAddr>>>,
     /// Connections to the local upstream.
     pub upstream: Arc<UpstreamPool>,
     /// Whether new work is taken.
@@ -113,6 +124,7 @@
         };
         let connections = settings.upstream.connections as usize;
         let upstream = UpstreamPool::new(settings.upstream.address, connections);
+        let (peers, ended_peers) = PeerPool::new();
         let burn = Mutex::new(Burn::new(place.instance.clone(), settings.objectives));
         Arc::new(Self {
             incarnation,
@@ -123,7 +135,10 @@
             home: Home::new(peer_addr, incarnation, &issuer_config(&settings.idempotency)),
             router: Mutex::new(Router::new(place, rand::random())),
             gate: Gate::new(&admission_config(&settings), clock),
-            peers: PeerPool::default(),
+            repeats: settings.repeats.map(|bound| Mutex::new(repeat_account(&bound))),
+            departed: Mutex::default(),
+            peers,
+            ended_peers: Mutex::new(Some(ended_peers)),
             upstream,
             lifecycle: Arc::default(),
             metrics,
@@ -187,6 +202,21 @@
         if let Some(own) = own.max_by_key(|facts| facts.born_ms) {
             self.gate.set_slots(own.slots as usize);
         }
+        self.departed.lock().heed(list);
+        if let Some(repeats) = &self.repeats {
+            let service = &self.settings.daemon.service;
+            let instances = list.vms.iter().filter(|vm| vm.service == *service);
+            repeats.lock().set_instances(instances.count());
+        }
+    }
+
+    /// Tells the router of connections to peers that ended, for as long as the
+    /// process runs.
+    pub async fn follow_peers(self: Arc<Self>) {
+        let Some(mut ended) = self.ended_peers.lock().take() else { return };
+        while let Some(peer) = ended.recv().await {
+            self.router.lock().disconnected(self.clock.now(), peer);
+        }
     }
 
     /// Hands each new list of VMs to the router, for as long as lists come.
@@ -208,6 +238,11 @@
     }
 }
 
+fn repeat_account(bound: &RepeatSettings) -> RepeatAccount {
+    let RepeatSettings { ratio, slack, window } = *bound;
+    RepeatAccount::new(RepeatBound { ratio, slack, window })
+}
+
 fn admission_config(settings: &Settings) -> AdmissionConfig {
     let mut cfg = AdmissionConfig::new(settings.upstream.slots as usize);
     if let Some(entries) = settings.admission.queue {
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -1,5 +1,6 @@
 //! Picks an instance for each call.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -104,6 +105,13 @@
         self.members.observe(now, instance, seen, &mut self.rng);
     }
 
+    /// Notes that the connection to the daemon at an address ended.
+    pub fn disconnected(&mut self, now: Duration, peer: SocketAddr) {
+        for instance in self.members.at_peer(peer) {
+            self.members.observe(now, &instance, Observation::Disconnected, &mut self.rng);
+        }
+    }
+
     /// Treats everything seen as out of date, as after a pause of the process.
     pub fn outdate(&mut self, now: Duration) {
         self.members.outdate(now);
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod error;
 mod reader;
+mod reload;
 mod section;
 
 use std::fmt;
@@ -17,6 +18,7 @@
 
 pub use self::error::Problem;
 pub use self::error::SettingsError;
+pub use self::reload::SettingsChange;
 use super::InstanceId;
 use super::Region;
 use super::ServiceName;
@@ -25,7 +27,7 @@
 use super::units::DurationText;
 
 /// Everything that a daemon learns from its settings file.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Settings {
     /// Who this daemon is and where it runs.
     pub daemon: Daemon,
@@ -49,10 +51,25 @@
     pub limits: Limits,
     /// How many requests of each criticality may fail.
     pub objectives: Objectives,
+    /// How many repeats may reach the upstreams of the service, if that is bounded.
+    pub repeats: Option<RepeatSettings>,
     /// The foreign platform that the daemon runs on, if any.
     pub adapter: Option<Adapter>,
 }
 
+/// How many repeats may reach the upstreams of a service together.
+#[serde_as]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct RepeatSettings {
+    /// Repeats allowed for each request that arrives for the first time.
+    pub ratio: f64,
+    /// Repeats allowed beside them.
+    pub slack: f64,
+    /// Time over which both are counted.
+    #[serde_as(as = "DurationText")]
+    pub window: Duration,
+}
+
 /// The foreign platform that a daemon runs on.
 ///
 /// With it, the platform publishes routes and entries in a store in place of
--- a/lib/src/process/settings/reader.rs
+++ b/lib/src/process/settings/reader.rs
@@ -17,6 +17,7 @@
 use super::LogLevel;
 use super::MetricsSettings;
 use super::Platform;
+use super::RepeatSettings;
 use super::Settings;
 use super::Stop;
 use super::Upstream;
@@ -32,7 +33,7 @@
 const HOUR: Duration = Duration::from_secs(60 * 60);
 
 const SECTIONS: &str = "daemon, listen, upstream, platform, stop, metrics, log, admission, \
-                        idempotency, limits, objectives, adapter";
+                        idempotency, limits, objectives, repeats, adapter";
 
 const NAME: &str = "a name of letters, digits, '-', '_' and '.'";
 const ADDRESS: &str = "an IP address and port, such as \"127.0.0.1:7001\"";
@@ -61,6 +62,9 @@
         idempotency: idempotency(Section::take(&mut file, "idempotency", &mut problems)),
         limits: limits(Section::take(&mut file, "limits", &mut problems)),
         objectives: objectives(Section::take(&mut file, "objectives", &mut problems)),
+        repeats: file
+            .contains_key("repeats")
+            .then(|| repeats(Section::take(&mut file, "repeats", &mut problems))),
         adapter: adapted.then(|| adapter(Section::take(&mut file, "adapter", &mut problems))),
     };
     for key in file.keys() {
@@ -107,6 +111,16 @@
     upstream
 }
 
+fn repeats(mut section: Section<'_>) -> RepeatSettings {
+    let repeats = RepeatSettings {
+        ratio: section.fraction("ratio", 0.0..=10.0),
+        slack: section.fraction("slack", 0.0..=1e6),
+        window: section.duration("window", SECOND..=HOUR, 10 * SECOND),
+    };
+    section.finish();
+    repeats
+}
+
 fn adapter(mut section: Section<'_>) -> Adapter {
     let zones = section.optional("zones", "a table of availability zones and their regions");
     let adapter = Adapter {
--- a/lib/src/process/settings/section.rs
+++ b/lib/src/process/settings/section.rs
@@ -112,6 +112,22 @@
         Some(self.in_range(key, number, &accepted, T::to_string))
     }
 
+    /// Reads a number with or without a fraction that must be set and lie in `accepted`.
+    pub(super) fn fraction(&mut self, key: &'static str, accepted: RangeInclusive<f64>) -> f64 {
+        let expected = format!("a number from {} to {}", accepted.start(), accepted.end());
+        let found: Value = self.required(key, &expected, Value::Float(*accepted.start()));
+        let number = match &found {
+            Value::Float(number) => *number,
+            Value::Integer(number) => *number as f64,
+            _ => {
+                let (key, found) = (self.path(key), found.to_string());
+                self.problems.push(Problem::InvalidValue { key, found, expected });
+                return *accepted.start();
+            }
+        };
+        self.in_range(key, number, &accepted, f64::to_string)
+    }
+
     /// Reads a duration that may be absent and must lie in `accepted`.
     pub(super) fn duration(
         &mut self,
--- a/lib/src/request/context.rs
+++ b/lib/src/request/context.rs
@@ -49,6 +49,9 @@
     pub may_wait: bool,
     /// Whether an earlier attempt at this request may have run.
     pub rerun: bool,
+    /// Whether the request, or one on whose behalf it is made, has reached an
+    /// upstream before; see `docs/design/retries.md`.
+    pub repeat: bool,
     /// Incarnation of the daemon that sent this.
     pub sender: Incarnation,
 }
@@ -75,7 +78,8 @@
         let micros = self.remaining.as_micros();
         let flags = u8::from(self.non_idempotent)
             | u8::from(self.rerun) << 1
-            | u8::from(self.may_wait) << 2;
+            | u8::from(self.may_wait) << 2
+            | u8::from(self.repeat) << 3;
         write!(
             f,
             "{};{};{:x};{};{};{};{};{};{};{}",
@@ -121,6 +125,7 @@
             non_idempotent: flags & 1 != 0,
             rerun: flags & 2 != 0,
             may_wait: flags & 4 != 0,
+            repeat: flags & 8 != 0,
             weight: weight.context(InvalidFieldSnafu { field: "weight" })?,
             sender: sender.context(InvalidFieldSnafu { field: "sender" })?,
         })
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -79,6 +79,8 @@
     UpstreamUnreachable = "upstream-unreachable", BAD_GATEWAY;
     /// The upstream failed before it answered.
     UpstreamFailed = "upstream-failed", BAD_GATEWAY;
+    /// The instance that was meant is no longer at its address.
+    InstanceGone = "instance-gone", SERVICE_UNAVAILABLE;
     /// Another upstream holds the address of the one that was meant.
     UpstreamMoved = "upstream-moved", BAD_GATEWAY;
     /// The upstream answered another request than the one at hand.
@@ -138,6 +140,7 @@
             | Self::UnknownService
             | Self::UpstreamUnreachable
             | Self::UpstreamFailed
+            | Self::InstanceGone
             | Self::UpstreamMoved
             | Self::AnswerForeign
             | Self::UpstreamShed
@@ -269,6 +272,16 @@
         self
     }
 
+    /// Whether the request may have reached an upstream, even if that ran nothing.
+    pub fn reached_upstream(&self) -> bool {
+        match self.outcome {
+            Outcome::Unknown | Outcome::Ran => true,
+            Outcome::NotRun => {
+                matches!(self.reason, Reason::UpstreamShed | Reason::UpstreamMoved)
+            }
+        }
+    }
+
     /// Reads the refusal that a peer answered; `None` if the answer is none.
     pub fn from_headers(headers: &HeaderMap) -> Option<Self> {
         let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -191,7 +191,7 @@
 
 fn observe_answer(node: &Node, vm: &Vm, headers: &HeaderMap) {
     observe(node, vm, |router, now| {
-        router.observe(now, &vm.instance, Observation::Answered);
+        router.observe(now, &vm.instance, seen_in(headers));
         if let Some(level) = read_header(headers, &LEVEL) {
             router.observe(now, &vm.instance, Observation::Level(level));
         }
@@ -201,6 +201,16 @@
     });
 }
 
+/// Returns what an answer shows of the instance beside its level.
+fn seen_in(headers: &HeaderMap) -> Observation {
+    let refusal = Refusal::from_headers(headers);
+    match refusal.map(|refusal| refusal.reason) {
+        Some(Reason::UpstreamMoved | Reason::InstanceGone) => Observation::Gone,
+        Some(Reason::UpstreamUnreachable) => Observation::ConnectFailed,
+        _ => Observation::Answered,
+    }
+}
+
 /// Tells the router what was seen, and operators if that changes whether the
 /// instance gets work.
 fn observe(node: &Node, vm: &Vm, see: impl FnOnce(&mut Router, Duration)) {
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -31,6 +31,10 @@
 /// Time beyond the deadline for which the answer to a non-idempotent request is
 /// still awaited, so that a resend can be given it.
 const LATE_ANSWER_GRACE: Duration = Duration::from_secs(30);
+/// Instances that one call may be sent to without reaching an upstream, before
+/// its caller is told so. Each costs a hop; three cover a service of which one
+/// instance in each availability zone cannot take the call.
+const DETOURS_MAX: u32 = 3;
 /// Pause told to a caller when every instance refuses requests like its own.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -49,6 +53,8 @@
     pub(super) objective: Instant,
     /// Retry tokens that the attempts spend and lend.
     pub(super) account: Arc<Mutex<RetryAccount>>,
+    /// Attempts that reached no upstream.
+    pub(super) detours: u32,
     /// The path that the request takes from here on.
     pub(super) path: PathKey,
     /// The request in progress here on whose behalf this one is sent; none for
@@ -75,6 +81,7 @@
         self.cx.hash = parent.cx.hash;
         self.cx.depth = parent.cx.depth.saturating_add(1);
         self.cx.rerun = parent.cx.rerun;
+        self.cx.repeat = parent.cx.repeat;
         self.deadline = self.deadline.min(parent.deadline);
         self.objective = self.objective.min(self.deadline);
         self.parent = Some(parent);
@@ -100,10 +107,20 @@
     }
 
     /// Whether one more attempt is safe, possible and paid for.
-    fn may_retry(&self, refusal: &Refusal) -> bool {
+    fn may_retry(&mut self, refusal: &Refusal) -> bool {
         let is_safe = refusal.outcome == Outcome::NotRun || !self.cx.non_idempotent;
         let is_useful = refusal.reason.may_differ_elsewhere();
-        is_safe && is_useful && self.payload.is_left() && self.account.lock().spend()
+        is_safe && is_useful && self.payload.is_left() && self.may_pay(refusal)
+    }
+
+    /// Takes what one more attempt costs: a retry token if the last attempt
+    /// reached an upstream, or else one of a few detours.
+    fn may_pay(&mut self, refusal: &Refusal) -> bool {
+        if refusal.reached_upstream() {
+            return self.account.lock().spend();
+        }
+        self.detours += 1;
+        self.detours <= DETOURS_MAX
     }
 }
 
@@ -121,7 +138,6 @@
             return Err(Refusal::not_run(Reason::Expired).after(earlier));
         }
         let vm = pick(node, &call, &tried).map_err(|refusal| refusal.after(earlier))?;
-        call.cx.rerun |= earlier.is_some_and(|outcome| outcome != Outcome::NotRun);
         let refusal = match attempt::attempt(node, &vm, &mut call).await {
             Ok(rsp) => return Ok(rsp),
             Err(refusal) => refusal,
@@ -132,6 +148,8 @@
             return Err(refusal);
         }
         node.metrics.count(Counter::RetriesSpent);
+        call.cx.rerun |= refusal.outcome != Outcome::NotRun;
+        call.cx.repeat |= refusal.reached_upstream();
         earlier = Some(refusal.outcome);
         tried.push(vm.instance.clone());
     }
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -16,7 +16,6 @@
 use super::call::Call;
 use super::call::call;
 use super::once;
-use super::outbound::run_for;
 use super::track::Tracked;
 use crate::connection::body::GuardedBody;
 use crate::connection::body::RelayBody;
@@ -75,7 +74,8 @@
     let Prepared { token, call: request } = prepared;
     tracked.describe(&request.inbound.service, request.cx.criticality, request.cx.weight);
     match token {
-        _ if node.dialect.names_attempts() => serve_named(node, request).await,
+        // An attempt that bears a name of its own needs no token.
+        _ if node.dialect.names_attempts() => call(node, request).await,
         Some(token) if token.issuer == node.peer_addr => {
             once::run_under_token(node, &token, request).await
         }
@@ -88,14 +88,6 @@
     }
 }
 
-/// Serves a request whose attempt bears a name of its own: it needs no token.
-async fn serve_named(node: &Arc<Node>, request: Call) -> Result<Response<RelayBody>, Refusal> {
-    match request.parent.clone() {
-        Some(parent) => run_for(&parent, call(node, request)).await,
-        None => call(node, request).await,
-    }
-}
-
 /// A caller's request that was read and found its plan.
 struct Prepared {
     token: Option<Token>,
@@ -167,12 +159,13 @@
         weight: plan.weight,
         may_wait: plan.may_wait,
         rerun: false,
+        repeat: false,
         sender: node.incarnation,
     };
     let account = Arc::new(Mutex::new(RetryAccount::mint(plan.retries)));
     let path = PathKey { service: inbound.service.clone(), plan: plan.key };
     let objective = deadline.min(Instant::now() + plan.objective);
-    Call { inbound, payload, cx, deadline, objective, account, path, parent: None }
+    Call { inbound, payload, cx, deadline, objective, account, detours: 0, path, parent: None }
 }
 
 /// Spreads requests evenly over the hashes that admission levels speak of.
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -127,7 +127,7 @@
     let path = PathKey { service: inbound.service.clone(), plan: plan.key };
     let account = Arc::clone(&parent.account);
     let parent = Some(Arc::clone(parent));
-    Call { inbound, payload, cx, deadline, objective, account, path, parent }
+    Call { inbound, payload, cx, deadline, objective, account, detours: 0, path, parent }
 }
 
 async fn run_child(
@@ -138,16 +138,8 @@
     if request.cx.non_idempotent {
         return run_non_idempotent(node, parent, request).await;
     }
-    run_for(parent, call(node, request)).await
-}
-
-/// Runs a call until it or the request on whose behalf it is made ends.
-pub(super) async fn run_for(
-    parent: &Parent,
-    served: impl Future<Output = Result<Response<RelayBody>, Refusal>>,
-) -> Result<Response<RelayBody>, Refusal> {
     tokio::select! {
-        served = served => served,
+        served = call(node, request) => served,
         () = parent.ended.cancelled() => Err(Refusal::unknown(Reason::ParentGone)),
     }
 }
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -118,6 +118,12 @@
     if cx.depth > MAX_DEPTH {
         return Err(Refusal::not_run(Reason::TooDeep));
     }
+    if node.departed.lock().has(instance) {
+        return Err(Refusal::not_run(Reason::InstanceGone));
+    }
+    if cx.repeat && !has_room_for_repeat(node) {
+        return Err(Refusal::not_run(Reason::RetriesSpent));
+    }
     let deadline = Instant::now() + cx.remaining;
     let work = work(node, &cx);
     let permit = tokio::select! {
@@ -128,17 +134,37 @@
     if Instant::now() >= deadline {
         return Err(Refusal::not_run(Reason::Expired));
     }
+    if !count_arrival(node, cx.repeat) {
+        return Err(Refusal::not_run(Reason::RetriesSpent));
+    }
     let non_idempotent = cx.non_idempotent;
     let name = inbound.name.clone();
     let parent = node.parents.open(cx, name, deadline, Arc::clone(path_level));
     let req = upstream_request(node, inbound, instance, body, &parent, deadline);
-    let exchange = Exchange { parent, permit, _in_progress: in_progress, deadline };
+    let instance = instance.clone();
+    let exchange = Exchange { parent, permit, _in_progress: in_progress, deadline, instance };
     match non_idempotent {
         true => run_detached(node, req, exchange).await,
         false => run_attached(node, req, exchange).await,
     }
 }
 
+fn has_room_for_repeat(node: &Node) -> bool {
+    let Some(repeats) = &node.repeats else { return true };
+    repeats.lock().has_room(node.clock.now())
+}
+
+/// Counts a request that is about to reach the upstream; returns whether it may.
+fn count_arrival(node: &Node, repeat: bool) -> bool {
+    let Some(repeats) = &node.repeats else { return true };
+    let (mut repeats, now) = (repeats.lock(), node.clock.now());
+    if repeat {
+        return repeats.repeat(now);
+    }
+    repeats.first(now);
+    true
+}
+
 /// Waits until queued requests are to be refused because the daemon leaves.
 async fn queue_closed(node: &Node) {
     node.lifecycle.wait_leaving().await;
@@ -151,6 +177,8 @@
     permit: Permit,
     _in_progress: InProgress,
     deadline: Instant,
+    /// The one instance that may run the request.
+    instance: InstanceId,
 }
 
 impl Exchange {
@@ -222,6 +250,7 @@
     give_up: Instant,
 ) -> Result<(Response<Incoming>, Lease, Exchange), Refusal> {
     node.metrics.count(Counter::Handed);
+    let instance = exchange.instance.clone();
     let (mut rsp, lease) = match timeout_at(give_up, node.upstream.send(req)).await {
         Ok(Ok(answered)) => answered,
         Ok(Err(err)) if err.is_unsent() => {
@@ -245,6 +274,7 @@
             return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
         }
         Claim::Elsewhere => {
+            node.departed.lock().note(&instance);
             exchange.complete(Completion::Failed);
             return Err(Refusal::not_run(Reason::UpstreamMoved));
         }
--- a/lib/src/request/serve/track.rs
+++ b/lib/src/request/serve/track.rs
@@ -73,6 +73,15 @@
     pub(super) fn refuse(&mut self, refusal: Refusal) -> Response<RelayBody> {
         self.node.metrics.count(Counter::Refused(refusal.reason));
         let origin = refusal.origin;
+        spdlog::info!(
+            "event=refused role={:?} class={:?} reason={} outcome={} origin={:?} after_ms={}",
+            self.role,
+            self.class.as_ref().map(|c| c.0.service.to_string()),
+            refusal.reason,
+            refusal.outcome,
+            refusal.origin,
+            (self.node.clock.now() - self.started).as_millis()
+        );
         let fault = Fault::Refused(refusal.reason);
         self.failure = Some(Cause { fault, outcome: refusal.outcome, origin });
         match self.role {
--- a/lib/tests/test_context.rs
+++ b/lib/tests/test_context.rs
@@ -17,6 +17,7 @@
         non_idempotent: true,
         rerun: false,
         may_wait: true,
+        repeat: true,
         weight: 10,
         sender: Incarnation(9),
     }
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -1,9 +1,11 @@
 use std::time::Duration;
 
 use endivescale::process::InstanceId;
+use endivescale::process::membership::Departed;
 use endivescale::process::membership::Health;
 use endivescale::process::membership::Membership;
 use endivescale::process::membership::Observation;
+use endivescale::process::membership::UpstreamFacts;
 use endivescale::process::membership::Vm;
 use endivescale::process::membership::VmList;
 use endivescale::process::membership::VmState;
@@ -191,3 +193,49 @@
         assert_eq!(s.probe_at(5_000), 5_000);
     }
 }
+
+fn started(name: &str, born_ms: u64) -> Vm {
+    let facts = UpstreamFacts {
+        address: "127.0.0.1:3".parse().expect("an address"),
+        slots: 4,
+        cold_for: Duration::ZERO,
+        born_ms,
+    };
+    Vm { upstream: Some(facts), ..vm(name) }
+}
+
+#[test]
+fn an_instance_that_left_its_address_is_gone_until_it_starts_anew() {
+    let mut s = Setup::new();
+    let list = |version, born| VmList { version, vms: vec![started("a-x1-1", born)] };
+    assert!(s.members.apply(ms(0), &list(2, 100)));
+    s.see(1, Observation::Gone);
+    assert_eq!(s.health(1), Health::Gone);
+    assert!(s.members.apply(ms(2), &list(3, 100)));
+    s.see(2, Observation::Answered);
+    assert_eq!(s.health(2), Health::Gone);
+    assert!(s.members.apply(ms(3), &list(4, 200)));
+    assert_eq!(s.health(3), Health::Working { share: 0.1 });
+}
+
+#[test]
+fn a_departed_instance_is_forgotten_once_the_list_has_caught_up() {
+    let mut departed = Departed::default();
+    let list = |born| VmList { version: 1, vms: vec![started("a-x1-1", born)] };
+    departed.heed(&list(100));
+    departed.note(&"a-x1-1".into());
+    departed.heed(&list(100));
+    assert!(departed.has(&"a-x1-1".into()));
+    departed.heed(&list(200));
+    assert!(!departed.has(&"a-x1-1".into()));
+}
+
+/// A leaving daemon that ends its connection may be back at once.
+#[test]
+fn a_restarted_daemon_is_probed_soon_after_its_connection_ended() {
+    let mut s = Setup::new();
+    s.see(0, Observation::Leaving);
+    assert!(s.probe_at(0) >= 30_000);
+    s.see(3_000, Observation::Disconnected);
+    assert_eq!(s.probe_at(3_000), 3_500);
+}
--- /dev/null
+++ b/lib/tests/test_repeats.rs
@@ -0,0 +1,79 @@
+//! The account of repeats; see `docs/design/retries.md`.
+
+use std::time::Duration;
+
+use endivescale::process::repeats::RepeatAccount;
+use endivescale::process::repeats::RepeatBound;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+const SEED: u64 = 47;
+const WINDOW: Duration = Duration::from_secs(10);
+const BOUND: RepeatBound = RepeatBound { ratio: 0.2, slack: 47.0, window: WINDOW };
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// What arrives, by time since the arrival before.
+type Arrivals = Vec<(u16, bool)>;
+
+/// Whether some window that ends with a repeat holds more of them than the
+/// bound allows for one of `instances` alike.
+fn breaks_bound(arrivals: &Arrivals, instances: usize) -> bool {
+    let mut account = RepeatAccount::new(BOUND);
+    account.set_instances(instances);
+    let mut now = Duration::ZERO;
+    let mut seen: Vec<(Duration, bool)> = Vec::new();
+    let mut broken = false;
+    for &(gap_ms, repeats) in arrivals {
+        now += ms(u64::from(gap_ms % 500));
+        if !repeats {
+            account.first(now);
+        } else if !account.repeat(now) {
+            continue;
+        }
+        seen.push((now, repeats));
+        let window = || seen.iter().filter(|(at, _)| *at + WINDOW > now);
+        let repeats = window().filter(|(_, repeats)| *repeats).count();
+        let firsts = window().count() - repeats;
+        let allowed = BOUND.ratio * firsts as f64 + BOUND.slack / instances as f64;
+        broken |= repeats as f64 > allowed;
+    }
+    broken
+}
+
+#[test]
+fn no_window_holds_more_repeats_than_its_part_of_the_bound() {
+    fn property(arrivals: Arrivals, instances: u8) -> bool {
+        !breaks_bound(&arrivals, usize::from(instances % 8) + 1)
+    }
+    let mut checker = QuickCheck::new().rng(Gen::from_size_and_seed(400, SEED)).tests(2000);
+    checker.quickcheck(property as fn(Arrivals, u8) -> bool);
+}
+
+/// The process before may have used up the constant part a moment ago.
+#[test]
+fn a_new_process_has_no_slack_until_a_window_has_passed() {
+    let mut account = RepeatAccount::new(BOUND);
+    assert!(!account.repeat(ms(9_900)));
+    assert!(account.repeat(ms(10_000)));
+}
+
+#[test]
+fn first_arrivals_earn_repeats() {
+    let mut account = RepeatAccount::new(BOUND);
+    for _ in 0..100 {
+        account.first(ms(100));
+    }
+    let spent = (0..100).take_while(|_| account.repeat(ms(200))).count();
+    assert!((15..=20).contains(&spent), "{spent} repeats for 100 first arrivals");
+}
+
+#[test]
+fn repeats_are_forgotten_after_the_window() {
+    let mut account = RepeatAccount::new(BOUND);
+    while account.repeat(ms(10_000)) {}
+    assert!(!account.has_room(ms(19_900)));
+    assert!(account.has_room(ms(20_200)));
+}
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -2,6 +2,7 @@
 
 use endivescale::process::settings::Problem;
 use endivescale::process::settings::Settings;
+use endivescale::process::settings::SettingsChange;
 use endivescale::process::settings::SettingsError;
 
 const COMPLETE: &str = r#"
@@ -81,7 +82,7 @@
 refused! {
     unknown_section: "[stop]" => "[halt]\n[stop]",
         "halt: unknown key; expected one of daemon, listen, upstream, platform, stop, metrics, \
-         log, admission, idempotency, limits, objectives, adapter";
+         log, admission, idempotency, limits, objectives, repeats, adapter";
     wrong_type: "slots = 40" => "slots = \"forty\"",
         "upstream.slots: \"forty\" cannot be used; expected a whole number from 1 to 100000";
     host_name_in_place_of_address: "127.0.0.1:8500" => "platform:8500",
@@ -109,3 +110,15 @@
     queue_without_a_place: "[stop]" => "[admission]\nqueue = 0\n[stop]",
         "admission.queue: 0 is out of range; accepted are 1 to 100000";
 }
+
+#[test]
+fn reload_tells_what_takes_effect_when() {
+    let repeats = "[repeats]\nratio = 0.2\nslack = 47\n";
+    let old = Settings::parse("old", &format!("{COMPLETE}{repeats}")).unwrap();
+    let text = format!("{COMPLETE}{}", repeats.replace("47", "92.5"));
+    let new = Settings::parse("new", &text.replace("slots = 40", "slots = 41")).unwrap();
+    let change = SettingsChange::between(&old, &new);
+    assert_eq!(change.at_once, ["repeats.slack"]);
+    assert_eq!(change.at_next_start, ["upstream.slots"]);
+    assert!(SettingsChange::between(&new, &new).is_empty());
+}
--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -89,6 +89,8 @@
 pub enum Signal {
     /// Asks for a planned stop.
     Term,
+    /// Says that the settings file has changed.
+    Hup,
     /// Freezes the process.
     Stop,
     /// Lets a frozen process go on.
@@ -101,6 +103,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Term => "TERM",
+            Self::Hup => "HUP",
             Self::Stop => "STOP",
             Self::Cont => "CONT",
             Self::Kill => "KILL",
