--- a/lib/benches/pieces.rs
+++ b/lib/benches/pieces.rs
@@ -15,6 +15,7 @@
 use endivescale::request::Context;
 use endivescale::request::RequestId;
 use endivescale::version::Criticality;
+use endivescale::version::PlanKey;
 use endivescale::version::rules::Rules;
 
 fn work(now: Duration, hash: u16) -> Work {
@@ -22,7 +23,9 @@
         criticality: Criticality::Normal,
         hash,
         depth: 0,
+        kind: PlanKey(0),
         deadline: now + Duration::from_secs(1),
+        objective: None,
         may_wait: true,
         weight: 1,
     }
@@ -69,7 +72,7 @@
         criticality: Criticality::High,
         hash: 0xbeef,
         remaining: Duration::from_millis(250),
-        objective: Duration::from_millis(250),
+        objective: None,
         retries: 3,
         depth: 4,
         non_idempotent: true,
--- a/lib/benches/policy/sim.rs
+++ b/lib/benches/policy/sim.rs
@@ -16,6 +16,7 @@
 use endivescale::process::admission::Ticket;
 use endivescale::process::admission::Verdict;
 use endivescale::process::admission::Work;
+use endivescale::version::PlanKey;
 use indexmap::IndexMap;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
@@ -265,7 +266,8 @@
         let hash: u16 = self.rng.random();
         let spec = &self.dep.classes[class];
         if self.variant.feedback
-            && let Err(shed) = self.levels[entry].check(self.now, &class, spec.criticality, hash)
+            && let Err(shed) =
+                self.levels[entry].check(self.now, &class, spec.criticality, hash, None)
         {
             self.tally.refused_at_root(class);
             let hint = self.variant.hints.then_some(shed.retry_after);
@@ -398,7 +400,9 @@
             criticality: class.criticality,
             hash: call.hash,
             depth: u8::from(call.parent.is_some()),
+            kind: PlanKey::of_name(class.name),
             deadline: call.deadline,
+            objective: None,
             may_wait: class.may_wait,
             weight: class.weight,
         };
@@ -541,7 +545,7 @@
         let sender = self.instances.len() + instance;
         let criticality = self.dep.classes[class].criticality;
         if self.variant.feedback
-            && let Err(shed) = self.levels[sender].check(self.now, &class, criticality, hash)
+            && let Err(shed) = self.levels[sender].check(self.now, &class, criticality, hash, None)
         {
             let level = self.levels[sender].level(self.now, &class);
             self.call(id).level = level;
--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -28,6 +28,9 @@
         /// What the connection reported.
         source: hyper::Error,
     },
+    /// The connection ended before the body did.
+    #[snafu(display("the connection ended before the body"))]
+    Ended,
     /// The deadline of the request passed while the body was on its way.
     #[snafu(display("the deadline passed before the body ended"))]
     DeadlineExceeded,
--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -20,10 +20,15 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use tower::Service;
+use tower::ServiceBuilder;
 
+use super::body;
 use super::body::RelayBody;
 use super::peers::MAX_STREAMS;
+use super::pipeline;
+use super::pipeline::ConnectionCx;
 
 /// Longest time that a caller may take to send a request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -70,7 +75,7 @@
     stop: CancellationToken,
     on_malformed: OnMalformed,
 ) where
-    S: Service<Request<Incoming>, Response = Response<RelayBody>, Error = Infallible>,
+    S: Service<Request<RelayBody>, Response = Response<RelayBody>, Error = Infallible>,
     S: Clone + Send + Sync + 'static,
     S::Future: Send,
 {
@@ -97,6 +102,32 @@
     graceful.shutdown().await;
 }
 
+/// Does as [`serve`] with connections whose pipelined requests are served side
+/// by side.
+pub async fn serve_pipelined<S>(listener: TcpListener, service: S, cx: ConnectionCx)
+where
+    S: Service<Request<RelayBody>, Response = Response<RelayBody>, Error = Infallible>,
+    S: Clone + Send + Sync + 'static,
+    S::Future: Send,
+{
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = cx.stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                connections.spawn(pipeline::serve(stream, service.clone(), cx.clone()));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
+        }
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+}
+
 fn spawn_connection<S>(
     stream: TcpStream,
     protocol: Protocol,
@@ -104,13 +135,16 @@
     graceful: &GracefulShutdown,
     on_malformed: OnMalformed,
 ) where
-    S: Service<Request<Incoming>, Response = Response<RelayBody>, Error = Infallible>,
+    S: Service<Request<RelayBody>, Response = Response<RelayBody>, Error = Infallible>,
     S: Clone + Send + Sync + 'static,
     S::Future: Send,
 {
     // A lost Nagle setting costs latency, not correctness.
     let _ = stream.set_nodelay(true);
     let io = TokioIo::new(stream);
+    let service = ServiceBuilder::new()
+        .map_request(|req: Request<Incoming>| req.map(body::relay))
+        .service(service);
     let service = TowerToHyperService::new(service);
     match protocol {
         Protocol::Http1 => {
--- /dev/null
+++ b/lib/src/connection/pipeline/body.rs
@@ -0,0 +1,87 @@
+//! Bodies of requests: short ones whole, long ones while they arrive.
+
+use bytes::BytesMut;
+use http_body_util::BodyExt as _;
+use http_body_util::channel::Channel;
+use http_body_util::channel::Sender;
+use tokio::io::AsyncRead;
+
+use super::error::ReadError;
+use super::framing::Decoder;
+use super::framing::Step;
+use super::reader::Reader;
+use super::reader::Stopped;
+use crate::connection::body;
+use crate::connection::body::RelayBody;
+use crate::connection::body::RelayError;
+use crate::request::message::HELD_BODY_BYTES;
+
+/// Parts of a long body that wait for whoever reads it.
+const PARTS_MAX: usize = 4;
+
+/// The body of a request that has begun to arrive.
+pub(super) enum Arriving {
+    /// It is here whole.
+    Whole(RelayBody),
+    /// The rest goes to the reader of the body as it arrives.
+    Rest(RelayBody, Rest),
+}
+
+/// The part of a long body that is still to come.
+pub(super) struct Rest {
+    decoder: Decoder,
+    tx: Sender<bytes::Bytes, RelayError>,
+    read: u64,
+}
+
+/// Reads a short body to its end, or the beginning of a long one.
+pub(super) async fn begin<R: AsyncRead + Unpin>(
+    reader: &mut Reader<R>,
+    mut decoder: Decoder,
+) -> Result<Arriving, Stopped> {
+    let mut held = BytesMut::new();
+    loop {
+        match reader.body(&mut decoder).await? {
+            Step::End if held.is_empty() => return Ok(Arriving::Whole(body::empty())),
+            Step::End => return Ok(Arriving::Whole(body::full(held.freeze()))),
+            Step::Data(data) => held.extend_from_slice(&data),
+            Step::Wait => {}
+        }
+        if held.len() as u64 > HELD_BODY_BYTES {
+            let read = held.len() as u64;
+            let (mut tx, rest) = Channel::new(PARTS_MAX);
+            // The channel is empty, so there is room for the first part.
+            let _ = tx.try_send(hyper::body::Frame::data(held.freeze()));
+            return Ok(Arriving::Rest(rest.boxed_unsync(), Rest { decoder, tx, read }));
+        }
+    }
+}
+
+impl Rest {
+    /// Hands the rest of the body on; what nobody reads any more is passed over.
+    pub(super) async fn relay<R: AsyncRead + Unpin>(
+        mut self,
+        reader: &mut Reader<R>,
+        bytes_max: u64,
+    ) -> Result<(), Stopped> {
+        let mut is_read = true;
+        loop {
+            match reader.body(&mut self.decoder).await {
+                Ok(Step::End) => return Ok(()),
+                Ok(Step::Data(data)) => {
+                    self.read += data.len() as u64;
+                    if self.read > bytes_max {
+                        self.tx.abort(RelayError::Ended);
+                        return Err(ReadError::BodyTooLong.into());
+                    }
+                    is_read = is_read && self.tx.send_data(data).await.is_ok();
+                }
+                Ok(Step::Wait) => {}
+                Err(stopped) => {
+                    self.tx.abort(RelayError::Ended);
+                    return Err(stopped);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/connection/pipeline/framing.rs
@@ -0,0 +1,139 @@
+//! Where the body of a request ends.
+
+use bytes::Buf as _;
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::header;
+
+use super::error::ReadError;
+
+/// Longest line with the size of a chunk, or of a trailer, in bytes.
+const LINE_MAX: usize = 4096;
+
+/// How a request says where its body ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Framing {
+    /// After so many bytes; there may be none.
+    Length(u64),
+    /// After a chunk without bytes.
+    Chunked,
+}
+
+/// Reads the framing from a head.
+///
+/// A head that can be read in two ways is refused: behind it, another daemon or
+/// the upstream could see a request that nobody sent.
+pub(super) fn of(headers: &HeaderMap) -> Result<Framing, ReadError> {
+    let codings: Vec<&HeaderValue> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
+    let lengths: Vec<&HeaderValue> = headers.get_all(header::CONTENT_LENGTH).iter().collect();
+    match (codings.as_slice(), lengths.as_slice()) {
+        ([], []) => Ok(Framing::Length(0)),
+        ([], [length]) => parse_length(length).map(Framing::Length),
+        ([coding], []) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Ok(Framing::Chunked)
+        }
+        _ => Err(ReadError::Malformed),
+    }
+}
+
+fn parse_length(value: &HeaderValue) -> Result<u64, ReadError> {
+    let text = value.to_str().map_err(|_| ReadError::Malformed)?;
+    let is_number = !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
+    if !is_number {
+        return Err(ReadError::Malformed);
+    }
+    text.parse().map_err(|_| ReadError::Malformed)
+}
+
+/// One step of a body.
+#[derive(Debug, Eq, PartialEq)]
+pub(super) enum Step {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// More bytes must arrive first.
+    Wait,
+    /// The body has ended.
+    End,
+}
+
+/// Takes a body off the bytes of its connection.
+#[derive(Debug)]
+pub(super) struct Decoder {
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    /// So many bytes are left of a body with a length.
+    Length(u64),
+    ChunkSize,
+    /// So many bytes are left of a chunk.
+    Chunk(u64),
+    ChunkEnd,
+    Trailers,
+    End,
+}
+
+impl Decoder {
+    pub(super) fn new(framing: Framing) -> Self {
+        let state = match framing {
+            Framing::Length(0) => State::End,
+            Framing::Length(len) => State::Length(len),
+            Framing::Chunked => State::ChunkSize,
+        };
+        Self { state }
+    }
+
+    /// Takes the next part of the body off the front of `buf`.
+    pub(super) fn step(&mut self, buf: &mut BytesMut) -> Result<Step, ReadError> {
+        loop {
+            match self.state {
+                State::End => return Ok(Step::End),
+                State::Length(_) | State::Chunk(_) if buf.is_empty() => return Ok(Step::Wait),
+                State::Length(left) => {
+                    let (data, left) = take(buf, left);
+                    self.state = if left == 0 { State::End } else { State::Length(left) };
+                    return Ok(Step::Data(data));
+                }
+                State::Chunk(left) => {
+                    let (data, left) = take(buf, left);
+                    self.state = if left == 0 { State::ChunkEnd } else { State::Chunk(left) };
+                    return Ok(Step::Data(data));
+                }
+                State::ChunkSize => match httparse::parse_chunk_size(buf) {
+                    Ok(httparse::Status::Complete((len, size))) => {
+                        buf.advance(len);
+                        self.state = if size == 0 { State::Trailers } else { State::Chunk(size) };
+                    }
+                    Ok(httparse::Status::Partial) if buf.len() <= LINE_MAX => {
+                        return Ok(Step::Wait);
+                    }
+                    Ok(httparse::Status::Partial) | Err(_) => return Err(ReadError::Malformed),
+                },
+                State::ChunkEnd if buf.len() < 2 => return Ok(Step::Wait),
+                State::ChunkEnd if buf.starts_with(b"\r\n") => {
+                    buf.advance(2);
+                    self.state = State::ChunkSize;
+                }
+                State::ChunkEnd => return Err(ReadError::Malformed),
+                State::Trailers => match buf.windows(2).position(|pair| pair == b"\r\n") {
+                    Some(len) => {
+                        buf.advance(len + 2);
+                        self.state = if len == 0 { State::End } else { State::Trailers };
+                    }
+                    None if buf.len() <= LINE_MAX => return Ok(Step::Wait),
+                    None => return Err(ReadError::Malformed),
+                },
+            }
+        }
+    }
+}
+
+/// Takes at most `left` bytes; returns them and how many are left after that.
+fn take(buf: &mut BytesMut, left: u64) -> (Bytes, u64) {
+    let len = usize::try_from(left).map_or(buf.len(), |left| left.min(buf.len()));
+    let data = buf.split_to(len).freeze();
+    (data, left - len as u64)
+}
--- /dev/null
+++ b/lib/src/connection/pipeline/reader.rs
@@ -0,0 +1,86 @@
+//! The bytes that a caller sends.
+
+use bytes::BytesMut;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncReadExt as _;
+
+use super::error::ReadError;
+use super::framing::Decoder;
+use super::framing::Step;
+use super::head;
+use super::head::Head;
+
+/// Room that is made for each reading, in bytes.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Why no request or body was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Stopped {
+    /// The caller closed the connection or it broke.
+    Closed,
+    /// The bytes are no request.
+    Bad(ReadError),
+}
+
+impl From<ReadError> for Stopped {
+    fn from(err: ReadError) -> Self {
+        Self::Bad(err)
+    }
+}
+
+/// Reads requests off a connection.
+#[derive(Debug)]
+pub(super) struct Reader<R> {
+    io: R,
+    buf: BytesMut,
+}
+
+impl<R: AsyncRead + Unpin> Reader<R> {
+    pub(super) fn new(io: R) -> Self {
+        Self { io, buf: BytesMut::new() }
+    }
+
+    /// Waits until the first byte of a request is there.
+    pub(super) async fn begin(&mut self) -> Result<(), Stopped> {
+        match self.buf.is_empty() {
+            true => self.fill().await,
+            false => Ok(()),
+        }
+    }
+
+    /// Reads a head to its end.
+    pub(super) async fn head(&mut self, bytes_max: usize) -> Result<Head, Stopped> {
+        loop {
+            if let Some(head) = head::take(&mut self.buf, bytes_max)? {
+                return Ok(head);
+            }
+            self.fill().await?;
+        }
+    }
+
+    /// Reads the next part of a body.
+    pub(super) async fn body(&mut self, decoder: &mut Decoder) -> Result<Step, Stopped> {
+        loop {
+            match decoder.step(&mut self.buf)? {
+                Step::Wait => self.fill().await?,
+                step => return Ok(step),
+            }
+        }
+    }
+
+    /// Waits for the end of the connection while the caller sends nothing that
+    /// is to be read.
+    pub(super) async fn closed(&mut self) {
+        while self.fill().await.is_ok() {
+            self.buf.clear();
+        }
+    }
+
+    async fn fill(&mut self) -> Result<(), Stopped> {
+        self.buf.reserve(READ_BYTES);
+        match self.io.read_buf(&mut self.buf).await {
+            Ok(1..) => Ok(()),
+            Ok(0) | Err(_) => Err(Stopped::Closed),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/connection/pipeline/requests.rs
@@ -0,0 +1,196 @@
+//! Reads the requests of a connection and starts to serve each.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::Method;
+use http::Request;
+use http::Response;
+use tokio::io::AsyncRead;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+use tower::Service;
+
+use super::ConnectionCx;
+use super::ConnectionLimits;
+use super::body;
+use super::body::Arriving;
+use super::error::ReadError;
+use super::framing;
+use super::framing::Decoder;
+use super::framing::Framing;
+use super::head::Head;
+use super::reader::Reader;
+use super::reader::Stopped;
+use crate::connection::body::RelayBody;
+
+/// How much longer than callers are told an idle connection stays open, so that
+/// a request does not meet its close on the way.
+const IDLE_MARGIN: f64 = 1.25;
+
+/// What the writer does next.
+pub(super) enum Pending {
+    /// Tells the caller to send the body.
+    Continue,
+    /// Waits for an answer and writes it.
+    Answer(Awaited),
+    /// Refuses bytes that are no request, and closes.
+    Refuse(ReadError),
+}
+
+/// An answer that is being made; its request is dropped with it.
+pub(super) struct Awaited {
+    pub(super) answer: AbortOnDropHandle<Response<RelayBody>>,
+    /// Whether the request was for a head alone.
+    pub(super) is_head: bool,
+    /// Whether the caller reads chunks.
+    pub(super) reads_chunks: bool,
+    pub(super) in_progress: InProgress,
+}
+
+/// Counts a request until its answer has been written.
+pub(super) struct InProgress(Arc<AtomicUsize>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Reads the requests of one connection.
+pub(super) struct Requests<'a, R, S> {
+    reader: Reader<R>,
+    service: S,
+    cx: &'a ConnectionCx,
+    /// Ends the reading of requests.
+    closing: CancellationToken,
+    tx: mpsc::Sender<Pending>,
+    in_progress: Arc<AtomicUsize>,
+}
+
+impl<'a, R, S> Requests<'a, R, S>
+where
+    R: AsyncRead + Unpin,
+    S: Service<Request<RelayBody>, Response = Response<RelayBody>, Error = Infallible>,
+    S: Clone + Send + Sync + 'static,
+    S::Future: Send,
+{
+    pub(super) fn new(
+        io: R,
+        service: S,
+        cx: &'a ConnectionCx,
+        closing: CancellationToken,
+        tx: mpsc::Sender<Pending>,
+    ) -> Self {
+        let in_progress = Arc::default();
+        Self { reader: Reader::new(io), service, cx, closing, tx, in_progress }
+    }
+
+    /// Reads requests until the caller closes the connection or it breaks.
+    pub(super) async fn run(mut self) {
+        loop {
+            match self.next().await {
+                Ok(true) => {}
+                Ok(false) => return self.wait_closed().await,
+                Err(Stopped::Closed) => return,
+                Err(Stopped::Bad(err)) => {
+                    (self.cx.on_malformed)();
+                    // A writer that has ended has closed the connection.
+                    let _ = self.tx.send(Pending::Refuse(err)).await;
+                    return self.wait_closed().await;
+                }
+            }
+        }
+    }
+
+    /// Ends the queue of answers, and watches for the caller's end meanwhile.
+    async fn wait_closed(self) {
+        let Self { mut reader, tx, .. } = self;
+        drop(tx);
+        reader.closed().await;
+    }
+
+    /// Reads one request and starts to serve it; returns whether to go on.
+    async fn next(&mut self) -> Result<bool, Stopped> {
+        let Ok(permit) = self.tx.clone().reserve_owned().await else { return Ok(false) };
+        let limits = (self.cx.limits)();
+        tokio::select! {
+            begun = begin(&mut self.reader, &self.in_progress, &limits) => match begun? {
+                Begun::Request => {}
+                Begun::Idle => return Ok(false),
+            },
+            () = self.closing.cancelled() => return Ok(false),
+        }
+        let head = timeout(limits.head_timeout, self.reader.head(limits.head_bytes)).await;
+        let head = head.unwrap_or(Err(ReadError::HeadTimeout.into()))?;
+        let framing = framing::of(&head.parts.headers)?;
+        if matches!(framing, Framing::Length(len) if len > limits.body_bytes) {
+            return Err(ReadError::BodyTooLong.into());
+        }
+        if head.expects_continue {
+            self.tx.send(Pending::Continue).await.map_err(|_| Stopped::Closed)?;
+        }
+        let arriving = body::begin(&mut self.reader, Decoder::new(framing)).await?;
+        // The answer before may have closed the connection meanwhile: the
+        // request then counts as not read.
+        if self.closing.is_cancelled() {
+            return Ok(false);
+        }
+        let closes = head.closes;
+        let (body, rest) = match arriving {
+            Arriving::Whole(body) => (body, None),
+            Arriving::Rest(body, rest) => (body, Some(rest)),
+        };
+        permit.send(Pending::Answer(self.start(head, body)));
+        if let Some(rest) = rest {
+            rest.relay(&mut self.reader, limits.body_bytes).await?;
+        }
+        if closes {
+            self.closing.cancel();
+        }
+        Ok(!closes)
+    }
+
+    fn start(&mut self, head: Head, body: RelayBody) -> Awaited {
+        self.in_progress.fetch_add(1, Ordering::Relaxed);
+        let is_head = head.parts.method == Method::HEAD;
+        let reads_chunks = head.parts.version == http::Version::HTTP_11;
+        let req = Request::from_parts(head.parts, body);
+        let mut service = self.service.clone();
+        let answer = tokio::spawn(async move {
+            match service.call(req).await {
+                Ok(rsp) => rsp,
+                Err(never) => match never {},
+            }
+        });
+        let in_progress = InProgress(Arc::clone(&self.in_progress));
+        Awaited { answer: AbortOnDropHandle::new(answer), is_head, reads_chunks, in_progress }
+    }
+}
+
+enum Begun {
+    Request,
+    /// Nothing came and nothing is in progress.
+    Idle,
+}
+
+/// Waits for the first byte of the next request.
+async fn begin<R: AsyncRead + Unpin>(
+    reader: &mut Reader<R>,
+    in_progress: &AtomicUsize,
+    limits: &ConnectionLimits,
+) -> Result<Begun, Stopped> {
+    let idle: Duration = limits.idle_timeout.mul_f64(IDLE_MARGIN);
+    loop {
+        match timeout(idle, reader.begin()).await {
+            Ok(begun) => return begun.map(|()| Begun::Request),
+            Err(_) if in_progress.load(Ordering::Relaxed) > 0 => {}
+            Err(_) => return Ok(Begun::Idle),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/connection/pipeline/writer.rs
@@ -0,0 +1,158 @@
+//! Writes the answers of a connection in the order of its requests.
+
+use bytes::BytesMut;
+use futures_util::FutureExt as _;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt as _;
+use hyper::body::Body as _;
+use snafu::ResultExt as _;
+use snafu::Snafu;
+use tokio::io::AsyncWrite;
+use tokio::io::AsyncWriteExt as _;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use super::encode;
+use super::encode::AnswerFraming;
+use super::error::ReadError;
+use super::requests::Awaited;
+use super::requests::Pending;
+use crate::connection::body;
+use crate::connection::body::RelayBody;
+use crate::connection::body::RelayError;
+
+/// Bytes of an answer that are written at once at the least, if there are more.
+const WRITE_BYTES: usize = 16 * 1024;
+
+/// Why a connection ends in the middle of an answer, or before one.
+#[derive(Debug, Snafu)]
+pub(super) enum WriteError {
+    /// The caller's side is gone.
+    #[snafu(display("the connection broke"))]
+    Connection { source: std::io::Error },
+    /// The answer broke off.
+    #[snafu(display("the answer broke off"))]
+    Answer { source: RelayError },
+    /// The answer is shorter or longer than its head said.
+    #[snafu(display("the answer's body has {found} bytes instead of {stated}"))]
+    Length { found: u64, stated: u64 },
+    /// Serving the request failed.
+    #[snafu(display("the request was not served to its end"))]
+    Unserved { source: tokio::task::JoinError },
+}
+
+/// Writes answers until there will be no more; the connection can be closed
+/// properly then.
+pub(super) async fn run<W: AsyncWrite + Unpin>(
+    io: &mut W,
+    rx: &mut mpsc::Receiver<Pending>,
+    closing: &CancellationToken,
+) -> Result<(), WriteError> {
+    while let Some(pending) = rx.recv().await {
+        match pending {
+            Pending::Continue => {
+                io.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.context(ConnectionSnafu)?;
+            }
+            Pending::Refuse(err) => return refuse(io, err).await,
+            Pending::Answer(awaited) => {
+                let is_last = write_answer(io, rx, closing, awaited).await?;
+                if is_last {
+                    return Ok(());
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn refuse<W: AsyncWrite + Unpin>(io: &mut W, err: ReadError) -> Result<(), WriteError> {
+    let mut rsp = Response::new(body::empty());
+    *rsp.status_mut() = err.status();
+    let (parts, _) = rsp.into_parts();
+    let mut buf = BytesMut::new();
+    encode::head(&mut buf, &parts, AnswerFraming::Length(0), true);
+    io.write_all(&buf).await.context(ConnectionSnafu)
+}
+
+/// Writes one answer; returns whether it is the connection's last.
+async fn write_answer<W: AsyncWrite + Unpin>(
+    io: &mut W,
+    rx: &mpsc::Receiver<Pending>,
+    closing: &CancellationToken,
+    awaited: Awaited,
+) -> Result<bool, WriteError> {
+    let Awaited { answer, is_head, reads_chunks, in_progress } = awaited;
+    let rsp = answer.await.context(UnservedSnafu)?;
+    if rsp.headers().get(header::CONNECTION).is_some_and(|value| value == "close") {
+        closing.cancel();
+    }
+    let framing = framing(&rsp, is_head, reads_chunks);
+    if framing == AnswerFraming::Close {
+        closing.cancel();
+    }
+    // Requests that were read before are still answered; the last of them says
+    // that the connection closes.
+    let is_last = closing.is_cancelled() && rx.is_empty();
+    let (parts, body) = rsp.into_parts();
+    let mut buf = BytesMut::with_capacity(WRITE_BYTES);
+    encode::head(&mut buf, &parts, framing, is_last);
+    write_body(io, &mut buf, framing, body).await?;
+    drop(in_progress);
+    Ok(is_last)
+}
+
+fn framing(rsp: &Response<RelayBody>, is_head: bool, reads_chunks: bool) -> AnswerFraming {
+    if is_head || encode::is_bodyless(rsp.status()) {
+        return AnswerFraming::Nothing;
+    }
+    match rsp.body().size_hint().exact() {
+        Some(len) => AnswerFraming::Length(len),
+        None if reads_chunks => AnswerFraming::Chunked,
+        None => AnswerFraming::Close,
+    }
+}
+
+/// Writes what is in `buf` and the body; small answers leave in one piece.
+async fn write_body<W: AsyncWrite + Unpin>(
+    io: &mut W,
+    buf: &mut BytesMut,
+    framing: AnswerFraming,
+    mut body: RelayBody,
+) -> Result<(), WriteError> {
+    let mut written = 0;
+    loop {
+        let ready = body.frame().now_or_never();
+        let frame = match ready {
+            Some(frame) => frame,
+            None => {
+                flush(io, buf).await?;
+                body.frame().await
+            }
+        };
+        let Some(frame) = frame else { break };
+        let frame = frame.context(AnswerSnafu)?;
+        let Some(data) = frame.data_ref() else { continue };
+        written += data.len() as u64;
+        encode::data(buf, framing, data);
+        if buf.len() >= WRITE_BYTES {
+            flush(io, buf).await?;
+        }
+    }
+    if let AnswerFraming::Length(stated) = framing
+        && stated != written
+    {
+        return LengthSnafu { found: written, stated }.fail();
+    }
+    encode::end(buf, framing);
+    flush(io, buf).await
+}
+
+async fn flush<W: AsyncWrite + Unpin>(io: &mut W, buf: &mut BytesMut) -> Result<(), WriteError> {
+    if buf.is_empty() {
+        return Ok(());
+    }
+    io.write_all(buf).await.context(ConnectionSnafu)?;
+    buf.clear();
+    Ok(())
+}
--- a/lib/src/connection/upstream.rs
+++ b/lib/src/connection/upstream.rs
@@ -12,6 +12,8 @@
 use http::HeaderName;
 use http::Request;
 use http::Response;
+use http_body_util::BodyExt as _;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -60,6 +62,8 @@
     }
 }
 
+/// Longest answer that is read to its end to keep its connection, in bytes.
+const DISCARDED_BYTES: u64 = 4096;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Part of the time that the upstream states for which an idle connection is
 /// used: a request must not meet the upstream's close on its way.
@@ -171,6 +175,20 @@
 }
 
 impl Lease {
+    /// Gives the connection back once a short answer that nobody wants has been
+    /// read to its end.
+    pub fn discard_answer(self, rsp: Response<Incoming>) {
+        let len = rsp.body().size_hint().exact();
+        if len.is_none_or(|len| len > DISCARDED_BYTES) {
+            return;
+        }
+        tokio::spawn(async move {
+            if rsp.into_body().collect().await.is_ok() {
+                self.release();
+            }
+        });
+    }
+
     /// Gives the connection back after its answer was read to the end.
     pub fn release(mut self) {
         tokio::spawn(async move {
--- a/lib/src/process/admission/latency.rs
+++ b/lib/src/process/admission/latency.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
+use rustc_hash::FxBuildHasher;
+
 use crate::version::Criticality;
+use crate::version::PlanKey;
 
-/// Weight of a new sample in the estimate of the service time.
-const SHORT_GAIN: f64 = 0.1;
+/// Weight of a new sample in the estimates.
+const GAIN: f64 = 0.1;
 
 /// Time without a sample in which the estimate of the service time halves.
 ///
@@ -13,60 +17,97 @@
 /// be corrected.
 const HALF_LIFE_SECONDS: f64 = 1.0;
 
-/// Service time of one criticality, in seconds.
+/// Kinds of work that are measured at most; the one measured first makes room.
+const KINDS_MAX: usize = 4096;
+
+/// One kind of work: the requests of one rule or route.
 #[derive(Clone, Copy, Debug, Default)]
-struct ClassLatency {
-    short: f64,
-    held: f64,
+struct Kind {
+    /// Time until the answer's head, in seconds.
+    service: f64,
     samples: u32,
     last_sample: Duration,
+    /// Time for which a slot is held, in seconds.
+    held: f64,
+    holds: u32,
+    running: u32,
 }
 
-/// Service times by criticality.
+/// Service times by kind of work: kinds of one criticality may differ by a
+/// factor of ten and more.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Latencies {
-    classes: [ClassLatency; Criticality::ALL.len()],
+    kinds: IndexMap<PlanKey, Kind, FxBuildHasher>,
+    /// Time for which a slot is held by each criticality, in seconds.
+    held: [f64; Criticality::ALL.len()],
 }
 
 impl Latencies {
     /// Notes a measured latency.
-    pub(super) fn sample(&mut self, now: Duration, criticality: Criticality, latency: Duration) {
-        let class = &mut self.classes[usize::from(criticality.rank())];
-        class.last_sample = now;
-        class.samples = class.samples.saturating_add(1);
-        let first = 1.0 / f64::from(class.samples);
-        class.short += (latency.as_secs_f64() - class.short) * SHORT_GAIN.max(first);
+    pub(super) fn sample(&mut self, now: Duration, kind: PlanKey, latency: Duration) {
+        let kind = self.kind_mut(kind);
+        kind.last_sample = now;
+        kind.samples = kind.samples.saturating_add(1);
+        approach(&mut kind.service, latency.as_secs_f64(), kind.samples);
     }
 
     /// Notes work that was given up on: its latency is at least `elapsed`.
-    pub(super) fn sample_at_least(
-        &mut self,
-        now: Duration,
-        criticality: Criticality,
-        elapsed: Duration,
-    ) {
-        if elapsed > self.service_time(now, criticality) {
-            self.sample(now, criticality, elapsed);
+    pub(super) fn sample_at_least(&mut self, now: Duration, kind: PlanKey, elapsed: Duration) {
+        if elapsed > self.service_time(now, kind) {
+            self.sample(now, kind, elapsed);
         }
     }
 
+    /// Notes that a request has taken a slot.
+    pub(super) fn started(&mut self, kind: PlanKey) {
+        self.kind_mut(kind).running += 1;
+    }
+
     /// Notes how long a request held its slot.
-    pub(super) fn held(&mut self, criticality: Criticality, time: Duration) {
-        let class = &mut self.classes[usize::from(criticality.rank())];
-        class.held += (time.as_secs_f64() - class.held) * SHORT_GAIN;
+    pub(super) fn ended(&mut self, criticality: Criticality, kind: PlanKey, time: Duration) {
+        let held = &mut self.held[usize::from(criticality.rank())];
+        *held += (time.as_secs_f64() - *held) * GAIN;
+        let kind = self.kind_mut(kind);
+        kind.running = kind.running.saturating_sub(1);
+        kind.holds = kind.holds.saturating_add(1);
+        approach(&mut kind.held, time.as_secs_f64(), kind.holds);
     }
 
     /// Returns how long requests of a criticality hold a slot, in seconds.
     pub(super) fn hold_seconds(&self, criticality: Criticality) -> f64 {
-        self.classes[usize::from(criticality.rank())].held
+        self.held[usize::from(criticality.rank())]
+    }
+
+    /// Returns how long requests of a kind hold a slot, in seconds.
+    pub(super) fn kind_hold_seconds(&self, kind: PlanKey) -> f64 {
+        self.kinds.get(&kind).map_or(0.0, |kind| kind.held)
     }
 
-    /// Returns the time that a request of a criticality takes once started.
-    pub(super) fn service_time(&self, now: Duration, criticality: Criticality) -> Duration {
-        let class = &self.classes[usize::from(criticality.rank())];
-        let silence = now.saturating_sub(class.last_sample).as_secs_f64();
-        Duration::from_secs_f64(class.short * (-silence / HALF_LIFE_SECONDS).exp2())
+    /// Returns the requests a second that what runs now is expected to complete.
+    pub(super) fn completions_per_second(&self) -> f64 {
+        let kinds = self.kinds.values().filter(|kind| kind.held > 0.0);
+        kinds.map(|kind| f64::from(kind.running) / kind.held).sum()
     }
+
+    /// Returns the time that a request of a kind takes once started.
+    pub(super) fn service_time(&self, now: Duration, kind: PlanKey) -> Duration {
+        let Some(kind) = self.kinds.get(&kind) else { return Duration::ZERO };
+        let silence = now.saturating_sub(kind.last_sample).as_secs_f64();
+        Duration::from_secs_f64(kind.service * (-silence / HALF_LIFE_SECONDS).exp2())
+    }
+
+    fn kind_mut(&mut self, kind: PlanKey) -> &mut Kind {
+        if self.kinds.len() >= KINDS_MAX && !self.kinds.contains_key(&kind) {
+            self.kinds.shift_remove_index(0);
+        }
+        self.kinds.entry(kind).or_default()
+    }
+}
+
+/// Moves an estimate towards a sample, the first ones by more.
+fn approach(estimate: &mut f64, sample: f64, samples: u32) {
+    let first = 1.0 / f64::from(samples);
+    *estimate += (sample - *estimate) * GAIN.max(first);
 }
 
 /// Weight of the last window in the drain rate.
--- a/lib/src/process/admission/level_control.rs
+++ b/lib/src/process/admission/level_control.rs
@@ -1,98 +1,113 @@
-//! Adapts the admission level to the queueing delay.
+//! Adapts the admission level to the work that is offered.
 
 use super::Level;
+use super::load::OfferedLoad;
 use crate::version::Criticality;
 
-/// Buckets of hashes for each criticality.
-const BUCKETS: usize = 512;
+/// Least part of a criticality that stays open, so that its demand can still
+/// be measured and the level corrected.
+const LEAST_PART: f64 = 0.02;
 
-/// All buckets, the most important first.
-const POSITIONS: usize = BUCKETS * Criticality::ALL.len();
+/// Offered work for each slot, in an overloaded window. The queue takes up the
+/// random variation; less would leave slots idle in each lull.
+const HEADROOM: f64 = 1.05;
 
-/// The level always admits this many buckets, so that it can be corrected.
-const LEAST_POSITIONS: usize = 8;
+/// Part of a criticality that opens at the least in a window without lateness.
+const LEAST_STEP: f64 = 0.01;
 
-/// Share of the admitted arrivals that an overloaded window cuts off.
-const CUT: f64 = 0.05;
+/// Growth of the open part of the last criticality in a window without lateness
+/// while all slots are in use.
+const CAREFUL_GROWTH: f64 = 0.04;
 
-/// Admitted arrivals for each request served, in an overloaded window.
-const HEADROOM: f64 = 1.1;
-
-/// Part of the open buckets of the last class that opens in a window without
-/// lateness.
-const RAISE_DIVISOR: usize = 8;
+/// Part of the way that the level goes to where it should be in a late window.
+const CLOSING_GAIN: f64 = 0.5;
 
 /// Share of the slots above which the upstream counts as fully used.
 const FULLY_USED: f64 = 0.9;
 
-/// Keeps the level and the arrivals that it is worked out from.
+/// Keeps the level.
 ///
-/// After DAGOR: arrivals are counted by criticality and hash, so a cut falls on
-/// as many buckets as the excess needs. While the overload is gone the level
-/// rises by twice as many buckets in each window, because work that callers
-/// refuse on our behalf is not counted here and nothing else would show that
-/// it has gone.
+/// After DAGOR the level is a criticality and a share of its requests by their
+/// hash, so that the same requests survive at every hop. The share follows from
+/// the work that is offered by the requests that pass: it is cut to what fits
+/// the slots as soon as requests are late. Requests that callers refuse on our
+/// behalf are not seen here, so without lateness the level rises by itself, by
+/// twice as much in each window while slots are free.
 #[derive(Clone, Debug)]
 pub(super) struct LevelControl {
-    arrivals: [u32; POSITIONS],
-    /// Buckets that are admitted.
-    open: usize,
-    step: usize,
+    /// Criticalities that pass, the last one in part.
+    open: f64,
+    step: f64,
 }
 
+/// Every criticality passes.
+const ALL_OPEN: f64 = Criticality::ALL.len() as f64;
+
 impl LevelControl {
     pub(super) fn new() -> Self {
-        Self { arrivals: [0; POSITIONS], open: POSITIONS, step: 1 }
-    }
-
-    pub(super) fn arrived(&mut self, criticality: Criticality, hash: u16) {
-        let bucket = usize::from(hash) * BUCKETS / (usize::from(u16::MAX) + 1);
-        let position = usize::from(criticality.rank()) * BUCKETS + bucket;
-        self.arrivals[position] += 1;
+        Self { open: ALL_OPEN, step: LEAST_STEP }
     }
 
-    /// Closes a window in which `served` requests were completed.
+    /// Closes a window.
     ///
-    /// `late` is the most critical class that waits too long. Work is started
-    /// strictly by criticality, so shedding a class above it would not help it.
-    pub(super) fn roll(&mut self, late: Option<Criticality>, served: f64, in_use: f64) {
+    /// `late` is the most critical class that waits too long, if any does; what
+    /// is more critical than it stays open.
+    pub(super) fn roll(
+        &mut self,
+        late: Option<Criticality>,
+        load: &OfferedLoad,
+        slots: f64,
+        in_use: f64,
+    ) {
         match late {
-            Some(criticality) => {
-                self.cut(criticality, served);
-                self.step = 1;
+            Some(late) => {
+                let fitting = self.fitting(load, slots * HEADROOM);
+                let floor = f64::from(late.rank()) + LEAST_PART;
+                let closed = self.open + (fitting - self.open) * CLOSING_GAIN;
+                self.open = closed.max(floor).min(self.open);
+                self.step = LEAST_STEP;
             }
             None => {
-                self.open = (self.open + self.step).min(POSITIONS);
+                self.open = (self.open + self.step).min(ALL_OPEN);
                 let spare = in_use < FULLY_USED;
-                let careful = ((self.open - 1) % BUCKETS / RAISE_DIVISOR).max(1);
-                self.step = if spare { (self.step * 2).min(POSITIONS) } else { careful };
+                let careful = (self.open.fract() * CAREFUL_GROWTH).max(LEAST_STEP);
+                self.step = if spare { (self.step * 2.0).min(ALL_OPEN) } else { careful };
             }
         }
-        self.arrivals = [0; POSITIONS];
     }
 
-    fn cut(&mut self, late: Criticality, served: f64) {
-        let first = usize::from(late.rank()) * BUCKETS + LEAST_POSITIONS;
-        self.open = self.open.min(first - LEAST_POSITIONS + BUCKETS);
-        let admitted: u32 = self.arrivals[..self.open].iter().sum();
-        let kept = f64::from(admitted) * (1.0 - CUT);
-        let target = kept.min(served * HEADROOM);
-        let mut left = f64::from(admitted);
-        while self.open > first && left > target {
-            self.open -= 1;
-            left -= f64::from(self.arrivals[self.open]);
+    /// Returns how far the level may be open for the work to fit `slots`.
+    ///
+    /// The work of the last class is that of the share which passes now.
+    fn fitting(&self, load: &OfferedLoad, slots: f64) -> f64 {
+        let mut left = slots;
+        for criticality in Criticality::ALL {
+            let above = f64::from(criticality.rank());
+            let part = (self.open - above).clamp(0.0, 1.0);
+            let offered = load.of(criticality);
+            if part <= 0.0 {
+                return above;
+            }
+            let whole = offered / part.max(LEAST_PART);
+            if whole > left {
+                return above + (left / whole).max(0.0);
+            }
+            left -= whole;
         }
+        ALL_OPEN
     }
 
     pub(super) fn is_open(&self) -> bool {
-        self.open == POSITIONS
+        self.open >= ALL_OPEN
     }
 
     pub(super) fn level(&self) -> Level {
-        let last = self.open - 1;
-        let criticality = Criticality::ALL[last / BUCKETS];
-        let buckets = last % BUCKETS + 1;
-        let threshold = buckets * (usize::from(u16::MAX) + 1) / BUCKETS - 1;
-        Level { criticality, threshold: threshold as u16 }
+        if self.is_open() {
+            return Level::OPEN;
+        }
+        let rank = self.open as u8;
+        let criticality = Criticality::from_rank(rank).unwrap_or(Criticality::Deferrable);
+        let part = self.open - f64::from(rank);
+        Level { criticality, threshold: (part * f64::from(u16::MAX)) as u16 }
     }
 }
--- a/lib/src/process/admission/limit.rs
+++ b/lib/src/process/admission/limit.rs
@@ -38,9 +38,15 @@
         self.limit as usize
     }
 
-    /// Notes that the upstream refused work for overload.
-    pub(super) fn upstream_overloaded(&mut self) {
-        self.overloaded += 1;
+    /// Notes that the upstream refused work while `in_progress` requests were
+    /// at it.
+    ///
+    /// An upstream that refuses while it has slots to spare does so for another
+    /// reason than load, and would refuse as much under a lower limit.
+    pub(super) fn upstream_refused(&mut self, in_progress: usize) {
+        if in_progress as f64 >= self.limit * IN_USE {
+            self.overloaded += 1;
+        }
     }
 
     pub(super) fn in_use(&mut self, in_progress: usize) {
--- /dev/null
+++ b/lib/src/process/admission/load.rs
@@ -0,0 +1,86 @@
+//! The work that is offered to the upstream.
+
+use std::time::Duration;
+
+use crate::version::Criticality;
+
+/// Time over which the offered work is averaged: long enough to cover the
+/// random variation of arrivals, short enough to follow a surge.
+const SMOOTHING: Duration = Duration::from_millis(800);
+
+/// Work by criticality, calls of accepted requests apart from new requests.
+type ByClass = [[f64; 2]; Criticality::ALL.len()];
+
+/// Slots that the arriving requests would keep busy, by what goes before what.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OfferedLoad {
+    /// Slot seconds that arrived in this window.
+    arrived: ByClass,
+    /// Slots that the arrivals keep busy, averaged.
+    slots: ByClass,
+}
+
+impl OfferedLoad {
+    /// Notes an arrival that will hold a slot for `hold` seconds.
+    pub(super) fn arrived(&mut self, criticality: Criticality, depth: u8, hold: f64) {
+        self.arrived[usize::from(criticality.rank())][class(depth)] += hold;
+    }
+
+    /// Closes a window.
+    pub(super) fn roll(&mut self, elapsed: Duration) {
+        let gain = 1.0 - (-elapsed.as_secs_f64() / SMOOTHING.as_secs_f64()).exp();
+        for (slots, arrived) in
+            self.slots.as_flattened_mut().iter_mut().zip(self.arrived.as_flattened_mut())
+        {
+            *slots += (*arrived / elapsed.as_secs_f64() - *slots) * gain;
+            *arrived = 0.0;
+        }
+    }
+
+    /// Returns the slots kept busy by what goes before work of a criticality
+    /// and depth, work of its own class left out.
+    pub(super) fn before(&self, criticality: Criticality, depth: u8) -> f64 {
+        sum_before(&self.slots, criticality, depth)
+    }
+
+    /// Returns the slots that all arrivals of a criticality keep busy.
+    pub(super) fn of(&self, criticality: Criticality) -> f64 {
+        self.slots[usize::from(criticality.rank())].iter().sum()
+    }
+}
+
+/// Slot seconds that wait, by what goes before what.
+#[derive(Clone, Debug, Default)]
+pub(super) struct WaitingLoad {
+    seconds: ByClass,
+}
+
+impl WaitingLoad {
+    pub(super) fn add(&mut self, criticality: Criticality, depth: u8, hold: f64) {
+        self.seconds[usize::from(criticality.rank())][class(depth)] += hold;
+    }
+
+    pub(super) fn remove(&mut self, criticality: Criticality, depth: u8, hold: f64) {
+        let seconds = &mut self.seconds[usize::from(criticality.rank())][class(depth)];
+        // Sums of fractions leave a rest where none should be.
+        *seconds = (*seconds - hold).max(0.0);
+    }
+
+    /// Returns the slot seconds that go before new work of a criticality and depth.
+    pub(super) fn ahead_of(&self, criticality: Criticality, depth: u8) -> f64 {
+        let own = self.seconds[usize::from(criticality.rank())][class(depth)];
+        sum_before(&self.seconds, criticality, depth) + own
+    }
+}
+
+/// Calls of accepted requests go before new requests of their criticality.
+fn class(depth: u8) -> usize {
+    usize::from(depth == 0)
+}
+
+fn sum_before(by_class: &ByClass, criticality: Criticality, depth: u8) -> f64 {
+    let rank = usize::from(criticality.rank());
+    let higher: f64 = by_class[..rank].as_flattened().iter().sum();
+    let calls = if depth == 0 { by_class[rank][class(1)] } else { 0.0 };
+    higher + calls
+}
--- a/lib/src/process/admission/pacing.rs
+++ b/lib/src/process/admission/pacing.rs
@@ -10,6 +10,24 @@
 /// full rate would prolong the overload that they were refused for.
 const RETURN_SHARE: f64 = 0.25;
 
+/// Parts of the time left for an answer of full worth between which a refused
+/// caller comes back: late enough for others to have ended, early enough for its
+/// next try to be worth as much.
+const RETURN_PARTS: (f64, f64) = (0.15, 0.45);
+
+/// Returns the least and greatest time to stay away for a caller whose answer
+/// has its full worth for the time `left`.
+pub(super) fn return_within(left: Duration) -> (Duration, Duration) {
+    (left.mul_f64(RETURN_PARTS.0), left.mul_f64(RETURN_PARTS.1))
+}
+
+/// Returns how long a caller stays away whose answer has its full worth for the
+/// time `left`; the hash of its request spreads those refused together.
+pub fn return_after(left: Duration, hash: u16) -> Duration {
+    let (least, greatest) = return_within(left);
+    least + (greatest - least).mul_f64(spread(hash))
+}
+
 /// Refused callers that have been told to come back and are still away.
 ///
 /// Each refusal takes the next place in an imagined queue that the upstream
--- a/lib/src/process/admission/path_levels.rs
+++ b/lib/src/process/admission/path_levels.rs
@@ -11,6 +11,7 @@
 use super::ShedReason;
 use super::latency::DrainRate;
 use super::pacing::ReturnPacing;
+use super::pacing::return_within;
 use crate::version::Criticality;
 
 /// Time after which a level that was not heard again is forgotten.
@@ -94,6 +95,8 @@
 
     /// Lets a request pass, or refuses it on behalf of a deeper hop.
     ///
+    /// `left` is the time left for an answer of full worth, where operators state it.
+    ///
     /// # Errors
     ///
     /// Returns the refusal with the time after which coming back helps.
@@ -103,6 +106,7 @@
         key: &K,
         criticality: Criticality,
         hash: u16,
+        left: Option<Duration>,
     ) -> Result<(), Shed> {
         if self.level(now, key).admits(criticality, hash) {
             return Ok(());
@@ -110,7 +114,8 @@
         let Some(path) = self.paths.get_mut(key) else { return Ok(()) };
         path.roll(now);
         let rate = path.drain.per_second();
-        let retry_after = path.pacing.refuse(criticality, hash, 0, rate, RETRY_AFTER);
+        let retry_after =
+            path.pacing.refuse(criticality, hash, 0, rate, left.map_or(RETRY_AFTER, return_within));
         Err(Shed { retry_after, reason: ShedReason::Level })
     }
 }
--- a/lib/src/process/admission/queue.rs
+++ b/lib/src/process/admission/queue.rs
@@ -9,6 +9,7 @@
 
 use super::Ticket;
 use super::Work;
+use super::load::WaitingLoad;
 use crate::version::Criticality;
 
 /// One waiting request.
@@ -18,6 +19,8 @@
     pub(super) arrived: Duration,
     /// When the request is dropped if it has not started.
     pub(super) expires: Duration,
+    /// Time for which it is expected to hold a slot, in seconds.
+    pub(super) hold: f64,
 }
 
 /// Order in which waiting requests are shed; the greatest goes first.
@@ -41,6 +44,9 @@
     by_age: [BTreeSet<Ticket>; Criticality::ALL.len()],
     by_worth: BTreeSet<(ShedKey, Ticket)>,
     by_expiry: BTreeSet<(Duration, Ticket)>,
+    load: WaitingLoad,
+    /// Requests without an objective, by criticality.
+    brief: [usize; Criticality::ALL.len()],
 }
 
 impl WaitQueue {
@@ -52,12 +58,24 @@
         self.by_age[usize::from(criticality.rank())].len()
     }
 
+    /// Returns the requests without an objective, which wait only briefly.
+    pub(super) fn brief(&self) -> usize {
+        self.brief.iter().sum()
+    }
+
+    /// Returns the requests of one criticality without an objective.
+    pub(super) fn brief_of(&self, criticality: Criticality) -> usize {
+        self.brief[usize::from(criticality.rank())]
+    }
+
     pub(super) fn push(&mut self, ticket: Ticket, waiting: Waiting) {
         let rank = usize::from(waiting.work.criticality.rank());
         self.by_start[rank].insert((Reverse(waiting.work.depth), ticket));
         self.by_age[rank].insert(ticket);
+        self.brief[rank] += usize::from(waiting.work.objective.is_none());
         self.by_worth.insert((shed_key(&waiting.work), ticket));
         self.by_expiry.insert((waiting.expires, ticket));
+        self.load.add(waiting.work.criticality, waiting.work.depth, waiting.hold);
         self.entries.insert(ticket, waiting);
     }
 
@@ -66,11 +84,18 @@
         let rank = usize::from(waiting.work.criticality.rank());
         self.by_start[rank].remove(&(Reverse(waiting.work.depth), ticket));
         self.by_age[rank].remove(&ticket);
+        self.brief[rank] -= usize::from(waiting.work.objective.is_none());
         self.by_worth.remove(&(shed_key(&waiting.work), ticket));
         self.by_expiry.remove(&(waiting.expires, ticket));
+        self.load.remove(waiting.work.criticality, waiting.work.depth, waiting.hold);
         Some(waiting)
     }
 
+    /// Returns the slot seconds that go before new work of a criticality and depth.
+    pub(super) fn seconds_ahead_of(&self, criticality: Criticality, depth: u8) -> f64 {
+        self.load.ahead_of(criticality, depth)
+    }
+
     /// Returns the request of one criticality that starts next.
     pub(super) fn next(&self, criticality: Criticality, young_first: bool) -> Option<Ticket> {
         let order = &self.by_start[usize::from(criticality.rank())];
--- a/lib/src/process/admission/state/dispatch.rs
+++ b/lib/src/process/admission/state/dispatch.rs
@@ -22,11 +22,11 @@
         while let Some(ticket) = self.next_ticket(now) {
             let Some(waiting) = self.queue.remove(ticket) else { return };
             if self.is_doomed(now, &waiting.work) {
-                let shed = self.shed(&waiting.work, ShedReason::Deadline);
+                let shed = self.shed(now, &waiting.work, ShedReason::Deadline);
                 self.decisions.push(Decision { ticket, verdict: Verdict::Shed(shed) });
                 continue;
             }
-            self.start(now, ticket, waiting.work.criticality);
+            self.start(now, ticket, &waiting.work);
             self.decisions.push(Decision { ticket, verdict: Verdict::Admitted });
         }
     }
--- a/lib/src/process/admission/state/mod.rs
+++ b/lib/src/process/admission/state/mod.rs
@@ -14,6 +14,7 @@
 use crate::process::admission::Decision;
 use crate::process::admission::Fault;
 use crate::process::admission::Level;
+use crate::process::admission::LimitPolicy;
 use crate::process::admission::Policy;
 use crate::process::admission::Shed;
 use crate::process::admission::ShedReason;
@@ -24,20 +25,31 @@
 use crate::process::admission::latency::Latencies;
 use crate::process::admission::level_control::LevelControl;
 use crate::process::admission::limit::ConcurrencyLimit;
+use crate::process::admission::load::OfferedLoad;
 use crate::process::admission::pacing::ReturnPacing;
+use crate::process::admission::pacing::return_within;
 use crate::process::admission::queue::WaitQueue;
 use crate::process::admission::queue::Waiting;
 use crate::process::admission::queue::shed_key;
 use crate::version::Criticality;
+use crate::version::PlanKey;
 
 /// Time for which the slots of deferrable work stay capped after other work
 /// has had to wait.
 const CAP_MEMORY: Duration = Duration::from_secs(10);
 
+/// Part of the slots below which the upstream counts as having some to spare.
+const SPARE_PART: f64 = 0.9;
+
+/// Weight of one completed request in the share of good answers: a failing
+/// upstream shows within some dozen requests.
+const QUALITY_GAIN: f64 = 0.05;
+
 /// One request that holds a slot.
 #[derive(Clone, Copy, Debug)]
 struct Running {
     criticality: Criticality,
+    kind: PlanKey,
     started: Duration,
     answer_started: bool,
 }
@@ -60,13 +72,27 @@
     limit: ConcurrencyLimit,
     latencies: Latencies,
     drain: DrainRate,
+    load: OfferedLoad,
     level: LevelControl,
+    /// The most critical class of which a request missed its objective or its
+    /// deadline in this window.
+    missed: Option<Criticality>,
+    /// Share of the completed requests that the upstream answered well.
+    good: f64,
     pacing: ReturnPacing,
     decisions: Vec<Decision>,
     window_start: Duration,
     others_waited: Option<Duration>,
 }
 
+/// Whether work is worth waiting for only until its objective.
+///
+/// The most critical work is worth its wait after that, too, and calls are not
+/// turned away for other work, since their requests hold slots elsewhere.
+fn waits_for_objective(work: &Work) -> bool {
+    work.criticality != Criticality::Critical && work.depth == 0
+}
+
 impl Admission {
     /// Creates the state machine with all slots free.
     pub fn new(cfg: &AdmissionConfig) -> Self {
@@ -79,7 +105,10 @@
             limit: ConcurrencyLimit::new(cfg.limit, cfg.slots),
             latencies: Latencies::default(),
             drain: DrainRate::default(),
+            load: OfferedLoad::default(),
             level: LevelControl::new(),
+            missed: None,
+            good: 1.0,
             pacing: ReturnPacing::default(),
             decisions: Vec::new(),
             window_start: Duration::ZERO,
@@ -91,19 +120,26 @@
     pub fn arrive(&mut self, now: Duration, work: Work) -> Arrival {
         self.advance(now);
         self.dispatch(now);
-        self.level.arrived(work.criticality, work.hash);
+        if self.level().admits(work.criticality, work.hash) {
+            let hold = self.latencies.kind_hold_seconds(work.kind);
+            self.load.arrived(work.criticality, work.depth, hold);
+        }
         if self.is_doomed(now, &work) {
-            return Arrival::Shed(self.shed(&work, ShedReason::Deadline));
+            return Arrival::Shed(self.shed(now, &work, ShedReason::Deadline));
         }
         if self.has_slot(now, work.criticality) {
             let ticket = self.issue();
-            self.start(now, ticket, work.criticality);
+            self.start(now, ticket, &work);
             return Arrival::Admitted(ticket);
         }
+        if self.cfg.policy == Policy::Adaptive && self.misses_objective(now, &work) {
+            self.note_missed(work.criticality);
+            return Arrival::Shed(self.shed(now, &work, ShedReason::Objective));
+        }
         if let Some(reason) = self.refusal(&work)
-            && !self.displace(&work, reason)
+            && !self.displace(now, &work, reason)
         {
-            return Arrival::Shed(self.shed(&work, reason));
+            return Arrival::Shed(self.shed(now, &work, reason));
         }
         Arrival::Queued(self.enqueue(now, work))
     }
@@ -126,8 +162,8 @@
             && !running.answer_started
         {
             running.answer_started = true;
-            let Running { criticality, started, .. } = *running;
-            self.sample(now, criticality, now.saturating_sub(started));
+            let Running { kind, started, .. } = *running;
+            self.sample(now, kind, now.saturating_sub(started));
         }
     }
 
@@ -135,17 +171,18 @@
     pub fn complete(&mut self, now: Duration, ticket: Ticket, completion: Completion) {
         self.advance(now);
         let Some(running) = self.running.swap_remove(&ticket) else { return };
-        let Running { criticality, started, answer_started } = running;
+        let Running { criticality, kind, started, answer_started } = running;
         self.held[usize::from(criticality.rank())] -= 1;
         self.drain.completed();
         let elapsed = now.saturating_sub(started);
-        self.latencies.held(criticality, elapsed);
+        self.latencies.ended(criticality, kind, elapsed);
+        self.note_quality(completion);
         match completion {
-            Completion::Answered if !answer_started => self.sample(now, criticality, elapsed),
+            Completion::Answered if !answer_started => self.sample(now, kind, elapsed),
             Completion::TimedOut | Completion::Cancelled if !answer_started => {
-                self.latencies.sample_at_least(now, criticality, elapsed);
+                self.latencies.sample_at_least(now, kind, elapsed);
             }
-            Completion::Overloaded => self.limit.upstream_overloaded(),
+            Completion::Overloaded => self.limit.upstream_refused(self.running.len() + 1),
             _ => {}
         }
         self.dispatch(now);
@@ -200,11 +237,23 @@
         }
     }
 
+    /// Returns the share of the requests that the upstream answered well lately.
+    pub fn good(&self) -> f64 {
+        self.good
+    }
+
     /// Returns the number of requests that hold a slot.
     pub fn in_progress(&self) -> usize {
         self.running.len()
     }
 
+    /// Whether the upstream has slots to spare: it does not refuse work for want
+    /// of them.
+    pub fn has_spare(&self) -> bool {
+        let is_stated = self.cfg.limit == LimitPolicy::Slots;
+        is_stated || (self.running.len() as f64) < self.limit() as f64 * SPARE_PART
+    }
+
     /// Returns the number of requests that wait.
     pub fn queued(&self) -> usize {
         self.queue.len()
@@ -232,10 +281,12 @@
         Ticket(self.next_ticket)
     }
 
-    fn start(&mut self, now: Duration, ticket: Ticket, criticality: Criticality) {
-        let running = Running { criticality, started: now, answer_started: false };
+    fn start(&mut self, now: Duration, ticket: Ticket, work: &Work) {
+        let Work { criticality, kind, .. } = *work;
+        let running = Running { criticality, kind, started: now, answer_started: false };
         self.running.insert(ticket, running);
         self.held[usize::from(criticality.rank())] += 1;
+        self.latencies.started(kind);
         self.limit.in_use(self.running.len());
     }
 
@@ -245,7 +296,8 @@
         }
         let ticket = self.issue();
         let expires = self.expiry(now, &work);
-        self.queue.push(ticket, Waiting { work, arrived: now, expires });
+        let hold = self.latencies.kind_hold_seconds(work.kind);
+        self.queue.push(ticket, Waiting { work, arrived: now, expires, hold });
         ticket
     }
 
@@ -255,6 +307,13 @@
             return Duration::MAX;
         }
         let latest_start = self.latest_start(now, work);
+        let latest_start = match work.objective {
+            Some(objective) if waits_for_objective(work) => {
+                let service_time = self.latencies.service_time(now, work.kind);
+                latest_start.min(objective.saturating_sub(service_time))
+            }
+            _ => latest_start,
+        };
         if work.may_wait { latest_start } else { latest_start.min(now + self.cfg.brief_wait) }
     }
 
@@ -263,7 +322,7 @@
         if !self.cfg.deadline_cut {
             return work.deadline;
         }
-        let service_time = self.latencies.service_time(now, work.criticality);
+        let service_time = self.latencies.service_time(now, work.kind);
         work.deadline.saturating_sub(service_time)
     }
 
@@ -277,7 +336,9 @@
     /// Returns why a request may not wait, if so.
     fn refusal(&self, work: &Work) -> Option<ShedReason> {
         let full = self.queue.len() >= self.cfg.queue_entries;
-        let excluded = !self.level().admits(work.criticality, work.hash);
+        // Work was spent on the request of a call, so it is not turned away for
+        // new requests.
+        let excluded = work.depth == 0 && !self.level().admits(work.criticality, work.hash);
         if full {
             Some(ShedReason::QueueFull)
         } else if excluded {
@@ -288,7 +349,7 @@
     }
 
     /// Sheds a waiting request that is worth less than a new one, if any.
-    fn displace(&mut self, work: &Work, reason: ShedReason) -> bool {
+    fn displace(&mut self, now: Duration, work: &Work, reason: ShedReason) -> bool {
         let ranked = self.cfg.policy == Policy::Adaptive;
         if !ranked || self.cfg.fault == Some(Fault::ShedNewcomer) {
             return false;
@@ -297,24 +358,25 @@
         if key <= shed_key(work) {
             return false;
         }
-        self.settle_shed(ticket, reason);
+        self.settle_shed(now, ticket, reason);
         true
     }
 
-    fn settle_shed(&mut self, ticket: Ticket, reason: ShedReason) {
+    fn settle_shed(&mut self, now: Duration, ticket: Ticket, reason: ShedReason) {
         if let Some(waiting) = self.queue.remove(ticket) {
-            let shed = self.shed(&waiting.work, reason);
+            let shed = self.shed(now, &waiting.work, reason);
             self.decisions.push(Decision { ticket, verdict: Verdict::Shed(shed) });
         }
     }
 
-    fn shed(&mut self, work: &Work, reason: ShedReason) -> Shed {
+    fn shed(&mut self, now: Duration, work: &Work, reason: ShedReason) -> Shed {
+        let left = work.objective.map(|objective| objective.saturating_sub(now));
         let retry_after = self.pacing.refuse(
             work.criticality,
             work.hash,
             self.queue.len(),
             self.drain.per_second(),
-            self.cfg.retry_after,
+            left.map_or(self.cfg.retry_after, return_within),
         );
         Shed { retry_after, reason }
     }
@@ -322,9 +384,17 @@
     /// Drops waiting requests whose time has run out and closes windows.
     fn advance(&mut self, now: Duration) {
         while let Some((ticket, waiting)) = self.queue.pop_expired(now) {
-            let brief = !waiting.work.may_wait && self.latest_start(now, &waiting.work) > now;
-            let reason = if brief { ShedReason::NoWait } else { ShedReason::Deadline };
-            let shed = self.shed(&waiting.work, reason);
+            let work = &waiting.work;
+            if work.objective.is_some() {
+                self.note_missed(work.criticality);
+            }
+            let in_time = self.latest_start(now, work) > now;
+            let reason = match in_time {
+                true if !work.may_wait => ShedReason::NoWait,
+                true if work.objective.is_some() => ShedReason::Objective,
+                _ => ShedReason::Deadline,
+            };
+            let shed = self.shed(now, &waiting.work, reason);
             self.decisions.push(Decision { ticket, verdict: Verdict::Shed(shed) });
         }
         let elapsed = now.saturating_sub(self.window_start);
@@ -333,7 +403,20 @@
         }
     }
 
-    fn sample(&mut self, now: Duration, criticality: Criticality, latency: Duration) {
-        self.latencies.sample(now, criticality, latency);
+    fn note_quality(&mut self, completion: Completion) {
+        let is_good = match completion {
+            Completion::Answered => 1.0,
+            Completion::Failed | Completion::Overloaded | Completion::TimedOut => 0.0,
+            Completion::Cancelled => return,
+        };
+        self.good += (is_good - self.good) * QUALITY_GAIN;
+    }
+
+    fn note_missed(&mut self, criticality: Criticality) {
+        self.missed = Some(self.missed.map_or(criticality, |missed| missed.min(criticality)));
+    }
+
+    fn sample(&mut self, now: Duration, kind: PlanKey, latency: Duration) {
+        self.latencies.sample(now, kind, latency);
     }
 }
--- a/lib/src/process/admission/state/overload.rs
+++ b/lib/src/process/admission/state/overload.rs
@@ -3,11 +3,16 @@
 use std::time::Duration;
 
 use super::Admission;
+use super::waits_for_objective;
 use crate::process::admission::Policy;
 use crate::process::admission::ShedReason;
+use crate::process::admission::Work;
 use crate::process::admission::queue::WaitQueue;
 use crate::version::Criticality;
 
+/// Part of the slots that is taken to be left for the least work.
+const LEAST_FREE: f64 = 0.05;
+
 /// Waiting requests that cover the random variation of arrivals, for each
 /// square root of a slot; with fewer, slots stay idle at an even load.
 const VARIATION_ENTRIES: f64 = 2.0;
@@ -18,12 +23,14 @@
         self.drain.roll(elapsed);
         let served = self.completions_per_second() * elapsed.as_secs_f64();
         self.pacing.roll(served);
+        self.load.roll(elapsed);
         let late = self.late_class();
         if late.is_some() && self.cfg.policy == Policy::Adaptive {
-            self.trim();
+            self.trim(now);
         }
-        let in_use = self.running.len() as f64 / self.limit.get() as f64;
-        self.level.roll(late, served, in_use);
+        let late = late.into_iter().chain(self.missed.take()).min();
+        let slots = self.limit.get() as f64;
+        self.level.roll(late, &self.load, slots, self.running.len() as f64 / slots);
         self.limit.in_use(self.running.len());
         self.limit.roll();
     }
@@ -31,12 +38,13 @@
     /// Returns the most critical class that waits too long.
     ///
     /// The wait is taken as the time in which the upstream serves all that
-    /// goes before. Deferrable work may wait while there is room for it.
+    /// goes before. Deferrable work may wait while there is room for it, and so
+    /// may work with an objective until it misses it.
     fn late_class(&self) -> Option<Criticality> {
         let mut ahead = 0;
         for criticality in [Criticality::Critical, Criticality::High, Criticality::Normal] {
-            ahead += self.queue.len_of(criticality);
-            if ahead > self.target_entries() && self.queue.len_of(criticality) > 0 {
+            ahead += self.queue.brief_of(criticality);
+            if ahead > self.target_entries() && self.queue.brief_of(criticality) > 0 {
                 return Some(criticality);
             }
         }
@@ -49,12 +57,26 @@
     /// The measured rate alone would be too low after a time with idle slots,
     /// and a level cut to it would keep the slots idle.
     fn completions_per_second(&self) -> f64 {
-        let expected = Criticality::ALL.into_iter().map(|criticality| {
-            let held = self.held[usize::from(criticality.rank())] as f64;
-            let hold = self.latencies.hold_seconds(criticality);
-            if hold > 0.0 { held / hold } else { 0.0 }
-        });
-        self.drain.per_second().max(expected.sum())
+        self.drain.per_second().max(self.latencies.completions_per_second())
+    }
+
+    /// Returns how long new work is expected to wait for a slot.
+    ///
+    /// What arrives later and goes before it takes its part of the slots.
+    pub(super) fn expected_wait(&self, work: &Work) -> Duration {
+        let slots = self.limit() as f64;
+        let free = slots - self.load.before(work.criticality, work.depth);
+        let ahead = self.queue.seconds_ahead_of(work.criticality, work.depth);
+        Duration::from_secs_f64(ahead / free.max(slots * LEAST_FREE))
+    }
+
+    /// Whether new work that waits for its objective would miss it.
+    pub(super) fn misses_objective(&self, now: Duration, work: &Work) -> bool {
+        let Some(objective) = work.objective.filter(|_| waits_for_objective(work)) else {
+            return false;
+        };
+        let service_time = self.latencies.service_time(now, work.kind);
+        now + self.expected_wait(work) + service_time > objective
     }
 
     /// Returns how many requests may wait within the target delay, or to cover
@@ -68,13 +90,13 @@
     }
 
     /// Sheds what waits beyond the target delay, the least worth first.
-    fn trim(&mut self) {
+    fn trim(&mut self, now: Duration) {
         let kept = self.target_entries();
         let deferrable = self.cfg.queue_entries / 2;
-        let others = |queue: &WaitQueue| queue.len() - queue.len_of(Criticality::Deferrable);
-        while others(&self.queue) > kept || self.queue.len() > kept.max(deferrable) {
+        let others = |queue: &WaitQueue| queue.brief() - queue.brief_of(Criticality::Deferrable);
+        while others(&self.queue) > kept || self.queue.brief() > kept.max(deferrable) {
             let Some((_, ticket)) = self.queue.least_worth() else { return };
-            self.settle_shed(ticket, ShedReason::Level);
+            self.settle_shed(now, ticket, ShedReason::Level);
         }
     }
 
--- a/lib/src/process/admission/work.rs
+++ b/lib/src/process/admission/work.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::version::Criticality;
+use crate::version::PlanKey;
 
 /// One request that asks to start at the local upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -14,8 +15,12 @@
     pub hash: u16,
     /// Calls between the root of the chain and this request.
     pub depth: u8,
+    /// The rule or route that serves it; service times are measured by it.
+    pub kind: PlanKey,
     /// Latest time of a useful answer, on the clock of `now`.
     pub deadline: Duration,
+    /// Latest time of an answer of full worth, where the operators state one.
+    pub objective: Option<Duration>,
     /// Whether the request may queue until its deadline; otherwise it queues
     /// for [`super::AdmissionConfig::brief_wait`] at most.
     pub may_wait: bool,
@@ -58,6 +63,9 @@
     Deadline,
     /// The request may not wait and no slot became free in time.
     NoWait,
+    /// What goes before it takes longer than it may wait for an answer of full
+    /// worth.
+    Objective,
 }
 
 impl ShedReason {
@@ -68,6 +76,7 @@
             Self::QueueFull => "queue-full",
             Self::Deadline => "deadline",
             Self::NoWait => "no-wait",
+            Self::Objective => "objective",
         }
     }
 
--- a/lib/src/process/daemon.rs
+++ b/lib/src/process/daemon.rs
@@ -9,7 +9,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use hyper::body::Incoming;
 use snafu::OptionExt as _;
 use snafu::ResultExt as _;
 use snafu::Snafu;
@@ -38,10 +37,12 @@
 use super::settings::SettingsChange;
 use super::status;
 use crate::connection::body;
+use crate::connection::body::RelayBody;
 use crate::connection::listener;
 use crate::connection::listener::BindError;
 use crate::connection::listener::OnMalformed;
 use crate::connection::listener::Protocol;
+use crate::connection::pipeline::ConnectionCx;
 use crate::connection::strip::OnStripped;
 use crate::connection::strip::StripLayer;
 use crate::request;
@@ -259,8 +260,15 @@
             .layer(StripLayer::new(self.node.dialect.caller_headers(), self.count_stripped()))
             .service(service_fn(move |req| serve::serve_caller(Arc::clone(&node), req)));
         let stop = self.stop_outside.clone();
-        let malformed = self.count_malformed();
-        self.outside.spawn(listener::serve(listener, Protocol::Http1, service, stop, malformed));
+        let on_malformed = self.count_malformed();
+        if self.node.settings.adapter.is_some() {
+            let node = Arc::clone(&self.node);
+            let limits = Arc::new(move || node.connection_limits());
+            let cx = ConnectionCx { limits, on_malformed, stop };
+            self.outside.spawn(listener::serve_pipelined(listener, service, cx));
+            return;
+        }
+        self.outside.spawn(listener::serve(listener, Protocol::Http1, service, stop, on_malformed));
     }
 
     fn serve_peers(&mut self, listener: TcpListener) {
@@ -283,7 +291,7 @@
 
     fn serve_operators(&mut self, listener: TcpListener) {
         let node = Arc::clone(&self.node);
-        let service = service_fn(move |req: Request<Incoming>| {
+        let service = service_fn(move |req: Request<RelayBody>| {
             let rsp = status::serve(&*node, &req);
             async move { Ok::<_, Infallible>(rsp) }
         });
@@ -295,7 +303,7 @@
     /// Tells the platform whether this daemon takes requests.
     fn serve_ready(&mut self, listener: TcpListener) {
         let node = Arc::clone(&self.node);
-        let service = service_fn(move |_: Request<Incoming>| {
+        let service = service_fn(move |_: Request<RelayBody>| {
             let mut rsp = Response::new(body::empty());
             if !node.takes_requests() {
                 *rsp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/lib/src/process/node/gate.rs
+++ b/lib/src/process/node/gate.rs
@@ -21,6 +21,7 @@
 use crate::process::clock::Clock;
 use crate::process::log;
 use crate::process::log::StateChange;
+use crate::process::routing::LoadReport;
 
 /// Time without refusals after which shedding counts as ended.
 const REGIME_HOLD: Duration = Duration::from_secs(5);
@@ -143,6 +144,18 @@
         self.table.lock().admission.level()
     }
 
+    /// Returns how busy the upstream is.
+    pub fn load(&self) -> LoadReport {
+        let table = self.table.lock();
+        let admission = &table.admission;
+        LoadReport {
+            requests: u32::try_from(admission.in_progress() + admission.queued())
+                .unwrap_or(u32::MAX),
+            slots: u32::try_from(admission.limit()).unwrap_or(u32::MAX),
+            good: admission.good(),
+        }
+    }
+
     /// Takes in how many requests the upstream serves at once.
     pub fn set_slots(&self, slots: usize) {
         self.update(|admission, now| admission.set_slots(now, slots));
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -30,6 +30,7 @@
 use super::Incarnation;
 use super::ServiceName;
 use super::admission::AdmissionConfig;
+use super::admission::LimitPolicy;
 use super::admission::PathLevels;
 use super::burn::Burn;
 use super::clock::Clock;
@@ -48,6 +49,7 @@
 use super::settings::RepeatSettings;
 use super::settings::Settings;
 use crate::connection::peers::PeerPool;
+use crate::connection::pipeline::ConnectionLimits;
 use crate::connection::upstream::UpstreamPool;
 use crate::request::dialect::Dialect;
 use crate::request::idempotency::IssuerConfig;
@@ -160,6 +162,23 @@
         self.config.rules.borrow().clone()
     }
 
+    /// Returns what the requests of callers may take.
+    pub fn connection_limits(&self) -> ConnectionLimits {
+        let rules = self.config.rules.borrow();
+        match rules.as_ref().and_then(|rules| rules.policy.limits()) {
+            Some(limits) => ConnectionLimits {
+                head_bytes: limits.head_bytes,
+                body_bytes: limits.body_bytes,
+                head_timeout: limits.head_timeout,
+                idle_timeout: limits.idle_timeout,
+            },
+            None => ConnectionLimits {
+                head_bytes: self.settings.limits.head_bytes as usize,
+                ..ConnectionLimits::UNTOLD
+            },
+        }
+    }
+
     /// Whether new requests of callers should come here.
     pub fn takes_requests(&self) -> bool {
         self.rules().is_some() && !self.lifecycle.is_leaving()
@@ -245,6 +264,11 @@
 
 fn admission_config(settings: &Settings) -> AdmissionConfig {
     let mut cfg = AdmissionConfig::new(settings.upstream.slots as usize);
+    if settings.adapter.is_some() {
+        // The upstream states its own slots and queues what exceeds them, so a
+        // refusal below them has another reason than load.
+        cfg.limit = LimitPolicy::Slots;
+    }
     if let Some(entries) = settings.admission.queue {
         cfg.queue_entries = entries as usize;
     }
--- a/lib/src/process/repeats/mod.rs
+++ b/lib/src/process/repeats/mod.rs
@@ -4,19 +4,29 @@
 //! first time. Each daemon beside an upstream sees all that reaches it, so each
 //! keeps a part of the bound by itself and no message is needed: what its own
 //! upstream got first earns repeats at its own upstream, and the constant part
-//! is divided by the number of the service's instances. See
-//! `docs/design/retries.md`.
+//! is divided by the number of the service's instances.
+//!
+//! Load pattern: all upstreams of a deep service refuse half of their work for
+//! seconds. Many more repeats are wanted than the bound allows, and a request
+//! that makes ten calls is whole only if each of them gets its repeats. So the
+//! most critical requests go first, and among equals those with a low hash, which
+//! are the same at every hop. See `docs/design/retries.md`.
 
 mod sliding;
 
 use std::time::Duration;
 
 use self::sliding::SlidingCount;
+use crate::version::Criticality;
 
 /// Part of the bound that is used, since daemons count the instances of a
 /// service at slightly different times.
 const USED_PART: f64 = 0.85;
 
+/// Time over which the wanted repeats are counted: the trouble that makes them
+/// wanted comes and goes within seconds.
+const DEMAND_WINDOW: Duration = Duration::from_secs(2);
+
 /// The operators' bound on repeats.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatBound {
@@ -38,15 +48,22 @@
     /// Instances of the service, this one included.
     instances: usize,
     firsts: SlidingCount,
-    repeats: SlidingCount,
+    spent: SlidingCount,
+    /// Repeats that were asked for, granted or not, by criticality.
+    wanted: [SlidingCount; Criticality::ALL.len()],
 }
 
 impl RepeatAccount {
     /// Returns an account that has counted nothing yet.
     pub fn new(bound: RepeatBound) -> Self {
-        let firsts = SlidingCount::new(bound.window);
-        let repeats = SlidingCount::new(bound.window);
-        Self { bound, instances: 1, firsts, repeats }
+        let count = || SlidingCount::new(bound.window);
+        Self {
+            bound,
+            instances: 1,
+            firsts: count(),
+            spent: count(),
+            wanted: std::array::from_fn(|_| SlidingCount::new(DEMAND_WINDOW)),
+        }
     }
 
     /// Takes in another bound; the window it is counted over stays.
@@ -65,18 +82,21 @@
     }
 
     /// Counts a repeat if there is room for it; returns whether there was.
-    pub fn repeat(&mut self, now: Duration) -> bool {
-        let has_room = self.has_room(now);
+    pub fn repeat(&mut self, now: Duration, criticality: Criticality, hash: u16) -> bool {
+        self.wanted[usize::from(criticality.rank())].add(now);
+        let has_room = self.has_room(now, criticality, hash);
         if has_room {
-            self.repeats.add(now);
+            self.spent.add(now);
         }
         has_room
     }
 
-    /// Whether there is room for one more repeat.
-    pub fn has_room(&mut self, now: Duration) -> bool {
-        let spent = self.repeats.total(now) + 1;
-        f64::from(spent) <= self.allowed(now)
+    /// Whether there is room for one more repeat of a request.
+    pub fn has_room(&mut self, now: Duration, criticality: Criticality, hash: u16) -> bool {
+        let allowed = self.allowed(now);
+        let left = allowed - f64::from(self.spent.total(now));
+        left >= 1.0
+            && f64::from(hash) <= self.share(now, allowed, criticality) * f64::from(u16::MAX)
     }
 
     /// Returns how many repeats the window that ends now may hold.
@@ -89,4 +109,15 @@
         let slack = if now >= self.bound.window { slack } else { 0.0 };
         (earned + slack) * USED_PART
     }
+
+    /// Returns the share of the requests of a criticality, by their hash, whose
+    /// repeats fit beside those of more critical requests.
+    fn share(&mut self, now: Duration, allowed: f64, criticality: Criticality) -> f64 {
+        let scale = self.bound.window.as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
+        let rank = usize::from(criticality.rank());
+        let mut wanted = |rank: usize| f64::from(self.wanted[rank].total(now)) * scale;
+        let before: f64 = (0..rank).map(&mut wanted).sum();
+        let own = wanted(rank).max(1.0);
+        ((allowed - before) / own).clamp(0.0, 1.0)
+    }
 }
--- a/lib/src/process/routing/mod.rs
+++ b/lib/src/process/routing/mod.rs
@@ -1,8 +1,12 @@
 //! Choice of an instance for a call; see `docs/design/routing.md`.
 
+mod cost;
+mod load;
 mod router;
 mod subset;
 
+pub use load::LoadReport;
+pub use load::ParseLoadError;
 pub use router::NoRoute;
 pub use router::Pick;
 pub use router::Place;
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -9,6 +9,9 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
+use super::LoadReport;
+use super::cost::HeardLoad;
+use super::cost::cost;
 use super::subset::Subset;
 use crate::process::InstanceId;
 use crate::process::Region;
@@ -23,6 +26,8 @@
 
 /// Part of a tier that must work for the tier to keep all of its work.
 const HEALTHY_PART: f64 = 0.5;
+/// Greatest random part of a cost.
+const BLUR: f64 = 0.1;
 /// When to come back if nothing says when an instance may work again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -76,6 +81,8 @@
     members: Membership,
     subsets: IndexMap<ServiceName, Subset>,
     outstanding: IndexMap<InstanceId, u32>,
+    /// What instances told of their load; as many as were called.
+    loads: IndexMap<InstanceId, HeardLoad>,
     rng: ChaCha8Rng,
 }
 
@@ -87,6 +94,7 @@
             members: Membership::new(),
             subsets: IndexMap::new(),
             outstanding: IndexMap::new(),
+            loads: IndexMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -96,6 +104,8 @@
         let newer = self.members.apply(now, list);
         if newer {
             self.subsets.clear();
+            let members = &self.members;
+            self.loads.retain(|instance, _| members.vm(instance).is_some());
         }
         newer
     }
@@ -105,6 +115,12 @@
         self.members.observe(now, instance, seen, &mut self.rng);
     }
 
+    /// Takes in how busy an instance says it is.
+    pub fn hear_load(&mut self, now: Duration, instance: &InstanceId, report: LoadReport) {
+        let outstanding = self.outstanding(instance);
+        self.loads.insert(instance.clone(), HeardLoad { report, at: now, outstanding });
+    }
+
     /// Notes that the connection to the daemon at an address ended.
     pub fn disconnected(&mut self, now: Duration, peer: SocketAddr) {
         for instance in self.members.at_peer(peer) {
@@ -179,8 +195,8 @@
         avoid: &[InstanceId],
     ) -> Survey {
         let mut survey = Survey::default();
-        for tier in &self.subsets[service].tiers {
-            let mut open = Open { listed: tier.len(), ..Open::default() };
+        for (distance, tier) in &self.subsets[service].tiers {
+            let mut open = Open { listed: tier.len(), distance: *distance, ..Open::default() };
             for instance in tier {
                 self.survey_instance(now, instance, work, avoid, &mut survey, &mut open);
             }
@@ -208,8 +224,13 @@
             Health::Working { share } => {
                 let level = self.members.level(now, instance);
                 if level.is_none_or(|level| level.admits(work.criticality, work.hash)) {
-                    let load = f64::from(self.outstanding(instance) + 1) / share;
-                    open.candidates.push(Candidate { instance: instance.clone(), share, load });
+                    let outstanding = self.outstanding(instance);
+                    let load = f64::from(outstanding + 1) / share;
+                    let heard = self.loads.get(instance);
+                    let cost = cost(now, heard, outstanding, share, open.distance);
+                    survey.is_informed |= heard.is_some();
+                    let instance = instance.clone();
+                    open.candidates.push(Candidate { instance, share, load, cost });
                 } else {
                     survey.refused = true;
                 }
@@ -227,6 +248,10 @@
         if probe.is_some() && work.criticality != Criticality::Critical {
             return probe;
         }
+        if survey.is_informed {
+            let cheapest = self.cheapest(survey).map(Choice::Ordinary);
+            return cheapest.or(probe);
+        }
         let mut nearest = None;
         for tier in survey.tiers.iter().filter(|tier| !tier.candidates.is_empty()) {
             nearest = nearest.or(Some(tier));
@@ -238,6 +263,19 @@
         nearest.map(|tier| Choice::Ordinary(self.less_loaded(&tier.candidates))).or(probe)
     }
 
+    /// Returns the candidate that costs least, by what the instances told.
+    ///
+    /// The costs are blurred, so that daemons which heard the same do not all
+    /// send to the same instance.
+    fn cheapest(&mut self, survey: &Survey) -> Option<InstanceId> {
+        let candidates = survey.tiers.iter().flat_map(|tier| &tier.candidates);
+        let rng = &mut self.rng;
+        let blurred =
+            candidates.map(|candidate| (candidate.cost + rng.random_range(0.0..BLUR), candidate));
+        let cheapest = blurred.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        cheapest.map(|(_, candidate)| candidate.instance.clone())
+    }
+
     /// Returns the less loaded of two candidates drawn at random.
     fn less_loaded(&mut self, candidates: &[Candidate]) -> InstanceId {
         let first = self.rng.random_range(0..candidates.len());
@@ -275,12 +313,15 @@
     instance: InstanceId,
     share: f64,
     load: f64,
+    cost: f64,
 }
 
 /// The instances of one tier that may take a piece of work.
 #[derive(Debug, Default)]
 struct Open {
     listed: usize,
+    /// Distance of the tier's instances.
+    distance: usize,
     candidates: Vec<Candidate>,
 }
 
@@ -299,6 +340,8 @@
     probes: Vec<InstanceId>,
     next_probe: Option<Duration>,
     refused: bool,
+    /// Whether some instance told its load.
+    is_informed: bool,
 }
 
 impl Survey {
--- a/lib/src/process/routing/subset.rs
+++ b/lib/src/process/routing/subset.rs
@@ -28,7 +28,8 @@
 /// like number of daemons.
 #[derive(Debug, Default)]
 pub(crate) struct Subset {
-    pub(crate) tiers: Vec<Vec<InstanceId>>,
+    /// Instances with their distance: 0 in the own zone, 1 in the own region, 2 beyond.
+    pub(crate) tiers: Vec<(usize, Vec<InstanceId>)>,
 }
 
 impl Subset {
@@ -38,8 +39,8 @@
         for vm in vms {
             tiers[distance(here, vm)].push(vm);
         }
-        let tiers = tiers.into_iter().filter(|tier| !tier.is_empty());
-        Self { tiers: tiers.map(|tier| nearest(here, tier)).collect() }
+        let tiers = tiers.into_iter().enumerate().filter(|(_, tier)| !tier.is_empty());
+        Self { tiers: tiers.map(|(distance, tier)| (distance, nearest(here, tier))).collect() }
     }
 }
 
--- a/lib/src/request/context.rs
+++ b/lib/src/request/context.rs
@@ -34,8 +34,8 @@
     pub hash: u16,
     /// Time left for the whole answer.
     pub remaining: Duration,
-    /// Time left in which an answer has its full worth.
-    pub objective: Duration,
+    /// Time left in which an answer has its full worth, where operators state one.
+    pub objective: Option<Duration>,
     /// Retry tokens that the receiver may spend or split; see
     /// `docs/design/retries.md`.
     pub retries: u32,
@@ -82,7 +82,7 @@
             | u8::from(self.repeat) << 3;
         write!(
             f,
-            "{};{};{:x};{};{};{};{};{};{};{}",
+            "{};{};{:x};{};{};{};{};{};{}",
             self.id,
             self.criticality.rank(),
             self.hash,
@@ -92,8 +92,11 @@
             flags,
             self.sender,
             self.weight,
-            self.objective.as_micros(),
-        )
+        )?;
+        match self.objective {
+            Some(objective) => write!(f, ";{}", objective.as_micros()),
+            None => Ok(()),
+        }
     }
 }
 
@@ -113,13 +116,19 @@
         let flags = flags.context(InvalidFieldSnafu { field: "flags" })?;
         let sender = next("sender")?.parse().ok();
         let weight = next("weight")?.parse().ok();
-        let objective = next("objective")?.parse().ok().map(Duration::from_micros);
+        let objective = match fields.next() {
+            Some(text) => {
+                let micros = text.parse().ok().context(InvalidFieldSnafu { field: "objective" })?;
+                Some(Duration::from_micros(micros))
+            }
+            None => None,
+        };
         Ok(Self {
             id: RequestId(id.context(InvalidFieldSnafu { field: "id" })?),
             criticality: criticality.context(InvalidFieldSnafu { field: "criticality" })?,
             hash: hash.context(InvalidFieldSnafu { field: "hash" })?,
             remaining: remaining.context(InvalidFieldSnafu { field: "remaining" })?,
-            objective: objective.context(InvalidFieldSnafu { field: "objective" })?,
+            objective,
             retries: retries.context(InvalidFieldSnafu { field: "retries" })?,
             depth: depth.context(InvalidFieldSnafu { field: "depth" })?,
             non_idempotent: flags & 1 != 0,
--- a/lib/src/request/headers.rs
+++ b/lib/src/request/headers.rs
@@ -29,6 +29,9 @@
 /// Admission level of the answering daemon, sent when it has changed.
 pub const LEVEL: HeaderName = HeaderName::from_static("endivescale-level");
 
+/// How busy the answering daemon's upstream is; see [`crate::process::routing::LoadReport`].
+pub const LOAD: HeaderName = HeaderName::from_static("endivescale-load");
+
 /// Strictest admission level of the hops that the request visited.
 pub const PATH_LEVEL: HeaderName = HeaderName::from_static("endivescale-path-level");
 
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -11,7 +11,6 @@
 use http::request;
 use http::uri::PathAndQuery;
 use hyper::body::Body as _;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -27,7 +26,7 @@
 use crate::version::Policy;
 
 /// Longest request body that is held so that the request can be sent again.
-const HELD_BODY_BYTES: u64 = 64 * 1024;
+pub(crate) const HELD_BODY_BYTES: u64 = 64 * 1024;
 /// Longest name of a service.
 const SERVICE_NAME_BYTES: usize = 253;
 
@@ -44,7 +43,7 @@
 ];
 
 /// A request for a service, read from a listener.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Inbound {
     /// Host that the caller named, with its port if it gave one.
     pub host: String,
@@ -78,7 +77,7 @@
     ///
     /// Fails if the request names no service or its head is longer than
     /// `max_head` bytes.
-    pub fn read(req: Request<Incoming>, max_head: usize) -> Result<(Self, Incoming), Refusal> {
+    pub fn read(req: Request<RelayBody>, max_head: usize) -> Result<(Self, RelayBody), Refusal> {
         let (parts, body) = req.into_parts();
         if head_bytes(&parts) > max_head {
             return Err(Refusal::not_run(Reason::HeadTooLong));
@@ -196,15 +195,15 @@
     ///
     /// Fails if a short body ends early or has not arrived by `deadline`; nothing
     /// was passed on then.
-    pub async fn read(incoming: Incoming, deadline: Instant) -> Result<Self, Refusal> {
+    pub async fn read(incoming: RelayBody, deadline: Instant) -> Result<Self, Refusal> {
         if incoming.is_end_stream() {
             return Ok(Self::Held(Bytes::new()));
         }
         let is_short = incoming.size_hint().upper().is_some_and(|len| len <= HELD_BODY_BYTES);
         if !is_short {
-            return Ok(Self::Streamed(Some(body::relay(incoming))));
+            return Ok(Self::Streamed(Some(incoming)));
         }
-        let reading = body::collect(body::relay(incoming), HELD_BODY_BYTES as usize);
+        let reading = body::collect(incoming, HELD_BODY_BYTES as usize);
         match timeout_at(deadline, reading).await {
             Ok(Ok(held)) => Ok(Self::Held(held)),
             Ok(Err(_)) => Err(Refusal::not_run(Reason::BadBody)),
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -36,6 +36,7 @@
 use crate::request::INSTANCE;
 use crate::request::LEAVING;
 use crate::request::LEVEL;
+use crate::request::LOAD;
 use crate::request::Outcome;
 use crate::request::PATH_LEVEL;
 use crate::request::RETRIES_LEFT;
@@ -86,7 +87,7 @@
     let now = Instant::now();
     let cx = Context {
         remaining: call.deadline.saturating_duration_since(now),
-        objective: call.objective.saturating_duration_since(now),
+        objective: call.objective.map(|at| at.saturating_duration_since(now)),
         retries: grant.tokens(),
         ..call.cx.clone()
     };
@@ -192,6 +193,9 @@
 fn observe_answer(node: &Node, vm: &Vm, headers: &HeaderMap) {
     observe(node, vm, |router, now| {
         router.observe(now, &vm.instance, seen_in(headers));
+        if let Some(load) = read_header(headers, &LOAD) {
+            router.hear_load(now, &vm.instance, load);
+        }
         if let Some(level) = read_header(headers, &LEVEL) {
             router.observe(now, &vm.instance, Observation::Level(level));
         }
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -12,6 +12,7 @@
 use crate::connection::body::RelayBody;
 use crate::process::InstanceId;
 use crate::process::admission::Level;
+use crate::process::admission::return_after;
 use crate::process::membership::Vm;
 use crate::process::metrics::Counter;
 use crate::process::node::Node;
@@ -49,8 +50,8 @@
     pub(super) cx: Context,
     /// When the whole answer must have arrived.
     pub(super) deadline: Instant,
-    /// Until when an answer has its full worth.
-    pub(super) objective: Instant,
+    /// Until when an answer has its full worth, where operators state it.
+    pub(super) objective: Option<Instant>,
     /// Retry tokens that the attempts spend and lend.
     pub(super) account: Arc<Mutex<RetryAccount>>,
     /// Attempts that reached no upstream.
@@ -83,7 +84,7 @@
         self.cx.rerun = parent.cx.rerun;
         self.cx.repeat = parent.cx.repeat;
         self.deadline = self.deadline.min(parent.deadline);
-        self.objective = self.objective.min(self.deadline);
+        self.objective = self.objective.map(|objective| objective.min(self.deadline));
         self.parent = Some(parent);
     }
 
@@ -130,15 +131,30 @@
 ///
 /// The refusal's outcome speaks of all attempts together.
 pub(super) async fn call(node: &Arc<Node>, mut call: Call) -> Result<Response<RelayBody>, Refusal> {
-    refuse_for_deeper_hops(node, &call)?;
+    let served = attempts(node, &mut call).await;
+    served.map_err(|refusal| tell_return(&call, refusal))
+}
+
+/// Tells the caller when to come back, where it may and nothing else says when.
+fn tell_return(call: &Call, refusal: Refusal) -> Refusal {
+    let Some(objective) = call.objective else { return refusal };
+    if refusal.outcome != Outcome::NotRun || refusal.retry_after.is_some() {
+        return refusal;
+    }
+    let left = objective.saturating_duration_since(Instant::now());
+    refusal.retry_after(return_after(left, call.cx.hash))
+}
+
+async fn attempts(node: &Arc<Node>, call: &mut Call) -> Result<Response<RelayBody>, Refusal> {
+    refuse_for_deeper_hops(node, call)?;
     let mut tried: Vec<InstanceId> = Vec::new();
     let mut earlier: Option<Outcome> = None;
     loop {
         if Instant::now() >= call.deadline {
             return Err(Refusal::not_run(Reason::Expired).after(earlier));
         }
-        let vm = pick(node, &call, &tried).map_err(|refusal| refusal.after(earlier))?;
-        let refusal = match attempt::attempt(node, &vm, &mut call).await {
+        let vm = pick(node, call, &tried).map_err(|refusal| refusal.after(earlier))?;
+        let refusal = match attempt::attempt(node, &vm, call).await {
             Ok(rsp) => return Ok(rsp),
             Err(refusal) => refusal,
         };
@@ -157,10 +173,17 @@
 
 /// Refuses a request that a hop further down would refuse, before any work is
 /// spent on it.
+///
+/// A call is not refused: work was spent on its request, and the level may have
+/// changed since that was let through.
 fn refuse_for_deeper_hops(node: &Node, call: &Call) -> Result<(), Refusal> {
+    if call.cx.depth > 0 {
+        return Ok(());
+    }
     let (now, cx) = (node.clock.now(), &call.cx);
+    let left = call.objective.map(|at| at.saturating_duration_since(Instant::now()));
     let mut levels = node.path_levels.lock();
-    let Err(shed) = levels.check(now, &call.path, cx.criticality, cx.hash) else {
+    let Err(shed) = levels.check(now, &call.path, cx.criticality, cx.hash, left) else {
         return Ok(());
     };
     let level = levels.level(now, &call.path);
@@ -185,6 +208,9 @@
         Pick::None(NoRoute::NoneWorking { retry_after }) => {
             Err(Refusal::not_run(Reason::NoInstance).retry_after(retry_after))
         }
+        Pick::None(NoRoute::Refused) if call.objective.is_some() => {
+            Err(Refusal::not_run(Reason::Overloaded))
+        }
         Pick::None(NoRoute::Refused) => {
             Err(Refusal::not_run(Reason::Overloaded).retry_after(REFUSED_RETRY_AFTER))
         }
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -9,7 +9,6 @@
 use http::Response;
 use http::header;
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
@@ -45,7 +44,7 @@
 /// None: every failure is an answer.
 pub async fn serve_caller(
     node: Arc<Node>,
-    req: Request<Incoming>,
+    req: Request<RelayBody>,
 ) -> Result<Response<RelayBody>, Infallible> {
     let mut tracked = Tracked::begin(&node, Role::Entry);
     let served = try_serve(&node, req, &mut tracked).await;
@@ -61,7 +60,7 @@
 
 async fn try_serve(
     node: &Arc<Node>,
-    req: Request<Incoming>,
+    req: Request<RelayBody>,
     tracked: &mut Tracked,
 ) -> Result<Response<RelayBody>, Refusal> {
     let has_token = req.headers().contains_key(TOKEN);
@@ -94,7 +93,7 @@
     call: Call,
 }
 
-async fn prepare(node: &Node, req: Request<Incoming>) -> Result<Prepared, Refusal> {
+async fn prepare(node: &Node, req: Request<RelayBody>) -> Result<Prepared, Refusal> {
     let (mut inbound, body) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
     let token = take_token(&mut inbound.headers)?;
     let asked = node.dialect.take_asked(&mut inbound.headers)?;
@@ -152,7 +151,7 @@
         criticality: plan.criticality,
         hash: admission_hash(id),
         remaining: Duration::ZERO,
-        objective: Duration::ZERO,
+        objective: None,
         retries: 0,
         depth: 0,
         non_idempotent: !plan.idempotent,
@@ -164,7 +163,7 @@
     };
     let account = Arc::new(Mutex::new(RetryAccount::mint(plan.retries)));
     let path = PathKey { service: inbound.service.clone(), plan: plan.key };
-    let objective = deadline.min(Instant::now() + plan.objective);
+    let objective = plan.objective.map(|time| deadline.min(Instant::now() + time));
     Call { inbound, payload, cx, deadline, objective, account, detours: 0, path, parent: None }
 }
 
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -6,7 +6,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
 use indexmap::map::Entry;
 use tokio::time::Instant;
 
@@ -48,7 +47,7 @@
 /// None: every failure is an answer.
 pub async fn serve_upstream(
     node: Arc<Node>,
-    req: Request<Incoming>,
+    req: Request<RelayBody>,
 ) -> Result<Response<RelayBody>, Infallible> {
     if !req.headers().contains_key(CONTEXT) {
         return serve_caller(node, req).await;
@@ -63,7 +62,7 @@
 
 async fn serve_child(
     node: &Arc<Node>,
-    req: Request<Incoming>,
+    req: Request<RelayBody>,
     tracked: &mut Tracked,
 ) -> Result<Response<RelayBody>, Refusal> {
     let handle: Option<Handle> = read_header(req.headers(), &CONTEXT);
@@ -123,7 +122,7 @@
     };
     let now = Instant::now();
     let deadline = parent.deadline.min(now + plan.deadline);
-    let objective = deadline.min(now + plan.objective);
+    let objective = plan.objective.map(|time| deadline.min(now + time));
     let path = PathKey { service: inbound.service.clone(), plan: plan.key };
     let account = Arc::clone(&parent.account);
     let parent = Some(Arc::clone(parent));
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -26,12 +26,14 @@
 use crate::connection::strip::strip;
 use crate::connection::upstream::Lease;
 use crate::process::InstanceId;
+use crate::process::admission::Admission;
 use crate::process::admission::Completion;
 use crate::process::admission::Level;
 use crate::process::admission::Shed;
 use crate::process::admission::ShedReason;
 use crate::process::admission::Work;
 use crate::process::burn::Role;
+use crate::process::config::ActiveRules;
 use crate::process::metrics::Counter;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
@@ -39,6 +41,7 @@
 use crate::request::Context;
 use crate::request::LEAVING;
 use crate::request::LEVEL;
+use crate::request::LOAD;
 use crate::request::Outcome;
 use crate::request::PATH_LEVEL;
 use crate::request::RETRIES_LEFT;
@@ -47,8 +50,10 @@
 use crate::request::dialect::Claim;
 use crate::request::dialect::Handover;
 use crate::request::message::Inbound;
+use crate::request::message::Payload;
 use crate::request::message::remove_hop_by_hop;
 use crate::request::parent::OpenParent;
+use crate::version::PlanKey;
 
 /// Deepest chain of calls that is served.
 const MAX_DEPTH: u8 = 64;
@@ -57,6 +62,9 @@
 const LATE_FINISH_GRACE: Duration = Duration::from_secs(30);
 /// Time for which a leaving daemon still hands queued requests to its upstream.
 const QUEUE_NOTICE: Duration = Duration::from_secs(2);
+/// Times that one request is sent again to an upstream that refuses part of its
+/// work: enough for nearly all requests if it refuses half.
+const RESENDS_MAX: u32 = 8;
 /// Longest whole answer to a non-idempotent request, in bytes.
 pub(super) const MAX_HELD_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
@@ -86,6 +94,10 @@
     let path_level = level.min(*path_level.lock());
     insert_level(rsp.headers_mut(), LEVEL, level);
     insert_level(rsp.headers_mut(), PATH_LEVEL, path_level);
+    if let Ok(mut load) = HeaderValue::try_from(node.gate.load().to_string()) {
+        load.set_sensitive(true);
+        rsp.headers_mut().insert(LOAD, load);
+    }
     if node.lifecycle.is_leaving() {
         rsp.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
     }
@@ -121,45 +133,52 @@
     if node.departed.lock().has(instance) {
         return Err(Refusal::not_run(Reason::InstanceGone));
     }
-    if cx.repeat && !has_room_for_repeat(node) {
+    if cx.repeat && !has_room_for_repeat(node, &cx) {
         return Err(Refusal::not_run(Reason::RetriesSpent));
     }
     let deadline = Instant::now() + cx.remaining;
-    let work = work(node, &cx);
+    let work = work(node, &cx, kind(node, inbound));
     let permit = tokio::select! {
         entered = node.gate.enter(work) => entered.map_err(shed)?,
         () = queue_closed(node) => return Err(Refusal::not_run(Reason::Leaving)),
     };
+    let payload = Payload::read(body, deadline).await?;
     // The process may have been paused while the request waited.
     if Instant::now() >= deadline {
         return Err(Refusal::not_run(Reason::Expired));
     }
-    if !count_arrival(node, cx.repeat) {
+    if !count_arrival(node, &cx, cx.repeat) {
         return Err(Refusal::not_run(Reason::RetriesSpent));
     }
     let non_idempotent = cx.non_idempotent;
     let name = inbound.name.clone();
     let parent = node.parents.open(cx, name, deadline, Arc::clone(path_level));
-    let req = upstream_request(node, inbound, instance, body, &parent, deadline);
-    let instance = instance.clone();
-    let exchange = Exchange { parent, permit, _in_progress: in_progress, deadline, instance };
+    let exchange = Exchange {
+        inbound: inbound.clone(),
+        payload,
+        parent,
+        permit,
+        _in_progress: in_progress,
+        deadline,
+        instance: instance.clone(),
+    };
     match non_idempotent {
-        true => run_detached(node, req, exchange).await,
-        false => run_attached(node, req, exchange).await,
+        true => run_detached(node, exchange).await,
+        false => run_attached(node, exchange).await,
     }
 }
 
-fn has_room_for_repeat(node: &Node) -> bool {
+fn has_room_for_repeat(node: &Node, cx: &Context) -> bool {
     let Some(repeats) = &node.repeats else { return true };
-    repeats.lock().has_room(node.clock.now())
+    repeats.lock().has_room(node.clock.now(), cx.criticality, cx.hash)
 }
 
 /// Counts a request that is about to reach the upstream; returns whether it may.
-fn count_arrival(node: &Node, repeat: bool) -> bool {
+fn count_arrival(node: &Node, cx: &Context, repeat: bool) -> bool {
     let Some(repeats) = &node.repeats else { return true };
     let (mut repeats, now) = (repeats.lock(), node.clock.now());
     if repeat {
-        return repeats.repeat(now);
+        return repeats.repeat(now, cx.criticality, cx.hash);
     }
     repeats.first(now);
     true
@@ -173,6 +192,8 @@
 
 /// One request at the upstream, with all that must be held until it ends.
 struct Exchange {
+    inbound: Inbound,
+    payload: Payload,
     parent: OpenParent,
     permit: Permit,
     _in_progress: InProgress,
@@ -185,16 +206,36 @@
     fn complete(self, completion: Completion) {
         self.permit.complete(completion);
     }
+
+    /// Builds the request for the upstream; `None` if its body was sent already.
+    fn request(&mut self, node: &Node) -> Option<Request<RelayBody>> {
+        let body = self.payload.take_body()?;
+        let Self { inbound, instance, parent, deadline, .. } = self;
+        Some(upstream_request(node, inbound, instance, body, parent, *deadline))
+    }
+
+    /// Whether what the upstream refused is worth sending to it again.
+    ///
+    /// An upstream that refuses while it has slots to spare refuses some
+    /// requests and takes others; one without is full.
+    fn may_resend(&self, node: &Node) -> bool {
+        let has_spare = node.gate.with_admission(Admission::has_spare);
+        let is_in_time = Instant::now() < self.deadline;
+        has_spare
+            && is_in_time
+            && self.payload.is_left()
+            && node.repeats.is_some()
+            && count_arrival(node, &self.parent.parent().cx, true)
+    }
 }
 
 /// Runs a request that ends when its caller goes away.
 async fn run_attached(
     node: &Arc<Node>,
-    req: Request<RelayBody>,
     exchange: Exchange,
 ) -> Result<Response<RelayBody>, Refusal> {
     let deadline = exchange.deadline;
-    let (rsp, lease, exchange) = send(node, req, exchange, deadline).await?;
+    let (rsp, lease, exchange) = send(node, exchange, deadline).await?;
     let retries = exchange.parent.parent().take_retries();
     let guard = Guard { exchange: Some(exchange), lease: Some(lease) };
     let body = |body| GuardedBody::new(body::relay(body), deadline, guard).boxed_unsync();
@@ -207,26 +248,21 @@
 /// stopping it half way would leave its effect unknown.
 async fn run_detached(
     node: &Arc<Node>,
-    req: Request<RelayBody>,
     exchange: Exchange,
 ) -> Result<Response<RelayBody>, Refusal> {
     let (tx, rx) = oneshot::channel();
     let node = Arc::clone(node);
     tokio::spawn(async move {
-        let answered = run_to_end(&node, req, exchange).await;
+        let answered = run_to_end(&node, exchange).await;
         // Without a receiver, the upstream's work is done all the same.
         let _ = tx.send(answered);
     });
     rx.await.unwrap_or_else(|_| Err(Refusal::unknown(Reason::UpstreamFailed)))
 }
 
-async fn run_to_end(
-    node: &Arc<Node>,
-    req: Request<RelayBody>,
-    exchange: Exchange,
-) -> Result<Response<RelayBody>, Refusal> {
+async fn run_to_end(node: &Arc<Node>, exchange: Exchange) -> Result<Response<RelayBody>, Refusal> {
     let give_up = exchange.deadline + LATE_FINISH_GRACE;
-    let (rsp, lease, exchange) = send(node, req, exchange, give_up).await?;
+    let (rsp, lease, exchange) = send(node, exchange, give_up).await?;
     let (parts, incoming) = rsp.into_parts();
     let guard = Guard { exchange: None, lease: Some(lease) };
     let guarded = GuardedBody::new(body::relay(incoming), give_up, guard).boxed_unsync();
@@ -243,46 +279,77 @@
 }
 
 /// Sends a request to the upstream and waits for the head of its answer.
+///
+/// What the upstream refused though it has slots to spare is sent to it again, as
+/// far as the account of repeats allows.
 async fn send(
     node: &Arc<Node>,
-    req: Request<RelayBody>,
-    exchange: Exchange,
+    mut exchange: Exchange,
     give_up: Instant,
 ) -> Result<(Response<Incoming>, Lease, Exchange), Refusal> {
-    node.metrics.count(Counter::Handed);
-    let instance = exchange.instance.clone();
-    let (mut rsp, lease) = match timeout_at(give_up, node.upstream.send(req)).await {
-        Ok(Ok(answered)) => answered,
-        Ok(Err(err)) if err.is_unsent() => {
-            exchange.complete(Completion::Failed);
-            return Err(Refusal::not_run(Reason::UpstreamUnreachable));
-        }
-        Ok(Err(_)) => {
-            exchange.complete(Completion::Failed);
-            return Err(Refusal::unknown(Reason::UpstreamFailed));
-        }
-        Err(_) => {
-            exchange.complete(Completion::TimedOut);
-            return Err(Refusal::unknown(Reason::DeadlineExceeded));
-        }
-    };
-    match claim(node, &rsp, &exchange) {
-        Claim::Answered => {}
-        Claim::Shed => {
-            let retries = exchange.parent.parent().take_retries();
-            exchange.complete(Completion::Overloaded);
-            return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
+    let mut resends = 0;
+    loop {
+        let (rsp, lease, claim) = match send_once(node, &mut exchange, give_up).await {
+            Ok(answered) => answered,
+            Err((refusal, completion)) => {
+                exchange.complete(completion);
+                return Err(refusal);
+            }
+        };
+        match claim {
+            Claim::Answered => return take_answer(node, rsp, lease, exchange),
+            Claim::Shed if resends < RESENDS_MAX && exchange.may_resend(node) => {
+                resends += 1;
+                node.metrics.count(Counter::RetriesSpent);
+                lease.discard_answer(rsp);
+            }
+            Claim::Shed => {
+                lease.discard_answer(rsp);
+                let retries = exchange.parent.parent().take_retries();
+                exchange.complete(Completion::Overloaded);
+                return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
+            }
+            Claim::Elsewhere => {
+                node.departed.lock().note(&exchange.instance);
+                exchange.complete(Completion::Failed);
+                return Err(Refusal::not_run(Reason::UpstreamMoved));
+            }
+            Claim::Foreign => {
+                exchange.complete(Completion::Failed);
+                return Err(Refusal::unknown(Reason::AnswerForeign));
+            }
         }
-        Claim::Elsewhere => {
-            node.departed.lock().note(&instance);
-            exchange.complete(Completion::Failed);
-            return Err(Refusal::not_run(Reason::UpstreamMoved));
+    }
+}
+
+/// Sends a request once and reads what the answer's head says of it.
+async fn send_once(
+    node: &Arc<Node>,
+    exchange: &mut Exchange,
+    give_up: Instant,
+) -> Result<(Response<Incoming>, Lease, Claim), (Refusal, Completion)> {
+    let req = exchange.request(node);
+    let req = req.ok_or((Refusal::not_run(Reason::BadBody), Completion::Failed))?;
+    node.metrics.count(Counter::Handed);
+    match timeout_at(give_up, node.upstream.send(req)).await {
+        Ok(Ok((rsp, lease))) => {
+            let claim = claim(node, &rsp, exchange);
+            Ok((rsp, lease, claim))
         }
-        Claim::Foreign => {
-            exchange.complete(Completion::Failed);
-            return Err(Refusal::unknown(Reason::AnswerForeign));
+        Ok(Err(err)) if err.is_unsent() => {
+            Err((Refusal::not_run(Reason::UpstreamUnreachable), Completion::Failed))
         }
+        Ok(Err(_)) => Err((Refusal::unknown(Reason::UpstreamFailed), Completion::Failed)),
+        Err(_) => Err((Refusal::unknown(Reason::DeadlineExceeded), Completion::TimedOut)),
     }
+}
+
+fn take_answer(
+    node: &Node,
+    mut rsp: Response<Incoming>,
+    lease: Lease,
+    exchange: Exchange,
+) -> Result<(Response<Incoming>, Lease, Exchange), Refusal> {
     if !is_delimited(&rsp) && !node.dialect.ends_by_close() {
         exchange.complete(Completion::Failed);
         return Err(Refusal::ran(Reason::AnswerUndelimited));
@@ -336,20 +403,34 @@
     }
 }
 
-fn work(node: &Node, cx: &Context) -> Work {
+fn work(node: &Node, cx: &Context, kind: PlanKey) -> Work {
+    let now = node.clock.now();
     Work {
         criticality: cx.criticality,
         hash: cx.hash,
         depth: cx.depth,
-        deadline: node.clock.now() + cx.remaining,
+        kind,
+        deadline: now + cx.remaining,
+        objective: cx.objective.map(|left| now + left),
         may_wait: cx.may_wait,
         weight: cx.weight,
     }
 }
 
+/// Returns the rule or route that serves a request by the version in force here,
+/// which may differ for a moment from the sender's.
+fn kind(node: &Node, inbound: &Inbound) -> PlanKey {
+    let rules = node.rules();
+    let key = |rules: Arc<ActiveRules>| {
+        rules.policy.key(&inbound.host, &inbound.method, inbound.path.path())
+    };
+    rules.and_then(key).unwrap_or_default()
+}
+
 fn shed(shed: Shed) -> Refusal {
     let reason = match shed.reason {
         ShedReason::Level | ShedReason::QueueFull | ShedReason::NoWait => Reason::Overloaded,
+        ShedReason::Objective => Reason::Overloaded,
         ShedReason::Deadline => Reason::Expired,
     };
     Refusal::not_run(reason).retry_after(shed.retry_after)
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -5,7 +5,6 @@
 
 use http::Request;
 use http::Response;
-use hyper::body::Incoming;
 
 use super::attempt::read_header;
 use super::call::Call;
@@ -14,7 +13,6 @@
 use super::entry::take_token;
 use super::once;
 use super::owner;
-use crate::connection::body;
 use crate::connection::body::RelayBody;
 use crate::process::InstanceId;
 use crate::process::node::Node;
@@ -38,7 +36,7 @@
 /// None: every failure is an answer.
 pub async fn serve_peer(
     node: Arc<Node>,
-    req: Request<Incoming>,
+    req: Request<RelayBody>,
 ) -> Result<Response<RelayBody>, Infallible> {
     if let Some(version) = read_header(req.headers(), &RULES_VERSION) {
         node.config().heard_of(version);
@@ -53,7 +51,7 @@
 /// Serves a request for the local upstream.
 async fn serve_owner(
     node: &Arc<Node>,
-    req: Request<Incoming>,
+    req: Request<RelayBody>,
 ) -> Result<Response<RelayBody>, Refusal> {
     let cx: Option<Context> = read_header(req.headers(), &CONTEXT);
     let cx = cx.ok_or(Refusal::not_run(Reason::Malformed))?;
@@ -65,20 +63,20 @@
     if inbound.service != node.settings.daemon.service {
         return Err(Refusal::not_run(Reason::UnknownService));
     }
-    Ok(owner::serve(node, cx, &inbound, &instance, body::relay(incoming)).await)
+    Ok(owner::serve(node, cx, &inbound, &instance, incoming).await)
 }
 
 /// Serves a request under a token that this daemon issued.
 async fn serve_issuer(
     node: &Arc<Node>,
-    req: Request<Incoming>,
+    req: Request<RelayBody>,
 ) -> Result<Response<RelayBody>, Refusal> {
     let prepared = prepare_tokened(node, req).await;
     let (token, call) = prepared.map_err(Refusal::unless_run_before)?;
     once::run_under_token(node, &token, call).await
 }
 
-async fn prepare_tokened(node: &Node, req: Request<Incoming>) -> Result<(Token, Call), Refusal> {
+async fn prepare_tokened(node: &Node, req: Request<RelayBody>) -> Result<(Token, Call), Refusal> {
     let (mut inbound, incoming) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
     let token = take_token(&mut inbound.headers)?;
     let token = token.ok_or(Refusal::unknown(Reason::TokenMalformed))?;
--- a/lib/src/version/plan.rs
+++ b/lib/src/version/plan.rs
@@ -10,7 +10,7 @@
 
 /// Names the rule or route that a request matched, the same in each version
 /// that holds it.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub struct PlanKey(pub u64);
 
 impl PlanKey {
@@ -42,8 +42,8 @@
     pub retries: u32,
     /// Time within which the whole answer must arrive.
     pub deadline: Duration,
-    /// Time within which an answer has its full worth.
-    pub objective: Duration,
+    /// Time within which an answer has its full worth, where operators state one.
+    pub objective: Option<Duration>,
     /// Whether the request may queue when capacity is short.
     pub may_wait: bool,
 }
@@ -59,7 +59,7 @@
             idempotent: rule.idempotent,
             retries: rule.retries,
             deadline: rule.deadline,
-            objective: rule.deadline,
+            objective: None,
             may_wait: rule.may_wait,
         }
     }
--- a/lib/src/version/policy.rs
+++ b/lib/src/version/policy.rs
@@ -1,6 +1,7 @@
 //! The operators' text in force, of either form.
 
 use super::Plan;
+use super::PlanKey;
 use super::routes::RequestLimits;
 use super::routes::RouteTable;
 use super::rules::Rules;
@@ -30,6 +31,15 @@
         }
     }
 
+    /// Returns what serves a request, without counting it among a split's shares.
+    pub fn key(&self, host: &str, method: &http::Method, path: &str) -> Option<PlanKey> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        match self {
+            Self::Rules(rules) => Some(PlanKey::of_line(rules.find(host, method, path).line)),
+            Self::Routes(routes) => Some(PlanKey::of_name(&routes.find(host, path)?.name)),
+        }
+    }
+
     /// Returns the number of rules or routes.
     pub fn len(&self) -> usize {
         match self {
--- a/lib/src/version/routes/table.rs
+++ b/lib/src/version/routes/table.rs
@@ -60,7 +60,7 @@
             idempotent: route.idempotent,
             retries: route.attempts.saturating_sub(1),
             deadline: route.timeout,
-            objective: route.objective,
+            objective: Some(route.objective),
             may_wait: true,
         })
     }
--- a/lib/tests/test_admission.rs
+++ b/lib/tests/test_admission.rs
@@ -11,6 +11,7 @@
 use endivescale::process::admission::Verdict;
 use endivescale::process::admission::Work;
 use endivescale::version::Criticality;
+use endivescale::version::PlanKey;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -18,7 +19,16 @@
 
 fn work(criticality: Criticality) -> Work {
     let deadline = ms(2000);
-    Work { criticality, hash: 100, depth: 0, deadline, may_wait: true, weight: 1 }
+    Work {
+        criticality,
+        hash: 100,
+        depth: 0,
+        deadline,
+        objective: None,
+        kind: PlanKey(0),
+        may_wait: true,
+        weight: 1,
+    }
 }
 
 fn one_slot() -> AdmissionConfig {
--- a/lib/tests/test_admission_load.rs
+++ b/lib/tests/test_admission_load.rs
@@ -9,6 +9,7 @@
 use endivescale::process::admission::Verdict;
 use endivescale::process::admission::Work;
 use endivescale::version::Criticality;
+use endivescale::version::PlanKey;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -50,7 +51,16 @@
         let criticality = Criticality::Critical;
         if arrives && levels[0].admits(criticality, hash) {
             let deadline = now + Duration::from_secs(4);
-            let work = Work { criticality, hash, depth: 1, deadline, may_wait: true, weight: 1 };
+            let work = Work {
+                criticality,
+                hash,
+                depth: 1,
+                deadline,
+                objective: None,
+                kind: PlanKey(0),
+                may_wait: true,
+                weight: 1,
+            };
             if let Arrival::Admitted(ticket) = admission.arrive(now, work) {
                 running.push_back((now + SERVICE, ticket));
             }
--- a/lib/tests/test_context.rs
+++ b/lib/tests/test_context.rs
@@ -11,7 +11,7 @@
         criticality: Criticality::High,
         hash: 0xbeef,
         remaining: Duration::from_millis(250),
-        objective: Duration::from_millis(120),
+        objective: Some(Duration::from_millis(120)),
         retries: 3,
         depth: 4,
         non_idempotent: true,
--- a/lib/tests/test_repeats.rs
+++ b/lib/tests/test_repeats.rs
@@ -4,6 +4,7 @@
 
 use endivescale::process::repeats::RepeatAccount;
 use endivescale::process::repeats::RepeatBound;
+use endivescale::version::Criticality;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
@@ -30,7 +31,7 @@
         now += ms(u64::from(gap_ms % 500));
         if !repeats {
             account.first(now);
-        } else if !account.repeat(now) {
+        } else if !account.repeat(now, Criticality::Normal, 0) {
             continue;
         }
         seen.push((now, repeats));
@@ -56,8 +57,8 @@
 #[test]
 fn a_new_process_has_no_slack_until_a_window_has_passed() {
     let mut account = RepeatAccount::new(BOUND);
-    assert!(!account.repeat(ms(9_900)));
-    assert!(account.repeat(ms(10_000)));
+    assert!(!account.repeat(ms(9_900), Criticality::Critical, 0));
+    assert!(account.repeat(ms(10_000), Criticality::Critical, 0));
 }
 
 #[test]
@@ -66,14 +67,14 @@
     for _ in 0..100 {
         account.first(ms(100));
     }
-    let spent = (0..100).take_while(|_| account.repeat(ms(200))).count();
+    let spent = (0..100).take_while(|_| account.repeat(ms(200), Criticality::Critical, 0)).count();
     assert!((15..=20).contains(&spent), "{spent} repeats for 100 first arrivals");
 }
 
 #[test]
 fn repeats_are_forgotten_after_the_window() {
     let mut account = RepeatAccount::new(BOUND);
-    while account.repeat(ms(10_000)) {}
-    assert!(!account.has_room(ms(19_900)));
-    assert!(account.has_room(ms(20_200)));
+    while account.repeat(ms(10_000), Criticality::Critical, 0) {}
+    assert!(!account.has_room(ms(19_900), Criticality::Critical, 0));
+    assert!(account.has_room(ms(20_200), Criticality::Critical, 0));
 }
--- a/lib/tests/test_shedding.rs
+++ b/lib/tests/test_shedding.rs
@@ -14,6 +14,7 @@
 use endivescale::process::admission::Verdict;
 use endivescale::process::admission::Work;
 use endivescale::version::Criticality;
+use endivescale::version::PlanKey;
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -132,7 +133,16 @@
             Event::Arrive { rank, hash, depth, patience_ms, may_wait } => {
                 let criticality = Criticality::from_rank(rank).unwrap();
                 let deadline = self.now + Duration::from_millis(patience_ms);
-                let work = Work { criticality, hash, depth, deadline, may_wait, weight: 1 };
+                let work = Work {
+                    criticality,
+                    hash,
+                    depth,
+                    deadline,
+                    objective: None,
+                    kind: PlanKey(0),
+                    may_wait,
+                    weight: 1,
+                };
                 let arrival = self.admission.arrive(self.now, work);
                 self.settle()?;
                 self.arrived(criticality, arrival)?;
