routing: give cold and unheard instances a share that fits them, shed late calls at once

A newcomer counted as empty until it was heard of, so that all daemons sent to it at once, or as full, so that it got nothing; an instance that says how long it is cold got the 10 s ramp of one that says nothing; a call that waited behind new work was only seen at the end of a window, when the requests above it had already spent their slots. Change: the fill of an instance not heard of is the least fill that was heard, at most a half; a stated cold time gives half of a share until it ends; calls that wait longer than the target for deep calls close the level at once. Ruled out: probing newcomers, since probes are priced and show less than traffic.

--- a/lib/src/process/admission/load.rs
+++ b/lib/src/process/admission/load.rs
@@ -66,6 +66,11 @@
         *seconds = (*seconds - hold).max(0.0);
     }
 
+    /// Returns the slot seconds of the calls of a criticality.
+    pub(super) fn of_calls(&self, criticality: Criticality) -> f64 {
+        self.seconds[usize::from(criticality.rank())][class(1)]
+    }
+
     /// Returns the slot seconds that go before new work of a criticality and depth.
     pub(super) fn ahead_of(&self, criticality: Criticality, depth: u8) -> f64 {
         let own = self.seconds[usize::from(criticality.rank())][class(depth)];
--- a/lib/src/process/admission/state/overload.rs
+++ b/lib/src/process/admission/state/overload.rs
@@ -28,7 +28,7 @@
         if late.is_some() && self.cfg.policy == Policy::Adaptive {
             self.trim(now);
         }
-        let late = late.into_iter().chain(self.missed.take()).min();
+        let late = late.into_iter().chain(self.late_calls()).chain(self.missed.take()).min();
         let slots = self.limit.get() as f64;
         self.level.roll(late, &self.load, slots, self.running.len() as f64 / slots);
         self.limit.in_use(self.running.len());
@@ -51,6 +51,22 @@
         (self.queue.len() * 2 > self.cfg.queue_entries).then_some(Criticality::Deferrable)
     }
 
+    /// Returns the most critical class whose calls wait too long.
+    ///
+    /// Calls with an objective are not trimmed, and they hold slots of their
+    /// callers while they wait; so new requests are held back before calls miss
+    /// anything.
+    fn late_calls(&self) -> Option<Criticality> {
+        let slots = self.limit() as f64;
+        let waits_long = |criticality: &Criticality| {
+            let seconds = self.queue.call_seconds(*criticality);
+            seconds > 0.0
+                && self.queue.seconds_ahead_of(*criticality, 1) / slots
+                    > self.cfg.deep_target_delay.as_secs_f64()
+        };
+        Criticality::ALL.into_iter().find(waits_long)
+    }
+
     /// Returns the rate at which the upstream completes requests when it is
     /// fully used.
     ///
--- a/lib/src/process/membership/members.rs
+++ b/lib/src/process/membership/members.rs
@@ -73,7 +73,7 @@
             self.services.entry(vm.service.clone()).or_default().push(vm.clone());
             let known = old.get(&vm.instance).is_some_and(|known| is_same_start(known, &vm));
             if !first && !known {
-                self.standings.insert(vm.instance.clone(), Standing::new(Some(now)));
+                self.standings.insert(vm.instance.clone(), Standing::new(Some(now), vm.upstream));
             }
             self.by_name.insert(vm.instance.clone(), vm);
         }
@@ -171,7 +171,8 @@
 
     fn standing_mut(&mut self, instance: &InstanceId) -> &mut Standing {
         if !self.standings.contains_key(instance) {
-            self.standings.insert(instance.clone(), Standing::new(None));
+            let facts = self.by_name.get(instance).and_then(|vm| vm.upstream);
+            self.standings.insert(instance.clone(), Standing::new(None, facts));
         }
         &mut self.standings[instance]
     }
--- a/lib/src/process/routing/cost.rs
+++ b/lib/src/process/routing/cost.rs
@@ -9,10 +9,13 @@
 
 use super::LoadReport;
 
-/// Fill that an instance is taken to have of which nothing was heard lately.
-const UNKNOWN_FILL: f64 = 0.5;
+/// Greatest fill that an instance is taken to have of which nothing was heard
+/// lately: when those heard of are full, it is worth a try.
+const UNKNOWN_FILL_MAX: f64 = 0.5;
 /// Time in which a report loses most of its worth.
 const REPORT_LIFETIME: Duration = Duration::from_secs(1);
+/// Worth above which a report counts as fresh: for about 0.7 s.
+const FRESH_WORTH: f64 = 0.5;
 /// Fill of an idle instance, so that one which answers badly costs more than
 /// one which answers well even if both are idle.
 const IDLE_FILL: f64 = 0.3;
@@ -32,33 +35,52 @@
 }
 
 impl HeardLoad {
-    /// Returns the fill and the share of good answers to reckon with now.
-    fn now(&self, now: Duration, outstanding: u32) -> (f64, f64) {
+    /// Returns how much of the report's worth is left.
+    fn worth(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64() / REPORT_LIFETIME.as_secs_f64();
-        let worth = (-age).exp();
+        (-age).exp()
+    }
+
+    /// Returns the fill by the report and the calls sent since.
+    fn fill(&self, outstanding: u32) -> f64 {
         let sent = f64::from(outstanding) - f64::from(self.outstanding);
-        let fill = self.report.fill() + sent / f64::from(self.report.slots.max(1));
-        let fill = UNKNOWN_FILL + (fill.max(0.0) - UNKNOWN_FILL) * worth;
-        let good = 1.0 + (self.report.good - 1.0) * worth;
-        (fill, good)
+        (self.report.fill() + sent / f64::from(self.report.slots.max(1))).max(0.0)
     }
 }
 
-/// Returns the cost of one more call to an instance.
-///
-/// `share` is the part of its usual work that a cold instance can take, and
-/// `tier` its distance.
-pub(crate) fn cost(
-    now: Duration,
-    heard: Option<&HeardLoad>,
-    outstanding: u32,
-    share: f64,
-    tier: usize,
-) -> f64 {
-    let (fill, good) = match heard {
-        Some(heard) => heard.now(now, outstanding),
-        None => (UNKNOWN_FILL, 1.0),
+/// What is known of one candidate for a call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Known<'a> {
+    pub(crate) heard: Option<&'a HeardLoad>,
+    /// Calls of this daemon that are outstanding there.
+    pub(crate) outstanding: u32,
+    /// Part of its usual work that it can take while it is cold.
+    pub(crate) share: f64,
+    /// Its distance: 0 in the own zone, 1 in the own region, 2 beyond.
+    pub(crate) distance: usize,
+}
+
+/// Returns the fill to reckon with where nothing was heard lately: that of the
+/// least filled instance heard of, so that idle instances share their work alike.
+pub(crate) fn assumed_fill<'a>(now: Duration, known: impl Iterator<Item = Known<'a>>) -> f64 {
+    let fresh = known.filter_map(|known| {
+        let heard = known.heard.filter(|heard| heard.worth(now) > FRESH_WORTH)?;
+        Some(heard.fill(known.outstanding))
+    });
+    fresh.fold(UNKNOWN_FILL_MAX, f64::min)
+}
+
+/// Returns the cost of one more call to an instance, with the fill that is
+/// assumed as far as nothing was heard lately.
+pub(crate) fn cost(now: Duration, known: &Known<'_>, assumed: f64) -> f64 {
+    let (fill, good) = match known.heard {
+        Some(heard) => {
+            let worth = heard.worth(now);
+            let fill = assumed + (heard.fill(known.outstanding) - assumed) * worth;
+            (fill, 1.0 + (heard.report.good - 1.0) * worth)
+        }
+        None => (assumed, 1.0),
     };
-    let distance = DISTANCE_COST[tier.min(DISTANCE_COST.len() - 1)];
-    (fill / share + IDLE_FILL) / good.max(LEAST_GOOD) + distance
+    let distance = DISTANCE_COST[known.distance.min(DISTANCE_COST.len() - 1)];
+    (fill / known.share + IDLE_FILL) / good.max(LEAST_GOOD) + distance
 }
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -11,6 +11,8 @@
 
 use super::LoadReport;
 use super::cost::HeardLoad;
+use super::cost::Known;
+use super::cost::assumed_fill;
 use super::cost::cost;
 use super::subset::Subset;
 use crate::process::InstanceId;
@@ -181,7 +183,7 @@
             self.subsets.insert(service.clone(), Subset::choose(&self.here, vms));
         }
         let survey = self.survey(now, service, work, avoid);
-        match self.choose(&survey, work) {
+        match self.choose(now, &survey, work) {
             Some(choice) => self.send(now, &choice),
             None => Pick::None(survey.no_route(now)),
         }
@@ -226,11 +228,10 @@
                 if level.is_none_or(|level| level.admits(work.criticality, work.hash)) {
                     let outstanding = self.outstanding(instance);
                     let load = f64::from(outstanding + 1) / share;
-                    let heard = self.loads.get(instance);
-                    let cost = cost(now, heard, outstanding, share, open.distance);
-                    survey.is_informed |= heard.is_some();
+                    survey.is_informed |= self.loads.contains_key(instance);
                     let instance = instance.clone();
-                    open.candidates.push(Candidate { instance, share, load, cost });
+                    let distance = open.distance;
+                    open.candidates.push(Candidate { instance, share, load, distance });
                 } else {
                     survey.refused = true;
                 }
@@ -243,13 +244,13 @@
     /// A due probe goes first, so that one request finds out whether an
     /// instance works again; critical work is not put at that risk unless
     /// nothing else is open.
-    fn choose(&mut self, survey: &Survey, work: &Work) -> Option<Choice> {
+    fn choose(&mut self, now: Duration, survey: &Survey, work: &Work) -> Option<Choice> {
         let probe = survey.probes.first().cloned().map(Choice::Probe);
         if probe.is_some() && work.criticality != Criticality::Critical {
             return probe;
         }
         if survey.is_informed {
-            let cheapest = self.cheapest(survey).map(Choice::Ordinary);
+            let cheapest = self.cheapest(now, survey).map(Choice::Ordinary);
             return cheapest.or(probe);
         }
         let mut nearest = None;
@@ -267,11 +268,19 @@
     ///
     /// The costs are blurred, so that daemons which heard the same do not all
     /// send to the same instance.
-    fn cheapest(&mut self, survey: &Survey) -> Option<InstanceId> {
-        let candidates = survey.tiers.iter().flat_map(|tier| &tier.candidates);
-        let rng = &mut self.rng;
-        let blurred =
-            candidates.map(|candidate| (candidate.cost + rng.random_range(0.0..BLUR), candidate));
+    fn cheapest(&mut self, now: Duration, survey: &Survey) -> Option<InstanceId> {
+        let candidates = || survey.tiers.iter().flat_map(|tier| &tier.candidates);
+        let (loads, outstanding, rng) = (&self.loads, &self.outstanding, &mut self.rng);
+        let known = |candidate: &Candidate| Known {
+            heard: loads.get(&candidate.instance),
+            outstanding: outstanding.get(&candidate.instance).copied().unwrap_or(0),
+            share: candidate.share,
+            distance: candidate.distance,
+        };
+        let assumed = assumed_fill(now, candidates().map(known));
+        let blurred = candidates().map(|candidate| {
+            (cost(now, &known(candidate), assumed) + rng.random_range(0.0..BLUR), candidate)
+        });
         let cheapest = blurred.min_by(|(a, _), (b, _)| a.total_cmp(b));
         cheapest.map(|(_, candidate)| candidate.instance.clone())
     }
@@ -313,7 +322,7 @@
     instance: InstanceId,
     share: f64,
     load: f64,
-    cost: f64,
+    distance: usize,
 }
 
 /// The instances of one tier that may take a piece of work.
