retries: lend no tokens to calls that are requests of their own

Cause: half of a request's retry tokens were lent to the attempt, and came back only with its answer. Where calls are named they have attempts of their own and need none. Also: the account's constant part may be spent from the start when the whole deployment begins ([repeats] first_start); a restarted daemon still waits a window.

--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -258,8 +258,8 @@
 }
 
 fn repeat_account(bound: &RepeatSettings) -> RepeatAccount {
-    let RepeatSettings { ratio, slack, window } = *bound;
-    RepeatAccount::new(RepeatBound { ratio, slack, window })
+    let RepeatSettings { ratio, slack, window, first_start } = *bound;
+    RepeatAccount::new(RepeatBound { ratio, slack, window, first_start })
 }
 
 fn admission_config(settings: &Settings) -> AdmissionConfig {
--- a/lib/src/process/repeats/mod.rs
+++ b/lib/src/process/repeats/mod.rs
@@ -36,6 +36,8 @@
     pub slack: f64,
     /// Time over which both are counted.
     pub window: Duration,
+    /// Whether no earlier process can have spent the constant part.
+    pub first_start: bool,
 }
 
 /// What one daemon has handed to its upstream, and how much of it repeated.
@@ -101,12 +103,13 @@
 
     /// Returns how many repeats the window that ends now may hold.
     ///
-    /// The constant part is not used until the process has run for a window:
-    /// the process before it may have used it up.
+    /// The constant part is not used until the process has run for a window,
+    /// unless it is the first: the process before it may have used it up.
     fn allowed(&mut self, now: Duration) -> f64 {
         let earned = self.bound.ratio * f64::from(self.firsts.total(now));
         let slack = self.bound.slack / self.instances as f64;
-        let slack = if now >= self.bound.window { slack } else { 0.0 };
+        let is_own = self.bound.first_start || now >= self.bound.window;
+        let slack = if is_own { slack } else { 0.0 };
         (earned + slack) * USED_PART
     }
 
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -68,6 +68,8 @@
     /// Time over which both are counted.
     #[serde_as(as = "DurationText")]
     pub window: Duration,
+    /// Whether no earlier process of this daemon can have made repeats.
+    pub first_start: bool,
 }
 
 /// The foreign platform that a daemon runs on.
--- a/lib/src/process/settings/reader.rs
+++ b/lib/src/process/settings/reader.rs
@@ -116,6 +116,7 @@
         ratio: section.fraction("ratio", 0.0..=10.0),
         slack: section.fraction("slack", 0.0..=1e6),
         window: section.duration("window", SECOND..=HOUR, 10 * SECOND),
+        first_start: section.optional("first_start", "true or false").unwrap_or(false),
     };
     section.finish();
     repeats
--- a/lib/src/request/retries/account.rs
+++ b/lib/src/request/retries/account.rs
@@ -9,6 +9,11 @@
 pub struct Grant(u32);
 
 impl Grant {
+    /// Lends nothing.
+    pub fn none() -> Self {
+        Self(0)
+    }
+
     /// Returns the number to send with the call.
     pub fn tokens(&self) -> u32 {
         self.0
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -44,6 +44,7 @@
 use crate::request::Reason;
 use crate::request::Refusal;
 use crate::request::message::Inbound;
+use crate::request::retries::Grant;
 
 /// Counts one call as outstanding at an instance until it is dropped.
 #[derive(Debug)]
@@ -83,7 +84,12 @@
         return Err(Refusal::not_run(Reason::BadBody));
     };
     let outstanding = Outstanding::begin(node, &vm.instance);
-    let grant = call.account.lock().split_for_child();
+    // Where each call is a request of its own, it has retries of its own, and
+    // those lent to it would be lost with a lost answer.
+    let grant = match node.dialect.names_attempts() {
+        true => Grant::none(),
+        false => call.account.lock().split_for_child(),
+    };
     let now = Instant::now();
     let cx = Context {
         remaining: call.deadline.saturating_duration_since(now),
--- a/lib/tests/test_repeats.rs
+++ b/lib/tests/test_repeats.rs
@@ -10,7 +10,8 @@
 
 const SEED: u64 = 47;
 const WINDOW: Duration = Duration::from_secs(10);
-const BOUND: RepeatBound = RepeatBound { ratio: 0.2, slack: 47.0, window: WINDOW };
+const BOUND: RepeatBound =
+    RepeatBound { ratio: 0.2, slack: 47.0, window: WINDOW, first_start: false };
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -61,6 +62,12 @@
     assert!(account.repeat(ms(10_000), Criticality::Critical, 0));
 }
 
+#[test]
+fn the_first_process_has_its_slack_at_once() {
+    let mut account = RepeatAccount::new(RepeatBound { first_start: true, ..BOUND });
+    assert!(account.repeat(ms(0), Criticality::Normal, 0));
+}
+
 #[test]
 fn first_arrivals_earn_repeats() {
     let mut account = RepeatAccount::new(BOUND);
