answers: hold short answers whole, so that a cut one may be tried again

Cause: an answer cut after its head had gone out ended the caller's connection, though the request could have been repeated within its account. Change: an answer of known length up to 64 KiB, and one without a length, is read whole by the owner before it is passed on.

--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -65,7 +65,10 @@
 /// Times that one request is sent again to an upstream that refuses part of its
 /// work: enough for nearly all requests if it refuses half.
 const RESENDS_MAX: u32 = 8;
-/// Longest whole answer to a non-idempotent request, in bytes.
+/// Longest answer of known length to an idempotent request that is held whole,
+/// in bytes: a longer one would keep its caller waiting for the first byte.
+const HELD_ANSWER_BYTES: u64 = 64 * 1024;
+/// Longest answer that is held whole, in bytes.
 pub(super) const MAX_HELD_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// Serves a request for the local upstream and marks the answer for the sender.
@@ -236,6 +239,9 @@
 ) -> Result<Response<RelayBody>, Refusal> {
     let deadline = exchange.deadline;
     let (rsp, lease, exchange) = send(node, exchange, deadline).await?;
+    if is_held(&rsp) {
+        return hold_answer(rsp, lease, exchange, deadline).await;
+    }
     let retries = exchange.parent.parent().take_retries();
     let guard = Guard { exchange: Some(exchange), lease: Some(lease) };
     let body = |body| GuardedBody::new(body::relay(body), deadline, guard).boxed_unsync();
@@ -263,6 +269,24 @@
 async fn run_to_end(node: &Arc<Node>, exchange: Exchange) -> Result<Response<RelayBody>, Refusal> {
     let give_up = exchange.deadline + LATE_FINISH_GRACE;
     let (rsp, lease, exchange) = send(node, exchange, give_up).await?;
+    hold_answer(rsp, lease, exchange, give_up).await
+}
+
+/// Whether an answer is short enough to be held whole before it is passed on, so
+/// that a cut becomes a failure that may be tried again. An answer without a
+/// length is held, too, since its end shows only with that of its connection.
+fn is_held(rsp: &Response<Incoming>) -> bool {
+    let len = rsp.body().size_hint().exact();
+    len.is_some_and(|len| len <= HELD_ANSWER_BYTES) || !is_delimited(rsp)
+}
+
+/// Reads an answer to its end before it is passed on.
+async fn hold_answer(
+    rsp: Response<Incoming>,
+    lease: Lease,
+    exchange: Exchange,
+    give_up: Instant,
+) -> Result<Response<RelayBody>, Refusal> {
     let (parts, incoming) = rsp.into_parts();
     let guard = Guard { exchange: None, lease: Some(lease) };
     let guarded = GuardedBody::new(body::relay(incoming), give_up, guard).boxed_unsync();
--- a/lib/tests/test_answers.rs
+++ b/lib/tests/test_answers.rs
@@ -66,6 +66,8 @@
 fn mixed_plan(seed: u64, entries: Vec<SocketAddr>) -> Plan {
     let submissions = class("submissions", "submission", "POST", "/expressions/1", 3_000);
     let links = class("links", "matching", "GET", "/links", 15_000);
+    // Longer than what an owner holds whole, so that it is passed on as it comes.
+    let tables = class("tables", "matching", "GET", "/tables", 150_000);
     Plan {
         seed,
         entries,
@@ -75,6 +77,7 @@
             class("long", "listings", "GET", "/long", 60_000),
             Class { request_bytes: 2_000, ..submissions },
             Class { answer_rate: Some(150_000), ..links },
+            Class { answer_rate: Some(1_500_000), ..tables },
         ],
         hard_retries: 0,
         cancel_per_mille: 300,
