retries: give critical requests their repeats from the first moment of a refusal

The demand was counted over 2 s, so that at the beginning of the trouble it looked a tenth of what it was. Change: the rate is taken over the time since the first want, at least 250 ms, less two standard deviations.

And in the router: calls of requests that were let in are no longer refused by levels. The test of it failed before.

--- a/cli/src/bin/endivescaled.rs
+++ b/cli/src/bin/endivescaled.rs
@@ -81,11 +81,21 @@
     runtime.block_on(serve(Path::new(&file), settings))
 }
 
-/// Reads the settings file again; a file that cannot be used changes nothing.
-fn reload(file: &Path, daemon: &mut Daemon) {
+/// Reads the settings file again; a file that cannot be used changes nothing, and
+/// is told of once.
+fn reload(file: &Path, daemon: &mut Daemon, refused: &mut Option<String>) {
     match Settings::load(file) {
-        Ok(settings) => daemon.reload(&settings),
-        Err(err) => log::write(&StateChange::SettingsRefused { error: err.to_string() }),
+        Ok(settings) => {
+            *refused = None;
+            daemon.reload(&settings);
+        }
+        Err(err) => {
+            let error = err.to_string();
+            if refused.as_ref() != Some(&error) {
+                log::write(&StateChange::SettingsRefused { error: error.clone() });
+                *refused = Some(error);
+            }
+        }
     }
 }
 
@@ -114,6 +124,7 @@
     let mut hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
     let mut daemon = Daemon::start_at(settings, edge).await.context(StartSnafu)?;
     let node = Arc::clone(daemon.node());
+    let mut refused = None;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -122,7 +133,7 @@
             _ = hangup.recv() => {}
             () = tokio::time::sleep(RELOAD_INTERVAL) => {}
         }
-        reload(file, &mut daemon);
+        reload(file, &mut daemon, &mut refused);
     }
     match daemon.stop().await {
         0 => Ok(()),
--- a/lib/src/process/daemon.rs
+++ b/lib/src/process/daemon.rs
@@ -225,6 +225,7 @@
         tokio::time::sleep(LEAVE_NOTICE).await;
         self.stop_outside.cancel();
         let finished = tokio::time::timeout_at(give_up, self.finish()).await;
+        self.node.decisions.flush_all();
         match finished {
             Ok(()) => {
                 log::write(&StateChange::Drained);
@@ -406,6 +407,7 @@
     loop {
         tokio::time::sleep(METRICS_INTERVAL).await;
         node.metrics.flush();
+        node.decisions.flush(node.clock.now());
     }
 }
 
--- a/lib/src/process/log/mod.rs
+++ b/lib/src/process/log/mod.rs
@@ -1,8 +1,11 @@
-//! Log lines of the process: one for each change of state, none for a request.
+//! Log lines of the process: one for each change of state, and one for each
+//! decision on a request other than to serve it plainly.
 //!
-//! What happens per request is counted, see [`super::metrics`]. The words of
-//! each line are listed in `docs/operators.md`.
+//! Lines on requests are bounded by kind and second; all are counted, see
+//! [`super::metrics`]. The words of each line are listed in `docs/operators.md`.
 
+mod bound;
+mod decision;
 mod state_change;
 
 use spdlog::Level;
@@ -17,6 +20,12 @@
 use snafu::ResultExt as _;
 use snafu::Snafu;
 
+pub use self::bound::LineBound;
+pub use self::bound::Verdict;
+pub use self::decision::Decision;
+pub use self::decision::DecisionLog;
+pub use self::decision::Final;
+pub use self::decision::Subject;
 pub use self::state_change::DrainCause;
 pub use self::state_change::StateChange;
 use super::settings::LogLevel;
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -36,6 +36,7 @@
 use super::clock::Clock;
 use super::config::ActiveRules;
 use super::config::ConfigHandle;
+use super::log::DecisionLog;
 use super::log::DrainCause;
 use super::membership::Departed;
 use super::membership::VmList;
@@ -101,6 +102,8 @@
     pub lifecycle: Arc<Lifecycle>,
     /// Counters for operators.
     pub metrics: Metrics,
+    /// Lines on single requests.
+    pub decisions: DecisionLog,
     /// Admission levels of the hops below, by the path that callers' requests take.
     pub path_levels: Mutex<PathLevels<PathKey>>,
     /// Service-level burn.
@@ -144,6 +147,7 @@
             upstream,
             lifecycle: Arc::default(),
             metrics,
+            decisions: DecisionLog::default(),
             path_levels: Mutex::default(),
             burn,
             config,
--- a/lib/src/process/repeats/mod.rs
+++ b/lib/src/process/repeats/mod.rs
@@ -27,6 +27,14 @@
 /// wanted comes and goes within seconds.
 const DEMAND_WINDOW: Duration = Duration::from_secs(2);
 
+/// Shortest time that a demand is taken to have lasted, so that a few repeats at
+/// its beginning don't look like a flood.
+const DEMAND_SPAN_MIN: Duration = Duration::from_millis(250);
+
+/// Standard deviations by which a counted demand is lowered: single repeats are
+/// no demand yet.
+const DEMAND_DEVIATIONS: f64 = 2.0;
+
 /// The operators' bound on repeats.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatBound {
@@ -116,11 +124,22 @@
     /// Returns the share of the requests of a criticality, by their hash, whose
     /// repeats fit beside those of more critical requests.
     fn share(&mut self, now: Duration, allowed: f64, criticality: Criticality) -> f64 {
-        let scale = self.bound.window.as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
         let rank = usize::from(criticality.rank());
-        let mut wanted = |rank: usize| f64::from(self.wanted[rank].total(now)) * scale;
-        let before: f64 = (0..rank).map(&mut wanted).sum();
-        let own = wanted(rank).max(1.0);
+        let before: f64 = (0..rank).map(|rank| self.demand(now, rank)).sum();
+        let own = self.demand(now, rank).max(1.0);
         ((allowed - before) / own).clamp(0.0, 1.0)
     }
+
+    /// Returns how many repeats of a rank a window would hold if all that are
+    /// wanted now were granted.
+    ///
+    /// Answers the beginning of a partial refusal: the rate is taken over the time
+    /// since the first want, so that it is known before the account is spent.
+    fn demand(&mut self, now: Duration, rank: usize) -> f64 {
+        let wanted = &mut self.wanted[rank];
+        let count = f64::from(wanted.total(now));
+        let span = wanted.span(now).max(DEMAND_SPAN_MIN);
+        let certain = (count - DEMAND_DEVIATIONS * count.sqrt()).max(0.0);
+        certain * self.bound.window.as_secs_f64() / span.as_secs_f64()
+    }
 }
--- a/lib/src/process/repeats/sliding.rs
+++ b/lib/src/process/repeats/sliding.rs
@@ -37,6 +37,14 @@
         self.total
     }
 
+    /// Returns the time since the oldest event that is counted.
+    pub(super) fn span(&mut self, now: Duration) -> Duration {
+        self.forget(now);
+        let Some(&(oldest, _)) = self.slots.front() else { return Duration::ZERO };
+        let slots = self.number(now) - oldest + 1;
+        self.slot * u32::try_from(slots).unwrap_or(u32::MAX)
+    }
+
     fn forget(&mut self, now: Duration) {
         let oldest = self.number(now).saturating_sub(u64::from(SLOTS));
         while let Some(&(number, count)) = self.slots.front() {
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -19,6 +19,7 @@
 use crate::process::Region;
 use crate::process::ServiceName;
 use crate::process::Zone;
+use crate::process::admission::Level;
 use crate::process::membership::Health;
 use crate::process::membership::Membership;
 use crate::process::membership::Observation;
@@ -51,6 +52,15 @@
     pub criticality: Criticality,
     /// Hash that orders requests of one criticality alike at every hop.
     pub hash: u16,
+    /// Whether a request that was let in waits for it. Levels don't refuse it: work
+    /// was spent on its request, which would fail with it.
+    pub is_call: bool,
+}
+
+impl Work {
+    fn passes(&self, level: Option<Level>) -> bool {
+        self.is_call || level.is_none_or(|level| level.admits(self.criticality, self.hash))
+    }
 }
 
 /// Where a call goes.
@@ -224,8 +234,7 @@
                 survey.next_probe = Some(survey.next_probe.map_or(at, |next| next.min(at)));
             }
             Health::Working { share } => {
-                let level = self.members.level(now, instance);
-                if level.is_none_or(|level| level.admits(work.criticality, work.hash)) {
+                if work.passes(self.members.level(now, instance)) {
                     let outstanding = self.outstanding(instance);
                     let load = f64::from(outstanding + 1) / share;
                     survey.is_informed |= self.loads.contains_key(instance);
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -13,6 +13,9 @@
 use crate::process::InstanceId;
 use crate::process::admission::Level;
 use crate::process::admission::return_after;
+use crate::process::log::Decision;
+use crate::process::log::Final;
+use crate::process::log::Subject;
 use crate::process::membership::Vm;
 use crate::process::metrics::Counter;
 use crate::process::node::Node;
@@ -107,11 +110,27 @@
         }
     }
 
-    /// Whether one more attempt is safe, possible and paid for.
-    fn may_retry(&mut self, refusal: &Refusal) -> bool {
-        let is_safe = refusal.outcome == Outcome::NotRun || !self.cx.non_idempotent;
-        let is_useful = refusal.reason.may_differ_elsewhere();
-        is_safe && is_useful && self.payload.is_left() && self.may_pay(refusal)
+    /// Pays for one more attempt if it is safe and possible, and tells otherwise
+    /// why this one was the last.
+    fn pay_for_next(&mut self, refusal: &Refusal) -> Result<(), Final> {
+        if refusal.outcome != Outcome::NotRun && self.cx.non_idempotent {
+            return Err(Final::MayHaveRun);
+        }
+        if !refusal.reason.may_differ_elsewhere() {
+            return Err(Final::SameElsewhere);
+        }
+        if !self.payload.is_left() {
+            return Err(Final::BodyGone);
+        }
+        if !self.may_pay(refusal) {
+            return Err(Final::Spent);
+        }
+        Ok(())
+    }
+
+    fn log(&self, node: &Node, decision: &Decision<'_>) {
+        let subject = Subject::new(self.inbound.name.as_ref(), &self.inbound.service, &self.cx);
+        node.decisions.write(node.clock.now(), Some(&subject), decision);
     }
 
     /// Takes what one more attempt costs: a retry token if the last attempt
@@ -158,11 +177,13 @@
             Ok(rsp) => return Ok(rsp),
             Err(refusal) => refusal,
         };
-        let may_retry = call.may_retry(&refusal);
-        let refusal = refusal.after(earlier);
-        if !may_retry {
-            return Err(refusal);
+        let failed_at = &vm.instance;
+        if let Err(because) = call.pay_for_next(&refusal) {
+            call.log(node, &Decision::NotRepeated { failed_at, refusal: &refusal, because });
+            return Err(refusal.after(earlier));
         }
+        call.log(node, &Decision::SentElsewhere { failed_at, refusal: &refusal });
+        let refusal = refusal.after(earlier);
         node.metrics.count(Counter::RetriesSpent);
         call.cx.rerun |= refusal.outcome != Outcome::NotRun;
         call.cx.repeat |= refusal.reached_upstream();
@@ -193,7 +214,8 @@
 }
 
 fn pick(node: &Node, call: &Call, tried: &[InstanceId]) -> Result<Arc<Vm>, Refusal> {
-    let work = Work { criticality: call.cx.criticality, hash: call.cx.hash };
+    let cx = &call.cx;
+    let work = Work { criticality: cx.criticality, hash: cx.hash, is_call: cx.depth > 0 };
     let now = node.clock.now();
     let mut router = node.router.lock();
     let picked = router.pick(now, &call.inbound.service, &work, tried);
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -71,7 +71,7 @@
         false => prepared?,
     };
     let Prepared { token, call: request } = prepared;
-    tracked.describe(&request.inbound.service, request.cx.criticality, request.cx.weight);
+    tracked.describe(&request.inbound, &request.cx);
     match token {
         // An attempt that bears a name of its own needs no token.
         _ if node.dialect.names_attempts() => call(node, request).await,
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -77,7 +77,7 @@
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration).after(earlier))?;
     let plan = inbound.plan(&rules.policy).map_err(|refusal| refusal.after(earlier))?;
     let call = child_call(node, &parent, inbound, payload, &plan);
-    tracked.describe(&call.inbound.service, call.cx.criticality, call.cx.weight);
+    tracked.describe(&call.inbound, &call.cx);
     parent.child_may_run();
     let served = run_child(node, &parent, call).await;
     if served.as_ref().is_err_and(|refusal| refusal.outcome == Outcome::NotRun) {
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -34,6 +34,8 @@
 use crate::process::admission::Work;
 use crate::process::burn::Role;
 use crate::process::config::ActiveRules;
+use crate::process::log::Decision;
+use crate::process::log::Subject;
 use crate::process::metrics::Counter;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
@@ -80,7 +82,7 @@
     body: RelayBody,
 ) -> Response<RelayBody> {
     let mut tracked = Tracked::begin(node, Role::Owner);
-    tracked.describe(&inbound.service, cx.criticality, cx.weight);
+    tracked.describe(inbound, &cx);
     let retries = cx.retries;
     let path_level = Arc::new(Mutex::new(Level::OPEN));
     let served = try_serve(node, cx, inbound, instance, body, &path_level).await;
@@ -206,6 +208,11 @@
 }
 
 impl Exchange {
+    fn subject(&self) -> Subject {
+        let inbound = &self.inbound;
+        Subject::new(inbound.name.as_ref(), &inbound.service, &self.parent.parent().cx)
+    }
+
     fn complete(self, completion: Completion) {
         self.permit.complete(completion);
     }
@@ -325,6 +332,8 @@
             Claim::Shed if resends < RESENDS_MAX && exchange.may_resend(node) => {
                 resends += 1;
                 node.metrics.count(Counter::RetriesSpent);
+                let decision = Decision::Resent { times: resends };
+                node.decisions.write(node.clock.now(), Some(&exchange.subject()), &decision);
                 lease.discard_answer(rsp);
             }
             Claim::Shed => {
--- a/lib/src/request/serve/track.rs
+++ b/lib/src/request/serve/track.rs
@@ -8,20 +8,22 @@
 use crate::connection::body::BodyEnd;
 use crate::connection::body::OnEnd;
 use crate::connection::body::RelayBody;
-use crate::process::ServiceName;
 use crate::process::burn::Cause;
 use crate::process::burn::Class;
 use crate::process::burn::Ending;
 use crate::process::burn::Fault;
 use crate::process::burn::Origin;
 use crate::process::burn::Role;
+use crate::process::log::Decision;
+use crate::process::log::Subject;
 use crate::process::metrics::Counter;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
+use crate::request::Context;
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
-use crate::version::Criticality;
+use crate::request::message::Inbound;
 
 /// One request in progress in one role of the daemon.
 ///
@@ -32,6 +34,7 @@
     role: Role,
     started: Duration,
     class: Option<(Class, u32)>,
+    subject: Option<Subject>,
     failure: Option<Cause>,
     ended: bool,
     _in_progress: InProgress,
@@ -52,6 +55,7 @@
             role,
             started: node.clock.now(),
             class: None,
+            subject: None,
             failure: None,
             ended: false,
             _in_progress: in_progress,
@@ -59,29 +63,27 @@
     }
 
     /// Tells what the request is, once that is known.
-    pub(super) fn describe(
-        &mut self,
-        service: &ServiceName,
-        criticality: Criticality,
-        weight: u32,
-    ) {
-        let class = Class { role: self.role, service: service.clone(), criticality };
-        self.class = Some((class, weight));
+    pub(super) fn describe(&mut self, inbound: &Inbound, cx: &Context) {
+        let service = inbound.service.clone();
+        let class = Class { role: self.role, service, criticality: cx.criticality };
+        self.class = Some((class, cx.weight));
+        self.subject = Some(Subject::new(inbound.name.as_ref(), &inbound.service, cx));
+    }
+
+    fn log(&self, decision: &Decision<'_>) {
+        self.node.decisions.write(self.node.clock.now(), self.subject.as_ref(), decision);
+    }
+
+    fn after(&self) -> Duration {
+        self.node.clock.now().saturating_sub(self.started)
     }
 
     /// Builds the answer to a request that was refused or has failed.
     pub(super) fn refuse(&mut self, refusal: Refusal) -> Response<RelayBody> {
         self.node.metrics.count(Counter::Refused(refusal.reason));
         let origin = refusal.origin;
-        spdlog::info!(
-            "event=refused role={:?} class={:?} reason={} outcome={} origin={:?} after_ms={}",
-            self.role,
-            self.class.as_ref().map(|c| c.0.service.to_string()),
-            refusal.reason,
-            refusal.outcome,
-            refusal.origin,
-            (self.node.clock.now() - self.started).as_millis()
-        );
+        let after = self.after();
+        self.log(&Decision::Refused { role: self.role, refusal: &refusal, after });
         let fault = Fault::Refused(refusal.reason);
         self.failure = Some(Cause { fault, outcome: refusal.outcome, origin });
         match self.role {
@@ -110,7 +112,7 @@
     fn ending(&self, end: BodyEnd) -> Ending {
         match (end, self.failure) {
             (_, Some(cause)) => Ending::Failed(cause),
-            (BodyEnd::Whole, None) => Ending::Whole(self.node.clock.now() - self.started),
+            (BodyEnd::Whole, None) => Ending::Whole(self.after()),
             (BodyEnd::Failed, None) => Ending::Failed(Cause {
                 fault: Fault::Truncated,
                 outcome: Outcome::Ran,
@@ -131,7 +133,10 @@
                 self.node.metrics.count(Counter::TruncatedAnswers);
             }
             Ending::Failed(_) => {}
-            Ending::Cancelled => self.node.metrics.count(Counter::Cancelled),
+            Ending::Cancelled => {
+                self.node.metrics.count(Counter::Cancelled);
+                self.log(&Decision::Cancelled { role: self.role, after: self.after() });
+            }
         }
         if let Some((class, weight)) = &self.class {
             let now = self.node.clock.now();
--- a/lib/tests/test_repeats.rs
+++ b/lib/tests/test_repeats.rs
@@ -7,6 +7,9 @@
 use endivescale::version::Criticality;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
 
 const SEED: u64 = 47;
 const WINDOW: Duration = Duration::from_secs(10);
@@ -85,3 +88,77 @@
     assert!(!account.has_room(ms(19_900), Criticality::Critical, 0));
     assert!(account.has_room(ms(20_200), Criticality::Critical, 0));
 }
+
+/// What became of the requests of one criticality that an upstream refused.
+#[derive(Default)]
+struct Repeated {
+    granted: u32,
+    denied: u32,
+}
+
+/// Replays an upstream that refuses half of what reaches it, though it has slots
+/// to spare, for `time` after a calm window: 200 requests a second, two of five of
+/// them critical. Each is sent again until it is taken or has no repeat left.
+fn replay_partial_refusal(time: Duration) -> [Repeated; 2] {
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let mut account = RepeatAccount::new(BOUND);
+    account.set_instances(3);
+    let mut seen = [Repeated::default(), Repeated::default()];
+    let calm = WINDOW * 2;
+    let gap = ms(5);
+    let mut now = Duration::ZERO;
+    while now < calm + time {
+        now += gap;
+        account.first(now);
+        let is_critical = rng.random_bool(0.4);
+        let criticality = if is_critical { Criticality::Critical } else { Criticality::Normal };
+        let hash = rng.random();
+        while now >= calm && rng.random_bool(0.5) {
+            let seen = &mut seen[usize::from(!is_critical)];
+            if !account.repeat(now, criticality, hash) {
+                seen.denied += 1;
+                break;
+            }
+            seen.granted += 1;
+        }
+    }
+    seen
+}
+
+/// Load pattern: a shedding upstream beside a burst, in which the repeats of
+/// critical requests alone would take the whole account.
+#[test]
+fn less_critical_requests_get_no_repeats_that_critical_ones_miss() {
+    let [critical, normal] = replay_partial_refusal(Duration::from_secs(8));
+    assert!(critical.denied > 0, "the account holds out");
+    let granted = critical.granted + normal.granted;
+    assert!(
+        normal.granted * 20 <= granted,
+        "{} of {granted} repeats went to normal requests",
+        normal.granted
+    );
+}
+
+/// Load pattern: a short refusal, over before a window has passed.
+#[test]
+fn a_short_refusal_may_use_up_what_calm_has_earned() {
+    let [critical, normal] = replay_partial_refusal(Duration::from_secs(8));
+    let granted = f64::from(critical.granted + normal.granted);
+    let earned = BOUND.ratio * 200.0 * 8.0;
+    assert!(granted >= 0.8 * earned, "{granted} repeats granted of {earned} earned");
+}
+
+/// Load pattern: single answers lost on a calm day at a quiet service.
+#[test]
+fn single_repeats_are_granted_whatever_their_hash() {
+    let mut account = RepeatAccount::new(BOUND);
+    account.set_instances(3);
+    let mut now = Duration::ZERO;
+    for round in 0..200_u32 {
+        now += ms(100);
+        account.first(now);
+        if now > WINDOW && round % 20 == 0 {
+            assert!(account.repeat(now, Criticality::Deferrable, u16::MAX), "{now:?}");
+        }
+    }
+}
--- a/lib/tests/test_routing.rs
+++ b/lib/tests/test_routing.rs
@@ -36,7 +36,7 @@
 
     fn pick_for(&mut self, at: u64, criticality: Criticality, avoid: &[&str]) -> Pick {
         let avoid: Vec<InstanceId> = avoid.iter().map(|&name| name.into()).collect();
-        let work = Work { criticality, hash: 500 };
+        let work = Work { criticality, hash: 500, is_call: false };
         self.router.pick(ms(at), &self.service, &work, &avoid)
     }
 
@@ -69,6 +69,12 @@
     shares.iter().filter(|(name, _)| name.contains(zone)).map(|(_, n)| n).sum()
 }
 
+/// Picks for a call on behalf of a request that was let in.
+fn pick_for_call(s: &mut Setup) -> Pick {
+    let work = Work { criticality: Criticality::Normal, hash: 500, is_call: true };
+    s.router.pick(ms(0), &s.service, &work, &[])
+}
+
 fn level(criticality: Criticality, threshold: u16) -> Observation {
     Observation::Level(Level { criticality, threshold })
 }
@@ -175,6 +181,16 @@
         assert!(matches!(s.pick_for(0, Criticality::Critical, &[]), Pick::To(_)));
     }
 
+    // Load pattern: a bottleneck closes while the requests that it let in are still
+    // making their calls.
+    a_call_of_a_request_that_was_let_in_is_not_refused_by_levels: |s| {
+        for instance in FLEET {
+            s.see(0, instance, level(Criticality::Critical, u16::MAX));
+        }
+        assert_eq!(s.pick(0), Pick::None(NoRoute::Refused));
+        assert!(matches!(pick_for_call(&mut s), Pick::To(_)));
+    }
+
     a_level_not_heard_again_expires: |s| {
         for instance in FLEET {
             s.see(0, instance, level(Criticality::High, u16::MAX));
@@ -225,7 +241,7 @@
         let here = Place { instance, zone: "x1".into(), region: "x".into() };
         let mut router = Router::new(here, n);
         router.apply(ms(0), &list);
-        let work = Work { criticality: Criticality::Normal, hash: 0 };
+        let work = Work { criticality: Criticality::Normal, hash: 0, is_call: false };
         let mut own = IndexMap::new();
         for _ in 0..100 {
             let instance = name(router.pick(ms(0), &"a".into(), &work, &[]));
