--- a/lib/src/process/admission/level_control.rs
+++ b/lib/src/process/admission/level_control.rs
@@ -22,6 +22,9 @@
 /// Part of the way that the level goes to where it should be in a late window.
 const CLOSING_GAIN: f64 = 0.5;
 
+/// Part of the last criticality that closes at the least in a late window.
+const LEAST_CLOSING: f64 = 0.03;
+
 /// Share of the slots above which the upstream counts as fully used.
 const FULLY_USED: f64 = 0.9;
 
@@ -63,7 +66,9 @@
             Some(late) => {
                 let fitting = self.fitting(load, slots * HEADROOM);
                 let floor = f64::from(late.rank()) + LEAST_PART;
+                let part = self.open - self.open.ceil() + 1.0;
                 let closed = self.open + (fitting - self.open) * CLOSING_GAIN;
+                let closed = closed.min(self.open - part * LEAST_CLOSING);
                 self.open = closed.max(floor).min(self.open);
                 self.step = LEAST_STEP;
             }
