--- /dev/null
+++ b/lib/src/request/serve/exchange.rs
@@ -0,0 +1,232 @@
+//! One exchange of a request with the local upstream.
+
+use std::sync::Arc;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header;
+use hyper::body::Body as _;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::connection::body::RelayBody;
+use crate::connection::strip::strip;
+use crate::connection::upstream::Lease;
+use crate::process::InstanceId;
+use crate::process::admission::Admission;
+use crate::process::admission::Completion;
+use crate::process::log::Decision;
+use crate::process::log::Subject;
+use crate::process::metrics::Counter;
+use crate::process::node::InProgress;
+use crate::process::node::Node;
+use crate::process::node::Permit;
+use crate::request::Context;
+use crate::request::Reason;
+use crate::request::Refusal;
+use crate::request::dialect::Claim;
+use crate::request::dialect::Handover;
+use crate::request::message::Inbound;
+use crate::request::message::Payload;
+use crate::request::message::remove_hop_by_hop;
+use crate::request::parent::OpenParent;
+
+/// Times that one request is sent again to an upstream that refuses part of its
+/// work: enough for nearly all requests if it refuses half.
+const RESENDS_MAX: u32 = 8;
+
+/// One request at the upstream, with all that must be held until it ends.
+pub(super) struct Exchange {
+    pub(super) inbound: Inbound,
+    pub(super) payload: Payload,
+    pub(super) parent: OpenParent,
+    pub(super) permit: Permit,
+    /// Keeps the daemon from ending before the exchange does.
+    pub(super) _in_progress: InProgress,
+    pub(super) deadline: Instant,
+    /// The one instance that may run the request.
+    pub(super) instance: InstanceId,
+}
+
+impl Exchange {
+    fn subject(&self) -> Subject {
+        let inbound = &self.inbound;
+        Subject::new(inbound.name.as_ref(), &inbound.service, &self.parent.parent().cx)
+    }
+
+    pub(super) fn complete(self, completion: Completion) {
+        self.permit.complete(completion);
+    }
+
+    /// Builds the request for the upstream; `None` if its body was sent already.
+    fn request(&mut self, node: &Node) -> Option<Request<RelayBody>> {
+        let body = self.payload.take_body()?;
+        let Self { inbound, instance, parent, deadline, .. } = self;
+        Some(upstream_request(node, inbound, instance, body, parent, *deadline))
+    }
+
+    /// Whether what the upstream refused is worth sending to it again.
+    ///
+    /// An upstream that refuses while it has slots to spare refuses some
+    /// requests and takes others; one without is full.
+    fn may_resend(&self, node: &Node) -> bool {
+        let has_spare = node.gate.with_admission(Admission::has_spare);
+        let is_in_time = Instant::now() < self.deadline;
+        has_spare
+            && is_in_time
+            && self.payload.is_left()
+            && node.repeats.is_some()
+            && count_arrival(node, &self.parent.parent().cx, true)
+    }
+}
+
+/// Counts a request that is about to reach the upstream; returns whether it may.
+pub(super) fn count_arrival(node: &Node, cx: &Context, repeat: bool) -> bool {
+    let Some(repeats) = &node.repeats else { return true };
+    let (mut repeats, now) = (repeats.lock(), node.clock.now());
+    if repeat {
+        return repeats.repeat(now, cx.criticality, cx.hash);
+    }
+    repeats.first(now);
+    true
+}
+
+/// Sends a request to the upstream and waits for the head of its answer.
+///
+/// What the upstream refused though it has slots to spare is sent to it again, as
+/// far as the account of repeats allows.
+pub(super) async fn send(
+    node: &Arc<Node>,
+    mut exchange: Exchange,
+    give_up: Instant,
+) -> Result<(Response<Incoming>, Lease, Exchange), Refusal> {
+    let mut resends = 0;
+    loop {
+        let (rsp, lease, claim) = match send_once(node, &mut exchange, give_up).await {
+            Ok(answered) => answered,
+            Err((refusal, completion)) => {
+                exchange.complete(completion);
+                return Err(refusal);
+            }
+        };
+        match claim {
+            Claim::Answered => return take_answer(node, rsp, lease, exchange),
+            Claim::Shed if resends < RESENDS_MAX && exchange.may_resend(node) => {
+                resends += 1;
+                node.metrics.count(Counter::RetriesSpent);
+                let decision = Decision::Resent { times: resends };
+                node.decisions.write(node.clock.now(), Some(&exchange.subject()), &decision);
+                lease.discard_answer(rsp);
+            }
+            Claim::Shed => {
+                lease.discard_answer(rsp);
+                let retries = exchange.parent.parent().take_retries();
+                exchange.complete(Completion::Overloaded);
+                return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
+            }
+            Claim::Elsewhere => {
+                node.departed.lock().note(&exchange.instance);
+                exchange.complete(Completion::Failed);
+                return Err(Refusal::not_run(Reason::UpstreamMoved));
+            }
+            Claim::Foreign => {
+                exchange.complete(Completion::Failed);
+                return Err(Refusal::unknown(Reason::AnswerForeign));
+            }
+        }
+    }
+}
+
+/// Sends a request once and reads what the answer's head says of it.
+async fn send_once(
+    node: &Arc<Node>,
+    exchange: &mut Exchange,
+    give_up: Instant,
+) -> Result<(Response<Incoming>, Lease, Claim), (Refusal, Completion)> {
+    let req = exchange.request(node);
+    let req = req.ok_or((Refusal::not_run(Reason::BadBody), Completion::Failed))?;
+    node.metrics.count(Counter::Handed);
+    match timeout_at(give_up, node.upstream.send(req)).await {
+        Ok(Ok((rsp, lease))) => {
+            let claim = claim(node, &rsp, exchange);
+            Ok((rsp, lease, claim))
+        }
+        Ok(Err(err)) if err.is_unsent() => {
+            Err((Refusal::not_run(Reason::UpstreamUnreachable), Completion::Failed))
+        }
+        Ok(Err(_)) => Err((Refusal::unknown(Reason::UpstreamFailed), Completion::Failed)),
+        Err(_) => Err((Refusal::unknown(Reason::DeadlineExceeded), Completion::TimedOut)),
+    }
+}
+
+fn take_answer(
+    node: &Node,
+    mut rsp: Response<Incoming>,
+    lease: Lease,
+    exchange: Exchange,
+) -> Result<(Response<Incoming>, Lease, Exchange), Refusal> {
+    if !is_delimited(&rsp) && !node.dialect.ends_by_close() {
+        exchange.complete(Completion::Failed);
+        return Err(Refusal::ran(Reason::AnswerUndelimited));
+    }
+    exchange.permit.answer_started();
+    remove_hop_by_hop(rsp.headers_mut());
+    strip(rsp.headers_mut(), node.dialect.answer_headers());
+    Ok((rsp, lease, exchange))
+}
+
+/// Returns what the upstream says of the request.
+///
+/// That it did not run is believed only if no call was made on the request's
+/// behalf: what ran below belongs to the request, too.
+fn claim(node: &Node, rsp: &Response<Incoming>, exchange: &Exchange) -> Claim {
+    let parent = exchange.parent.parent();
+    let claim = node.dialect.claim(rsp.status(), rsp.headers(), parent.name.as_ref());
+    match claim {
+        Claim::Shed if parent.has_child_that_may_have_run() => Claim::Answered,
+        claim => claim,
+    }
+}
+
+/// Whether the end of the answer's body can be told from a cut; see
+/// `docs/design/answers.md`.
+pub(super) fn is_delimited(rsp: &Response<Incoming>) -> bool {
+    let body = rsp.body();
+    let codings = rsp.headers().get_all(header::TRANSFER_ENCODING);
+    let is_chunked = || codings.iter().any(|coding| coding.as_bytes().ends_with(b"chunked"));
+    body.is_end_stream() || body.size_hint().exact().is_some() || is_chunked()
+}
+
+fn upstream_request(
+    node: &Node,
+    inbound: &Inbound,
+    instance: &InstanceId,
+    body: RelayBody,
+    parent: &OpenParent,
+    deadline: Instant,
+) -> Request<RelayBody> {
+    // A GET or HEAD would otherwise be sent without its body.
+    let is_chunked = !body.is_end_stream() && body.size_hint().exact().is_none();
+    let mut req = Request::new(body);
+    *req.method_mut() = inbound.method.clone();
+    *req.uri_mut() = inbound.path.clone().into();
+    *req.headers_mut() = inbound.headers.clone();
+    let headers = req.headers_mut();
+    strip(headers, &[]);
+    if is_chunked {
+        headers.insert(header::TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+    }
+    let handover = Handover {
+        host: &inbound.host,
+        name: inbound.name.as_ref(),
+        origin: inbound.origin.as_ref(),
+        service: &node.settings.daemon.service,
+        instance,
+        left: deadline.saturating_duration_since(Instant::now()),
+        handle: parent.handle(),
+    };
+    node.dialect.hand_over(headers, &handover);
+    req
+}
--- a/lib/src/request/serve/mod.rs
+++ b/lib/src/request/serve/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! [`entry`] serves outside callers, [`outbound`] the local upstream's own
 //! calls, [`peer`] other daemons. All three meet in [`call`], which sends a
-//! request to an instance of its service, and [`owner`], which hands it to the
-//! local upstream. See `docs/architecture.md`.
+//! request to an instance of its service, and [`owner`], which admits it and hands
+//! it to the local upstream in an [`exchange`]. See `docs/architecture.md`.
 
 mod attempt;
 mod call;
 mod entry;
+mod exchange;
 mod once;
 mod outbound;
 mod owner;
