serve: keep no-instance for instances that are gone, and the reason of busy ones

refusal_is_counted_where_it_was_decided_and_where_it_was_told failed since the last instance's reason was kept for every refusal: where the only instance leaves, its caller's daemon decides that there is none. The reason is kept where an instance was too busy.

--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -173,7 +173,7 @@
         if Instant::now() >= call.deadline {
             return Err(Refusal::not_run(Reason::Expired).after(earlier));
         }
-        // With no instance left, what the last one said is the better reason.
+        // With no instance left, one that was too busy gives the better reason.
         let none_left = |refusal: Refusal| last.take().unwrap_or(refusal).after(earlier);
         let vm = pick(node, call, &tried).map_err(none_left)?;
         let refusal = match attempt::attempt(node, &vm, call).await {
@@ -191,7 +191,7 @@
         call.cx.rerun |= refusal.outcome != Outcome::NotRun;
         call.cx.repeat |= refusal.reached_upstream();
         earlier = Some(refusal.outcome);
-        last = Some(refusal);
+        last = Some(refusal).filter(|refusal| refusal.reason.is_load());
         tried.push(vm.instance.clone());
     }
 }
