--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -129,12 +129,12 @@
     Other = "other", BAD_GATEWAY;
 }
 
-/// Whether an instance refused because it was busy.
-pub fn is_load(self) -> bool {
-    matches!(self, Self::Overloaded | Self::UpstreamShed)
-}
-
 impl Reason {
+    /// Whether an instance refused because it was busy.
+    pub fn is_load(self) -> bool {
+        matches!(self, Self::Overloaded | Self::UpstreamShed)
+    }
+
     /// Whether another instance of the service might answer otherwise.
     pub fn may_differ_elsewhere(self) -> bool {
         match self {
