catalog: let a few daemons of a zone read the store for the others

Change: the daemons of a zone with more than eight rank each other by a hash of their control addresses; the first three (one in 64 of a large zone) read the store, the others poll one of them, with the revision they are complete up to. Each follower still watches the entry of its own upstream itself, since it is the only way to it. Readers gather changes of entries for 300 ms.

Ruled out: the spread of process/config (texts without revisions or facts of upstreams, many hops); all topics through readers only (a daemon whose readers are all cut off would serve an upstream that leaves); a longer pause alone (a list a second old, and calls still grow). Weighed in docs/design/relays.md.

--- a/cli/src/bin/endivescaled.rs
+++ b/cli/src/bin/endivescaled.rs
@@ -112,6 +112,7 @@
                 address: settings.platform.address,
                 zones: adapter.zones.clone(),
                 peer_port: settings.listen.peer.port(),
+                control_port: settings.listen.control.unwrap_or(settings.listen.peer).port(),
             });
             Interfaces { dialect: Arc::new(StoreDialect), catalog: Some(Arc::new(store)) }
         }
--- a/lib/src/process/catalog/error.rs
+++ b/lib/src/process/catalog/error.rs
@@ -44,6 +44,9 @@
     /// The platform has discarded the changes after the requested revision.
     #[snafu(display("the platform has discarded the requested changes"))]
     ChangesDiscarded,
+    /// The daemon that reads the catalog for others did not tell the changes.
+    #[snafu(display("the daemon that reads the catalog did not answer"))]
+    Relay,
     /// No answer arrived in time.
     #[snafu(display("the platform did not answer in time"))]
     Timeout,
--- /dev/null
+++ b/lib/src/process/catalog/follower/calls.rs
@@ -0,0 +1,206 @@
+//! Calls to the catalog, and the choice between it and its readers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt as _;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::process::catalog::Catalog;
+use crate::process::catalog::CatalogError;
+use crate::process::catalog::Change;
+use crate::process::catalog::ChangeBatch;
+use crate::process::catalog::Revision;
+use crate::process::catalog::Topic;
+use crate::process::catalog::relay::ReadRole;
+use crate::process::catalog::relay::RelayClient;
+use crate::process::catalog::relay::RelayError;
+use crate::process::catalog::relay::RelayState;
+use crate::process::catalog::relay::Source;
+use crate::process::catalog::relay::SourceCursor;
+use crate::process::config::ConfigCounters;
+use crate::process::log;
+use crate::process::log::StateChange;
+
+/// Longest time that one watch call waits for changes. If an answer is lost, changes
+/// are missed for that long.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time that an answer may take in addition to the requested wait.
+const ANSWER_TIMEOUT_MARGIN: Duration = Duration::from_secs(3);
+/// Delay after the first of several failures.
+const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
+/// Longest delay after several failures. Once the catalog is back, a daemon has only
+/// seconds to activate a new version.
+const RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
+
+/// Makes calls to the catalog, counts failures and computes retry delays.
+pub(super) struct CatalogCalls {
+    catalog: Arc<dyn Catalog>,
+    counters: Arc<ConfigCounters>,
+    rng: ChaCha8Rng,
+    /// Consecutive failures.
+    failures: u32,
+}
+
+impl CatalogCalls {
+    /// Creates a client that has made no calls yet.
+    pub(super) fn new(
+        catalog: Arc<dyn Catalog>,
+        counters: Arc<ConfigCounters>,
+        rng: ChaCha8Rng,
+    ) -> Self {
+        Self { catalog, counters, rng, failures: 0 }
+    }
+
+    /// Returns the catalog, whose calls are to be awaited with [`Self::finish`].
+    pub(super) fn catalog(&self) -> Arc<dyn Catalog> {
+        Arc::clone(&self.catalog)
+    }
+
+    /// Returns the counters of this daemon's configuration.
+    pub(super) fn counters(&self) -> &ConfigCounters {
+        &self.counters
+    }
+
+    /// Waits for the answer to a call that the platform may delay by `wait`, and
+    /// records the result.
+    pub(super) async fn finish<T>(
+        &mut self,
+        topic: Topic,
+        wait: Duration,
+        answer: impl Future<Output = Result<T, CatalogError>>,
+    ) -> Result<T, CatalogError> {
+        self.counters.platform_calls.add_one();
+        let result = timeout(wait + ANSWER_TIMEOUT_MARGIN, answer).await;
+        let result = result.unwrap_or(Err(CatalogError::Timeout));
+        match &result {
+            Ok(_) => self.record_success(topic),
+            Err(err) => self.record_failure(topic, err),
+        }
+        result
+    }
+
+    fn record_success(&mut self, topic: Topic) {
+        if self.failures > 0 {
+            let failures = self.failures;
+            log::write(&StateChange::CatalogBack { topic, failures });
+        }
+        self.failures = 0;
+    }
+
+    fn record_failure(&mut self, topic: Topic, err: &CatalogError) {
+        self.counters.platform_failures.add_one();
+        // Discarded changes are not an outage: the catalog is read again at once.
+        if matches!(err, CatalogError::ChangesDiscarded) {
+            return;
+        }
+        if self.failures == 0 {
+            let error = err.to_string();
+            log::write(&StateChange::CatalogLost { topic, error });
+        }
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Waits for a random delay that doubles with each consecutive failure.
+    pub(super) async fn back_off(&mut self) {
+        let Some(doublings) = self.failures.checked_sub(1) else { return };
+        let longest = (RETRY_DELAY_MIN * (1 << doublings.min(8))).min(RETRY_DELAY_MAX);
+        sleep(longest.mul_f64(self.rng.random_range(0.5..=1.0))).await;
+    }
+}
+
+/// Source of the changes to one topic: the catalog, or a daemon that reads it.
+pub(super) struct ChangeSource {
+    pub(super) calls: CatalogCalls,
+    pub(super) relay: RelayClient,
+    pub(super) cursor: SourceCursor,
+    /// Role of this daemon by the latest list of VMs.
+    pub(super) role: watch::Receiver<ReadRole>,
+    /// What this daemon passes on while it is a reader.
+    pub(super) state: Arc<RelayState>,
+}
+
+impl ChangeSource {
+    /// Waits for changes after a revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`CatalogError::ChangesDiscarded`] if the topic must be read
+    /// completely. After other errors the next call may use another source.
+    pub(super) async fn watch(
+        &mut self,
+        topic: Topic,
+        after: Revision,
+    ) -> Result<Watched, CatalogError> {
+        let role = self.role.borrow_and_update().clone();
+        let source = self.cursor.current(&role);
+        let watched = match source {
+            Source::Catalog => self.watch_catalog(topic, after, role == ReadRole::Reader).await,
+            Source::Relay(reader) => {
+                self.state.stop_reading(topic);
+                match self.relay.poll(reader, topic, after).await {
+                    Ok((changes, revision)) => {
+                        let catalog = self.calls.catalog();
+                        let changes = changes
+                            .into_iter()
+                            .map(|change| change.into_change(|text| catalog.read_text(text)));
+                        Ok(Watched {
+                            batch: ChangeBatch { changes: changes.collect(), revision },
+                            source,
+                        })
+                    }
+                    Err(RelayError::ChangesDiscarded) => Err(CatalogError::ChangesDiscarded),
+                    Err(err) => {
+                        spdlog::info!(
+                            "event=reader-failed of={topic} reader={reader} error={err:?}"
+                        );
+                        Err(CatalogError::Relay)
+                    }
+                }
+            }
+        };
+        match &watched {
+            Ok(_) | Err(CatalogError::ChangesDiscarded) => self.cursor.record_success(source),
+            Err(_) => self.cursor.record_failure(source),
+        }
+        watched
+    }
+
+    async fn watch_catalog(
+        &mut self,
+        topic: Topic,
+        after: Revision,
+        is_reader: bool,
+    ) -> Result<Watched, CatalogError> {
+        let catalog = self.calls.catalog();
+        let call = catalog.watch(topic, after, WATCH_WAIT);
+        let batch = self.calls.finish(topic, WATCH_WAIT, call).await;
+        match &batch {
+            Ok(batch) if is_reader => self.state.record_changes(topic, after, batch),
+            Ok(_) | Err(CatalogError::ChangesDiscarded) => {}
+            Err(_) => self.state.stop_reading(topic),
+        }
+        Ok(Watched { batch: batch?, source: Source::Catalog })
+    }
+}
+
+/// Changes, and where they came from.
+pub(super) struct Watched {
+    pub(super) batch: ChangeBatch,
+    pub(super) source: Source,
+}
+
+impl Watched {
+    /// Whether the catalog itself has reported changes.
+    pub(super) fn is_change_of_catalog(&self) -> bool {
+        self.source == Source::Catalog && !self.batch.changes.is_empty()
+    }
+
+    /// Returns the changes in the order of their revisions.
+    pub(super) fn into_changes(self) -> Vec<Change> {
+        self.batch.changes
+    }
+}
--- /dev/null
+++ b/lib/src/process/catalog/follower/vms.rs
@@ -0,0 +1,182 @@
+//! Follows the entries of VMs and publishes the list built from them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::calls::CatalogCalls;
+use super::calls::ChangeSource;
+use super::calls::Watched;
+use super::local_entry::LocalKey;
+use crate::process::Zone;
+use crate::process::catalog::CatalogError;
+use crate::process::catalog::Change;
+use crate::process::catalog::ConfigSnapshot;
+use crate::process::catalog::Page;
+use crate::process::catalog::Revision;
+use crate::process::catalog::Roster;
+use crate::process::catalog::Topic;
+use crate::process::catalog::handover;
+use crate::process::catalog::relay;
+use crate::process::catalog::relay::ReadRole;
+use crate::process::membership::VmList;
+
+/// Pause after changes of entries, in which further ones gather at the catalog.
+///
+/// Load pattern: many instances start, leave or restart within seconds, and each
+/// change would cost a call for each reader.
+const GATHER_TIME: Duration = Duration::from_millis(300);
+
+/// What a daemon with relays knows of itself.
+pub(super) struct LocalDaemon {
+    /// Address at which other daemons poll this one.
+    pub(super) control: SocketAddr,
+    pub(super) zone: Zone,
+    /// Address of the local upstream, by which its entry is found.
+    pub(super) upstream: SocketAddr,
+    pub(super) role_tx: watch::Sender<ReadRole>,
+    /// The entry that is watched apart while the daemon is a follower.
+    pub(super) key_tx: watch::Sender<Option<LocalKey>>,
+}
+
+/// Follows the entries of VMs and publishes the list built from them.
+pub(super) struct VmsFollower {
+    pub(super) source: ChangeSource,
+    pub(super) roster: Roster,
+    pub(super) vms_tx: watch::Sender<Option<Arc<VmList>>>,
+    /// Configurations received from other daemons.
+    pub(super) offers: watch::Receiver<Option<Arc<ConfigSnapshot>>>,
+    /// `None` if the daemon takes no part in relaying.
+    pub(super) local: Option<LocalDaemon>,
+    /// Changes of the local upstream's entry.
+    pub(super) local_changes: mpsc::Receiver<Vec<Change>>,
+}
+
+enum Update {
+    Watched(Result<Watched, CatalogError>),
+    Local(Vec<Change>),
+}
+
+impl VmsFollower {
+    /// Reads the entries, then watches them; never returns.
+    pub(super) async fn run(mut self) {
+        loop {
+            let after = self.read().await;
+            self.watch(after).await;
+        }
+    }
+
+    /// Reads all entries, with retries until a read succeeds.
+    ///
+    /// Meanwhile uses the list of another daemon if there is none yet.
+    async fn read(&mut self) -> Revision {
+        loop {
+            let has_no_list = self.vms_tx.borrow().is_none();
+            let attempt = async {
+                let read = read_pages(&mut self.source.calls).await;
+                if read.is_err() {
+                    self.source.calls.back_off().await;
+                }
+                read
+            };
+            tokio::select! {
+                read = attempt => {
+                    if let Ok((pages, revision)) = read {
+                        self.source.state.record_entries(revision);
+                        self.roster.replace(pages);
+                        self.publish(revision);
+                        return revision;
+                    }
+                }
+                snapshot = handover::next(&mut self.offers, has_no_list) => self.apply_received(&snapshot),
+            }
+        }
+    }
+
+    /// Publishes the list of another daemon, for use until the first read succeeds.
+    fn apply_received(&mut self, snapshot: &ConfigSnapshot) {
+        let list = self.roster.renumber(snapshot.vms.clone());
+        self.vms_tx.send_replace(Some(Arc::new(list)));
+    }
+
+    /// Applies changes until some may have been missed.
+    async fn watch(&mut self, mut after: Revision) {
+        loop {
+            let update = tokio::select! {
+                watched = self.source.watch(Topic::Vms, after) => Update::Watched(watched),
+                Some(changes) = self.local_changes.recv() => Update::Local(changes),
+            };
+            match update {
+                Update::Watched(Ok(watched)) => {
+                    after = watched.batch.revision;
+                    let gathers = watched.is_change_of_catalog();
+                    self.apply(watched.into_changes(), after);
+                    self.roster.forget_removals(after);
+                    if gathers {
+                        sleep(GATHER_TIME).await;
+                    }
+                }
+                Update::Watched(Err(CatalogError::ChangesDiscarded)) => return,
+                Update::Watched(Err(_)) => self.source.calls.back_off().await,
+                Update::Local(changes) => self.apply(changes, after),
+            }
+        }
+    }
+
+    /// Applies changes to a list that is otherwise complete up to a revision.
+    fn apply(&mut self, changes: Vec<Change>, complete: Revision) {
+        let mut differs = false;
+        for change in changes {
+            differs |= self.roster.apply(change);
+        }
+        if differs {
+            self.publish(complete);
+        }
+    }
+
+    fn publish(&mut self, complete: Revision) {
+        self.vms_tx.send_replace(Some(Arc::new(self.roster.build_list())));
+        let Some(local) = &self.local else { return };
+        let role = relay::assign(local.control, &local.zone, self.roster.vms());
+        let key = match role {
+            ReadRole::Reader => None,
+            ReadRole::Follower { .. } => self.roster.key_at(local.upstream),
+        };
+        local.role_tx.send_if_modified(|current| {
+            let changed = *current != role;
+            *current = role;
+            changed
+        });
+        local.key_tx.send_if_modified(|current| {
+            let changed = current.as_ref().map(|(key, _)| key) != key.as_ref();
+            if changed {
+                *current = key.map(|key| (key, complete));
+            }
+            changed
+        });
+    }
+}
+
+/// Reads all pages of entries.
+///
+/// Also returns the revision of the first page, after which changes are to be
+/// watched: a later page may already contain some of them.
+async fn read_pages(calls: &mut CatalogCalls) -> Result<(Vec<Page>, Revision), CatalogError> {
+    let catalog = calls.catalog();
+    let mut pages: Vec<Page> = Vec::new();
+    loop {
+        let after = pages.last().and_then(|page| page.entries.last()).map(|(key, ..)| key);
+        let call = catalog.page(after);
+        let page = calls.finish(Topic::Vms, Duration::ZERO, call).await?;
+        let is_last = !page.has_more || page.entries.is_empty();
+        pages.push(page);
+        if is_last {
+            let revision = pages[0].revision;
+            return Ok((pages, revision));
+        }
+    }
+}
--- a/lib/src/process/catalog/mod.rs
+++ b/lib/src/process/catalog/mod.rs
@@ -7,6 +7,7 @@
 mod error;
 mod follower;
 mod handover;
+mod relay;
 mod roster;
 
 use std::fmt;
@@ -14,25 +15,40 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 pub use self::error::CatalogError;
 pub use self::follower::CatalogOptions;
+pub use self::follower::RelayOptions;
 pub use self::follower::spawn;
 pub use self::handover::ConfigSendTimes;
 pub use self::handover::ConfigSnapshot;
+pub use self::relay::History;
+pub use self::relay::ReadRole;
+pub use self::relay::RelayedChange;
+pub use self::relay::Since;
+pub use self::relay::Source;
+pub use self::relay::SourceCursor;
+pub use self::relay::assign;
 pub use self::roster::Roster;
 use super::membership::Vm;
 use crate::version::Policy;
 
 /// Position in the sequence of all changes to a catalog.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
 pub struct Revision(pub u64);
 
 /// Key of one entry of a catalog.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
 pub struct EntryKey(pub Arc<str>);
 
 /// A part of a catalog whose changes are watched separately.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Topic {
     /// The operators' policy text.
     Policy,
@@ -61,7 +77,7 @@
 }
 
 /// One entry of a catalog.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Entry {
     /// A valid entry of an upstream VM.
     Listed(Vm),
@@ -112,6 +128,17 @@
     /// Reads the page of entries whose keys come after `after`, or the first page.
     fn page<'a>(&'a self, after: Option<&'a EntryKey>) -> CatalogFuture<'a, Page>;
 
+    /// Reads one entry; the answer says that it was removed if there is none.
+    fn entry<'a>(&'a self, key: &'a EntryKey) -> CatalogFuture<'a, ChangeBatch>;
+
+    /// Waits for changes to one entry as [`Self::watch`] does for a topic.
+    fn watch_entry<'a>(
+        &'a self,
+        key: &'a EntryKey,
+        after: Revision,
+        wait: Duration,
+    ) -> CatalogFuture<'a, ChangeBatch>;
+
     /// Parses a policy text received from another daemon, without an exchange
     /// with the platform.
     ///
--- /dev/null
+++ b/lib/src/process/catalog/relay/server.rs
@@ -0,0 +1,203 @@
+//! Answers the polls of followers from what this daemon reads.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt as _;
+use parking_lot::Mutex;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel as _;
+use tarpc::tokio_serde::formats::Json;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use super::History;
+use super::RelayedChange;
+use super::Since;
+use super::rpc::CatalogRelay;
+use super::rpc::PollAnswer;
+use super::rpc::PollRequest;
+use crate::connection::tcp;
+use crate::process::catalog::ChangeBatch;
+use crate::process::catalog::Revision;
+use crate::process::catalog::Topic;
+use crate::process::config::ConfigCounters;
+use crate::process::config::Metered;
+use crate::process::config::framed;
+
+/// Longest wait of a poll; longer ones are shortened to it.
+const POLL_WAIT_MAX: Duration = Duration::from_secs(30);
+/// Most connections from followers. A reader has 64 followers on average; others come
+/// while the lists of daemons differ.
+const CONNECTIONS_MAX: usize = 512;
+/// Most requests in progress on one connection: one for each topic, and as many that
+/// the follower has given up.
+const REQUESTS_PER_CONNECTION_MAX: usize = 4;
+/// Delay after a failed `accept`.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// What this daemon passes on, by topic.
+#[derive(Debug)]
+pub(in crate::process::catalog) struct RelayState {
+    policy: TopicState,
+    vms: TopicState,
+    counters: Arc<ConfigCounters>,
+}
+
+#[derive(Debug)]
+struct TopicState {
+    inner: Mutex<TopicInner>,
+    /// Counts changes of `inner`, to wake waiting polls.
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct TopicInner {
+    history: History,
+    /// Whether this daemon reads the catalog, and the catalog answered its last call.
+    /// What was received from another reader is never passed on: two daemons that
+    /// polled each other would keep an old state for good.
+    is_reading: bool,
+}
+
+impl Default for TopicState {
+    fn default() -> Self {
+        Self { inner: Mutex::default(), changed: watch::Sender::new(0) }
+    }
+}
+
+impl TopicState {
+    fn update(&self, update: impl FnOnce(&mut TopicInner)) {
+        update(&mut self.inner.lock());
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Returns the answer to a poll; `None` while there is nothing to tell.
+    fn answer(&self, after: Revision) -> Option<PollAnswer> {
+        let inner = self.inner.lock();
+        if !inner.is_reading {
+            return Some(PollAnswer::NotReading);
+        }
+        match inner.history.since(after) {
+            Since::Changes(changes, _) if changes.is_empty() => None,
+            Since::Changes(changes, revision) => Some(PollAnswer::Changes(changes, revision)),
+            Since::Discarded => Some(PollAnswer::Discarded),
+        }
+    }
+}
+
+impl RelayState {
+    /// Creates the state of a daemon that has read nothing yet.
+    pub(in crate::process::catalog) fn new(counters: Arc<ConfigCounters>) -> Self {
+        Self { policy: TopicState::default(), vms: TopicState::default(), counters }
+    }
+
+    fn topic(&self, topic: Topic) -> &TopicState {
+        match topic {
+            Topic::Policy => &self.policy,
+            Topic::Vms => &self.vms,
+        }
+    }
+
+    /// Records a complete read of the entries, which does not tell their changes.
+    pub(in crate::process::catalog) fn record_entries(&self, at: Revision) {
+        self.vms.update(|inner| {
+            inner.history.restart(at);
+            inner.is_reading = true;
+        });
+    }
+
+    /// Records a read of the policy, of which only the latest version counts.
+    pub(in crate::process::catalog) fn record_policy(&self, batch: &ChangeBatch) {
+        let changes = relayed(batch);
+        self.policy.update(|inner| {
+            inner.history.replace(changes, batch.revision);
+            inner.is_reading = true;
+        });
+    }
+
+    /// Records what the catalog answered to a watch after a revision.
+    pub(in crate::process::catalog) fn record_changes(
+        &self,
+        topic: Topic,
+        after: Revision,
+        batch: &ChangeBatch,
+    ) {
+        let changes = relayed(batch);
+        self.topic(topic).update(|inner| {
+            inner.history.extend(after, changes, batch.revision);
+            inner.is_reading = true;
+        });
+    }
+
+    /// Records that this daemon no longer reads a topic, or that a call failed.
+    pub(in crate::process::catalog) fn stop_reading(&self, topic: Topic) {
+        if self.topic(topic).inner.lock().is_reading {
+            self.topic(topic).update(|inner| inner.is_reading = false);
+        }
+    }
+}
+
+fn relayed(batch: &ChangeBatch) -> Vec<RelayedChange> {
+    let changes = batch.changes.iter();
+    changes.filter_map(|change| RelayedChange::of(change, batch.revision)).collect()
+}
+
+/// Serves connections of followers; never returns.
+pub(in crate::process::catalog) async fn serve(state: Arc<RelayState>, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
+        };
+        match accepted {
+            // Dropping the connection makes the follower try another reader.
+            Ok(_) if connections.len() >= CONNECTIONS_MAX => {}
+            Ok((stream, _)) => _ = connections.spawn(serve_connection(state.clone(), stream)),
+            Err(err) => {
+                spdlog::warn!("event=accept-failed listener=control error={err:?}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(state: Arc<RelayState>, stream: TcpStream) {
+    if let Err(err) = tcp::set_liveness_options(&stream) {
+        spdlog::warn!("event=socket-option-failed listener=control error={err:?}");
+    }
+    let stream = Metered::new(stream, state.counters.clone());
+    let transport = tarpc::serde_transport::new(framed(stream), Json::default());
+    let channel =
+        BaseChannel::with_defaults(transport).max_concurrent_requests(REQUESTS_PER_CONNECTION_MAX);
+    let responses = channel.execute(RelayServer { state }.serve());
+    responses.for_each_concurrent(REQUESTS_PER_CONNECTION_MAX, |response| response).await;
+}
+
+#[derive(Clone)]
+struct RelayServer {
+    state: Arc<RelayState>,
+}
+
+impl CatalogRelay for RelayServer {
+    async fn poll(self, _: tarpc::context::Context, request: PollRequest) -> PollAnswer {
+        let PollRequest { topic, after, wait_ms } = request;
+        let deadline = Instant::now() + Duration::from_millis(wait_ms.into()).min(POLL_WAIT_MAX);
+        let state = self.state.topic(topic);
+        let mut changed = state.changed.subscribe();
+        loop {
+            changed.borrow_and_update();
+            if let Some(answer) = state.answer(after) {
+                return answer;
+            }
+            if timeout_at(deadline, changed.changed()).await.is_err() {
+                return PollAnswer::Changes(Vec::new(), after);
+            }
+        }
+    }
+}
--- a/lib/src/process/catalog/roster.rs
+++ b/lib/src/process/catalog/roster.rs
@@ -1,5 +1,7 @@
 //! Builds the list of VMs from the platform's entries.
 
+use std::net::SocketAddr;
+
 use indexmap::IndexMap;
 use rustc_hash::FxBuildHasher;
 
@@ -18,6 +20,9 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     entries: IndexMap<EntryKey, (Revision, Entry), FxBuildHasher>,
+    /// Removed entries whose removal may be known before earlier changes, because the
+    /// local upstream's entry is watched apart.
+    removed: IndexMap<EntryKey, Revision, FxBuildHasher>,
     /// Version of the last list built.
     version: u64,
 }
@@ -26,6 +31,7 @@
     /// Replaces all entries by the pages of one read.
     pub fn replace(&mut self, pages: Vec<Page>) {
         self.entries.clear();
+        self.removed.clear();
         for (key, revision, entry) in pages.into_iter().flat_map(|page| page.entries) {
             self.write(key, revision, entry);
         }
@@ -40,6 +46,23 @@
         }
     }
 
+    /// Forgets removals up to a revision, up to which all changes were applied.
+    pub fn forget_removals(&mut self, complete: Revision) {
+        self.removed.retain(|_, at| *at > complete);
+    }
+
+    /// Returns the key of the entry whose upstream listens on an address. Of several,
+    /// it is the one that started last.
+    pub fn key_at(&self, upstream: SocketAddr) -> Option<EntryKey> {
+        let at_address = self.entries.iter().filter_map(|(key, (_, entry))| match entry {
+            Entry::Listed(vm) => {
+                vm.upstream.filter(|facts| facts.address == upstream).map(|facts| (facts, key))
+            }
+            Entry::Unusable(_) => None,
+        });
+        at_address.max_by_key(|(facts, _)| facts.start_ms).map(|(_, key)| key.clone())
+    }
+
     /// Builds the list of VMs, with a version one higher than the last.
     pub fn build_list(&mut self) -> VmList {
         self.version += 1;
@@ -65,6 +88,9 @@
     }
 
     fn write(&mut self, key: EntryKey, revision: Revision, entry: Entry) -> bool {
+        if self.removed.get(&key).is_some_and(|removed| *removed >= revision) {
+            return false;
+        }
         let current = self.entries.get(&key);
         if current.is_some_and(|(current, _)| *current >= revision) {
             return false;
@@ -75,7 +101,10 @@
     }
 
     fn remove(&mut self, key: &EntryKey, revision: Revision) -> bool {
-        let is_later = self.entries.get(key).is_some_and(|(current, _)| *current < revision);
-        is_later && self.entries.shift_remove(key).is_some()
+        if self.entries.get(key).is_some_and(|(current, _)| *current >= revision) {
+            return false;
+        }
+        self.removed.insert(key.clone(), revision);
+        self.entries.shift_remove(key).is_some()
     }
 }
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -33,6 +33,7 @@
 use crate::process::catalog;
 use crate::process::catalog::Catalog;
 use crate::process::catalog::CatalogOptions;
+use crate::process::catalog::RelayOptions;
 use crate::process::config;
 use crate::process::config::ConfigHandle;
 use crate::process::config::ConfigOptions;
@@ -358,7 +359,12 @@
 ) -> Result<ConfigHandle, StartError> {
     let seed = rand::random();
     if let Some(catalog) = catalog {
-        return Ok(catalog::spawn(CatalogOptions { catalog, seed }));
+        let relay = control.map(|listener| RelayOptions {
+            listener,
+            zone: settings.daemon.zone.clone(),
+            upstream: settings.upstream.address,
+        });
+        return Ok(catalog::spawn(CatalogOptions { catalog, seed, relay }));
     }
     let control = control.context(NoControlSnafu)?;
     Ok(config::spawn(ConfigOptions {
--- a/lib/src/process/membership/vm.rs
+++ b/lib/src/process/membership/vm.rs
@@ -5,6 +5,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::DurationMilliSeconds;
+use serde_with::serde_as;
 
 use crate::process::InstanceId;
 use crate::process::Region;
@@ -39,18 +41,20 @@
     /// Whether the VM stays in service.
     pub state: VmState,
     /// What the upstream states about itself, if the platform publishes it.
-    #[serde(skip)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub upstream: Option<UpstreamFacts>,
 }
 
 /// What an upstream states about itself in the platform's list.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamFacts {
     /// Address that the upstream listens on; reachable from its own VM only.
     pub address: SocketAddr,
     /// Number of requests that the upstream processes concurrently.
     pub slots: u32,
     /// Time that the upstream's warm-up still took when the entry was published.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub warmup_left: Duration,
     /// Start time of the upstream by its own clock, in milliseconds since the
     /// Unix epoch.
--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -123,8 +123,8 @@
     pub upstream: Option<SocketAddr>,
     /// Address for requests from other daemons (HTTP/2).
     pub peer: SocketAddr,
-    /// Address for control messages from other daemons (`tarpc`). If it is not set,
-    /// daemons do not exchange configuration.
+    /// Address for control messages from other daemons (`tarpc`). If it is not set, the
+    /// daemon neither relays configuration nor gets it by relays.
     pub control: Option<SocketAddr>,
     /// Address for the operator API (JSON over HTTP/1.1).
     pub operator: SocketAddr,
--- a/lib/src/process/settings/reader.rs
+++ b/lib/src/process/settings/reader.rs
@@ -98,8 +98,12 @@
     let caller = address("caller");
     let upstream = (!has_adapter).then(|| address("upstream"));
     let peer = address("peer");
-    let control = (!has_adapter).then(|| address("control"));
-    let listen = Listen { caller, upstream, peer, control, operator: address("operator") };
+    let operator = address("operator");
+    let control = match has_adapter {
+        true => section.optional("control", EXPECTED_ADDRESS),
+        false => Some(section.required("control", EXPECTED_ADDRESS, PLACEHOLDER_ADDRESS)),
+    };
+    let listen = Listen { caller, upstream, peer, control, operator };
     section.finish();
     listen
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -26,6 +26,7 @@
 mod test_operators;
 mod test_path;
 mod test_placing;
+mod test_relays;
 mod test_repeats;
 mod test_retries;
 mod test_retry_bound;
--- /dev/null
+++ b/lib/tests/test_relays.rs
@@ -0,0 +1,426 @@
+//! Which daemons read the catalog, and what reaches the others: worked out from the
+//! daemons' own decisions; no daemon runs. See `docs/design/relays.md`.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use endivescale::process::catalog::Entry;
+use endivescale::process::catalog::EntryKey;
+use endivescale::process::catalog::History;
+use endivescale::process::catalog::ReadRole;
+use endivescale::process::catalog::RelayedChange;
+use endivescale::process::catalog::Revision;
+use endivescale::process::catalog::Since;
+use endivescale::process::catalog::Source;
+use endivescale::process::catalog::SourceCursor;
+use endivescale::process::catalog::assign;
+use endivescale::process::membership::Vm;
+use endivescale::process::membership::VmState;
+use indexmap::IndexMap;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use super::test_membership::vm;
+
+const ZONES: [&str; 6] = ["x1", "x2", "y1", "y2", "z1", "z2"];
+
+fn address(n: usize) -> SocketAddr {
+    let ip = Ipv4Addr::from_bits(0x0a00_0001 + u32::try_from(n).expect("a small fleet"));
+    SocketAddr::from((ip, 7635))
+}
+
+fn daemon(n: usize) -> Vm {
+    Vm { control: address(n), ..vm(&format!("svc-{}-{n}", ZONES[n % ZONES.len()])) }
+}
+
+fn fleet(size: usize) -> Vec<Vm> {
+    (0..size).map(daemon).collect()
+}
+
+fn role(of: &Vm, list: &[Vm]) -> ReadRole {
+    assign(of.control, &of.zone, list.iter())
+}
+
+fn readers(list: &[Vm]) -> Vec<usize> {
+    (0..list.len()).filter(|n| role(&list[*n], list) == ReadRole::Reader).collect()
+}
+
+fn change(revision: u64) -> RelayedChange {
+    RelayedChange::Removed(EntryKey("e".into()), Revision(revision))
+}
+
+fn policy(revision: u64) -> RelayedChange {
+    RelayedChange::Policy(Revision(revision), "text".into())
+}
+
+macro_rules! few_readers {
+    ($($name:ident: $size:expr, $readers:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            let list = fleet($size);
+            let readers = readers(&list);
+            assert_eq!(readers.len(), $readers);
+            // Every follower knows exactly the readers of its zone, in some order.
+            let mut polls: IndexMap<SocketAddr, usize> = IndexMap::new();
+            for vm in &list {
+                let ReadRole::Follower { readers: known } = role(vm, &list) else { continue };
+                let in_zone = readers.iter().filter(|n| list[**n].zone == vm.zone);
+                let mut expected: Vec<SocketAddr> = in_zone.map(|n| list[*n].control).collect();
+                *polls.entry(known[0]).or_default() += 1;
+                let mut known = known;
+                known.sort_unstable();
+                expected.sort_unstable();
+                assert_eq!(known, expected);
+            }
+            // Twice the mean of 64 that the number of readers is chosen for.
+            assert!(polls.values().all(|polls| *polls <= 128), "{polls:?}");
+        })*
+    };
+}
+
+few_readers! {
+    all_daemons_of_8_read: 8, 8;
+    all_daemons_of_48_read: 48, 48;
+    three_daemons_a_zone_of_100_read: 100, 18;
+    three_daemons_a_zone_of_1000_read: 1_000, 18;
+    one_daemon_in_64_of_8000_reads: 8_000, 6 * 21;
+}
+
+#[test]
+fn a_leaving_daemon_is_no_reader() {
+    let mut list = fleet(100);
+    let leaving = readers(&list)[0];
+    list[leaving].state = VmState::Leaving;
+    for vm in list.iter().filter(|vm| vm.state == VmState::Live) {
+        if let ReadRole::Follower { readers } = role(vm, &list) {
+            assert!(!readers.contains(&list[leaving].control));
+        }
+    }
+}
+
+#[test]
+fn a_loss_moves_no_other_reader() {
+    let list = fleet(600);
+    let before = readers(&list);
+    let mut rest = list.clone();
+    rest.remove(before[0]);
+    let after: Vec<SocketAddr> = readers(&rest).iter().map(|n| rest[*n].control).collect();
+    let kept = before[1..].iter().filter(|n| after.contains(&list[**n].control));
+    assert_eq!(kept.count(), before.len() - 1);
+    assert_eq!(after.len(), before.len());
+}
+
+#[test]
+fn an_instance_listed_twice_counts_once() {
+    let mut list = fleet(6 * 8);
+    let again = Vm { instance: "svc-x1-again".into(), ..list[0].clone() };
+    list.push(again);
+    assert_eq!(role(&list[0], &list), ReadRole::Reader);
+}
+
+#[test]
+fn a_history_returns_what_came_later() {
+    let mut history = History::default();
+    history.restart(Revision(5));
+    history.extend(Revision(5), vec![change(6), change(8)], Revision(9));
+    assert_eq!(history.since(Revision(4)), Since::Discarded);
+    assert_eq!(history.since(Revision(5)), Since::Changes(vec![change(6), change(8)], Revision(9)));
+    assert_eq!(history.since(Revision(6)), Since::Changes(vec![change(8)], Revision(9)));
+    assert_eq!(history.since(Revision(30)), Since::Changes(Vec::new(), Revision(30)));
+}
+
+/// A daemon that polled another reader for a while has not recorded those changes.
+#[test]
+fn a_history_with_a_gap_begins_anew() {
+    let mut history = History::default();
+    history.restart(Revision(5));
+    history.extend(Revision(5), vec![change(6)], Revision(6));
+    history.extend(Revision(9), vec![change(10)], Revision(10));
+    assert_eq!(history.since(Revision(6)), Since::Discarded);
+    assert_eq!(history.since(Revision(9)), Since::Changes(vec![change(10)], Revision(10)));
+}
+
+#[test]
+fn a_history_keeps_one_policy() {
+    let mut history = History::default();
+    history.replace(vec![policy(3)], Revision(3));
+    history.extend(Revision(3), vec![policy(7)], Revision(7));
+    assert_eq!(history.since(Revision(0)), Since::Changes(vec![policy(7)], Revision(7)));
+    assert_eq!(history.since(Revision(7)), Since::Changes(Vec::new(), Revision(7)));
+}
+
+#[test]
+fn a_history_is_bounded() {
+    let mut history = History::default();
+    for revision in 1..=10_000 {
+        history.extend(Revision(revision - 1), vec![change(revision)], Revision(revision));
+    }
+    assert_eq!(history.since(Revision(1)), Since::Discarded);
+    let Since::Changes(kept, _) = history.since(Revision(9_000)) else { panic!("kept") };
+    assert_eq!(kept.len(), 1_000);
+}
+
+#[test]
+fn a_follower_tries_each_reader_and_then_the_catalog() {
+    let readers: Vec<SocketAddr> = (0..3).map(address).collect();
+    let role = ReadRole::Follower { readers: readers.clone() };
+    let mut cursor = SourceCursor::default();
+    for reader in readers {
+        assert_eq!(cursor.current(&role), Source::Relay(reader));
+        cursor.record_success(Source::Relay(reader));
+        assert_eq!(cursor.current(&role), Source::Relay(reader));
+        cursor.record_failure(Source::Relay(reader));
+    }
+    assert_eq!(cursor.current(&role), Source::Catalog);
+    cursor.record_success(Source::Catalog);
+    assert_eq!(cursor.current(&role), Source::Relay(address(0)));
+}
+
+#[test]
+fn entries_pass_between_daemons_unchanged() {
+    let written = RelayedChange::Written(
+        EntryKey("servers/i-1".into()),
+        Revision(4),
+        Entry::Listed(daemon(1)),
+    );
+    let text = serde_json::to_string(&written).expect("JSON");
+    assert_eq!(serde_json::from_str::<RelayedChange>(&text).expect("a change"), written);
+}
+
+/// A deliberate fault, to show that the model finds it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Broken {
+    /// Nothing is broken.
+    No,
+    /// A daemon passes on what it got from another daemon.
+    RelaysRelayed,
+    /// A follower never reads the catalog.
+    NeverReads,
+    /// A reader that followed meanwhile keeps its history as if it were complete.
+    KeepsGap,
+}
+
+/// One daemon of the model.
+struct Modelled {
+    vm: Vm,
+    /// Position in the list of lists that this daemon knows.
+    list: usize,
+    is_up: bool,
+    is_cut: bool,
+    /// Revisions whose changes it holds, and the revision it is complete up to.
+    held: Vec<u64>,
+    after: u64,
+    cursor: SourceCursor,
+    history: History,
+    is_reading: bool,
+}
+
+/// Daemons that poll in random order, one round after another.
+struct Model {
+    daemons: Vec<Modelled>,
+    lists: Vec<Vec<Vm>>,
+    /// Changes at the catalog: one for each revision from 1 on.
+    revision: u64,
+    catalog_calls: usize,
+    broken: Broken,
+    rng: ChaCha8Rng,
+}
+
+impl Model {
+    fn new(size: usize, seed: u64, broken: Broken) -> Self {
+        let list = fleet(size);
+        let daemons = list.iter().map(|vm| Modelled {
+            vm: vm.clone(),
+            list: 0,
+            is_up: true,
+            is_cut: false,
+            held: Vec::new(),
+            after: 0,
+            cursor: SourceCursor::default(),
+            history: History::default(),
+            is_reading: false,
+        });
+        Self {
+            daemons: daemons.collect(),
+            lists: vec![list],
+            revision: 0,
+            catalog_calls: 0,
+            broken,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Each daemon that is up polls once.
+    fn round(&mut self) {
+        for n in 0..self.daemons.len() {
+            if self.daemons[n].is_up {
+                self.poll(n);
+            }
+        }
+    }
+
+    fn poll(&mut self, n: usize) {
+        let daemon = &self.daemons[n];
+        let role = assign(daemon.vm.control, &daemon.vm.zone, self.lists[daemon.list].iter());
+        let source = match daemon.cursor.current(&role) {
+            Source::Catalog if self.broken == Broken::NeverReads && role != ReadRole::Reader => {
+                self.daemons[n].cursor = SourceCursor::default();
+                return;
+            }
+            source => source,
+        };
+        let answer = match source {
+            Source::Catalog => self.ask_catalog(n),
+            Source::Relay(reader) => self.ask_reader(n, reader),
+        };
+        let is_reader = role == ReadRole::Reader;
+        let broken = self.broken;
+        let daemon = &mut self.daemons[n];
+        match answer {
+            None => {
+                daemon.cursor.record_failure(source);
+                daemon.is_reading &= source != Source::Catalog;
+            }
+            Some(Since::Discarded) => {
+                // The daemon reads everything anew.
+                self.catalog_calls += 1;
+                if !daemon.is_cut {
+                    daemon.held = (1..=self.revision).collect();
+                    daemon.after = self.revision;
+                }
+            }
+            Some(Since::Changes(changes, Revision(up_to))) => {
+                daemon.cursor.record_success(source);
+                let passes_on = source == Source::Catalog && is_reader;
+                if passes_on || broken == Broken::RelaysRelayed {
+                    let after = match broken {
+                        Broken::KeepsGap => Revision(0),
+                        _ => Revision(daemon.after),
+                    };
+                    daemon.history.extend(after, changes.clone(), Revision(up_to));
+                }
+                daemon.is_reading = passes_on || broken == Broken::RelaysRelayed;
+                for change in changes {
+                    let RelayedChange::Removed(_, Revision(at)) = change else { continue };
+                    if !daemon.held.contains(&at) {
+                        daemon.held.push(at);
+                    }
+                }
+                assert!(up_to >= daemon.after, "a daemon went back");
+                daemon.after = up_to;
+            }
+        }
+    }
+
+    fn ask_catalog(&mut self, n: usize) -> Option<Since> {
+        self.catalog_calls += 1;
+        let daemon = &self.daemons[n];
+        let changes = (daemon.after + 1..=self.revision).map(change).collect();
+        (!daemon.is_cut).then_some(Since::Changes(changes, Revision(self.revision)))
+    }
+
+    fn ask_reader(&self, n: usize, reader: SocketAddr) -> Option<Since> {
+        let target = self.daemons.iter().find(|daemon| daemon.vm.control == reader)?;
+        let answers = target.is_up && target.is_reading;
+        answers.then(|| target.history.since(Revision(self.daemons[n].after)))
+    }
+
+    /// Kills, restarts, cuts, heals, or lets a daemon learn another list.
+    fn disturb(&mut self) {
+        let n = self.rng.random_range(0..self.daemons.len());
+        match self.rng.random_range(0..5) {
+            0 => self.daemons[n].is_up ^= true,
+            1 => self.daemons[n].is_cut ^= true,
+            2 => {
+                // The restarted daemon has read everything.
+                let revision = self.revision;
+                let daemon = &mut self.daemons[n];
+                daemon.held = (1..=revision).collect();
+                daemon.after = revision;
+                daemon.cursor = SourceCursor::default();
+                daemon.history = History::default();
+                daemon.history.restart(Revision(revision));
+                daemon.is_reading = false;
+            }
+            3 => {
+                // As after a partition, lists may differ in a third of their daemons.
+                let mut list = self.lists[0].clone();
+                list.retain(|_| self.rng.random_bool(2.0 / 3.0));
+                self.lists.push(list);
+            }
+            _ => self.daemons[n].list = self.rng.random_range(0..self.lists.len()),
+        }
+    }
+
+    /// Whether every daemon that is up and reaches the catalog knows every change.
+    fn is_complete(&self) -> bool {
+        let sound = self.daemons.iter().filter(|daemon| daemon.is_up && !daemon.is_cut);
+        let mut sound = sound.map(|daemon| daemon.held.len() as u64 == self.revision);
+        sound.all(|holds_all| holds_all)
+    }
+}
+
+/// Plays disturbances and changes; returns whether all sound daemons knew all changes
+/// after enough rounds without any: one for each reader, one at the catalog, and one
+/// for the readers themselves.
+fn converges(size: usize, seed: u64, broken: Broken, disturbances: usize) -> bool {
+    let mut model = Model::new(size, seed, broken);
+    for _ in 0..disturbances {
+        model.disturb();
+        model.revision += 1;
+        model.round();
+    }
+    model.revision += 1;
+    for _ in 0..6 {
+        model.round();
+    }
+    model.is_complete()
+}
+
+macro_rules! holds_relays {
+    ($($name:ident: $size:expr, $seeds:expr, $disturbances:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            for seed in 0..$seeds {
+                assert!(converges($size, seed, Broken::No, $disturbances), "seed {seed}");
+            }
+        })*
+    };
+}
+
+holds_relays! {
+    holds_relays_in_a_fleet_of_8: 8, 200, 40;
+    holds_relays_in_a_fleet_of_100: 100, 40, 60;
+    holds_relays_in_a_fleet_of_1000: 1_000, 2, 12;
+}
+
+macro_rules! finds_fault {
+    ($($name:ident: $broken:expr;)*) => {
+        $(#[test]
+        fn $name() {
+            assert!((0..100).any(|seed| !converges(100, seed, $broken, 300)));
+        })*
+    };
+}
+
+finds_fault! {
+    finds_daemons_that_relay_what_was_relayed: Broken::RelaysRelayed;
+    finds_followers_that_never_read: Broken::NeverReads;
+    finds_histories_that_hide_a_gap: Broken::KeepsGap;
+}
+
+/// At rest, the calls of a round follow the number of readers, not that of daemons.
+#[test]
+fn calls_follow_the_number_of_readers() {
+    for (size, readers) in [(100, 18), (1_000, 18)] {
+        let mut model = Model::new(size, 1, Broken::No);
+        for _ in 0..3 {
+            model.round();
+        }
+        model.catalog_calls = 0;
+        model.revision += 1;
+        model.round();
+        assert_eq!(model.catalog_calls, readers, "at {size} daemons");
+    }
+}
