routing: count refused attempts, and weigh a failure more than distance

Cause: an owner sends a request that its upstream refuses again to the same upstream, and only the last attempt counted in the success ratio. Callers saw a sound upstream and went on to send it as much as the sound ones, and each refusal spent a repeat. The cost of an idle instance that fails half was 0.67, below that of a sound one in another zone with a little work; its ratio was forgotten after a second.

Change: each refused attempt counts; the part that fails costs 1.5; the ratio has a time constant of 4 s.

Ruled out: sending refused requests elsewhere instead of again (it would spend one of the two attempts of a route; not tried).

--- a/lib/src/process/admission/state/mod.rs
+++ b/lib/src/process/admission/state/mod.rs
@@ -75,7 +75,7 @@
     /// Most critical class of which a request missed its objective or deadline in this
     /// window.
     missed_class: Option<Criticality>,
-    /// Moving average of the share of completed requests that the upstream answered.
+    /// Moving average of the share of attempts that the upstream answered.
     success_ratio: f64,
     pacing: RetryPacing,
     decisions: Vec<Decision>,
@@ -237,7 +237,7 @@
         }
     }
 
-    /// Returns the moving average of the share of requests that the upstream answered.
+    /// Returns the moving average of the share of attempts that the upstream answered.
     pub fn success_ratio(&self) -> f64 {
         self.success_ratio
     }
@@ -403,12 +403,26 @@
         }
     }
 
+    /// Records that the upstream refused an admitted request, which is sent to it again.
+    ///
+    /// Load pattern: an upstream refuses half of what it gets while it has free slots. If
+    /// only the last attempt counted, callers would see a sound upstream and go on to send
+    /// it as much as one that refuses nothing, and each refusal costs a repeat.
+    pub fn record_resend(&mut self) {
+        self.add_success_sample(0.0);
+    }
+
     fn update_success_ratio(&mut self, completion: Completion) {
-        let success = match completion {
-            Completion::Answered => 1.0,
-            Completion::Failed | Completion::Overloaded | Completion::TimedOut => 0.0,
-            Completion::Cancelled => return,
-        };
+        match completion {
+            Completion::Answered => self.add_success_sample(1.0),
+            Completion::Failed | Completion::Overloaded | Completion::TimedOut => {
+                self.add_success_sample(0.0);
+            }
+            Completion::Cancelled => {}
+        }
+    }
+
+    fn add_success_sample(&mut self, success: f64) {
         self.success_ratio += (success - self.success_ratio) * SUCCESS_SAMPLE_WEIGHT;
     }
 
--- a/lib/src/process/node/gate.rs
+++ b/lib/src/process/node/gate.rs
@@ -162,6 +162,11 @@
         self.update(|admission, now| admission.set_slots(now, slots));
     }
 
+    /// Records that the upstream refused a request that is sent to it again.
+    pub fn record_resend(&self) {
+        self.update(|admission, _| admission.record_resend());
+    }
+
     /// Reads from the state machine through `f`, for status reports and decisions.
     pub fn with_admission<T>(&self, f: impl FnOnce(&Admission) -> T) -> T {
         f(&self.table.lock().admission)
--- a/lib/src/process/routing/cost.rs
+++ b/lib/src/process/routing/cost.rs
@@ -15,8 +15,13 @@
 /// Utilization added by each call to an instance that has not reported yet. Two calls from
 /// each of a dozen daemons fill an instance with few slots.
 const UNREPORTED_CALL_UTILIZATION: f64 = 0.05;
-/// Time constant of the exponential decay of a report's weight.
-const REPORT_TIME_CONSTANT: Duration = Duration::from_secs(1);
+/// Time constant of the exponential decay of the weight of a reported utilization.
+const UTILIZATION_TIME_CONSTANT: Duration = Duration::from_secs(1);
+/// Time constant of the decay of the weight of a reported success ratio. An instance that
+/// fails is called rarely, so its reports are old; with the shorter constant each daemon
+/// would take it for sound again after a second, and hundreds of daemons would waste a
+/// repeat each.
+const SUCCESS_TIME_CONSTANT: Duration = Duration::from_secs(4);
 /// Weight above which a report counts as fresh, which is for about 0.7 s.
 const FRESH_WEIGHT_MIN: f64 = 0.5;
 /// Utilization added to every instance. An instance with a low success ratio therefore
@@ -24,6 +29,10 @@
 const IDLE_UTILIZATION: f64 = 0.3;
 /// Lower bound on the success ratio in the cost.
 const SUCCESS_RATIO_MIN: f64 = 0.05;
+/// Cost of an attempt that certainly fails, beside that of the work: the attempt spends
+/// a repeat, and without one the request that waits for it is lost. It exceeds the cost
+/// of another zone and that of a full instance.
+const FAILURE_COST: f64 = 1.5;
 
 /// Cost by distance: within the zone, within the region, beyond the region.
 const DISTANCE_COSTS: [f64; 3] = [0.0, 0.35, 2.0];
@@ -38,11 +47,10 @@
 }
 
 impl ReceivedReport {
-    /// Returns the weight of the report, which decays from 1 with its age.
-    fn weight(&self, now: Duration) -> f64 {
-        let age =
-            now.saturating_sub(self.received_at).as_secs_f64() / REPORT_TIME_CONSTANT.as_secs_f64();
-        (-age).exp()
+    /// Returns the weight of a part of the report, which decays from 1 with its age.
+    fn weight(&self, now: Duration, time_constant: Duration) -> f64 {
+        let age = now.saturating_sub(self.received_at).as_secs_f64();
+        (-age / time_constant.as_secs_f64()).exp()
     }
 
     /// Returns the utilization from the report and the calls sent since.
@@ -74,8 +82,9 @@
     candidates: impl Iterator<Item = CandidateLoad<'a>>,
 ) -> f64 {
     let fresh_utilizations = candidates.filter_map(|candidate| {
-        let received =
-            candidate.received.filter(|received| received.weight(now) > FRESH_WEIGHT_MIN)?;
+        let received = candidate.received.filter(|received| {
+            received.weight(now, UTILIZATION_TIME_CONSTANT) > FRESH_WEIGHT_MIN
+        })?;
         Some(received.utilization(candidate.outstanding) / candidate.share)
     });
     fresh_utilizations.fold(ASSUMED_UTILIZATION_MAX, f64::min)
@@ -90,15 +99,17 @@
     let unreported = assumed_utilization + sent_utilization;
     let (utilization, success_ratio) = match candidate.received {
         Some(received) => {
-            let weight = received.weight(now);
+            let weight = received.weight(now, UTILIZATION_TIME_CONSTANT);
             let reported = received.utilization(candidate.outstanding) / candidate.share;
+            let success_weight = received.weight(now, SUCCESS_TIME_CONSTANT);
             (
                 unreported + (reported - unreported) * weight,
-                1.0 + (received.report.success_ratio - 1.0) * weight,
+                1.0 + (received.report.success_ratio - 1.0) * success_weight,
             )
         }
         None => (unreported, 1.0),
     };
     let distance_cost = DISTANCE_COSTS[candidate.distance.min(DISTANCE_COSTS.len() - 1)];
-    (utilization + IDLE_UTILIZATION) / success_ratio.max(SUCCESS_RATIO_MIN) + distance_cost
+    let work_cost = (utilization + IDLE_UTILIZATION) / success_ratio.max(SUCCESS_RATIO_MIN);
+    work_cost + (1.0 - success_ratio) * FAILURE_COST + distance_cost
 }
--- a/lib/tests/test_placing.rs
+++ b/lib/tests/test_placing.rs
@@ -155,6 +155,32 @@
     assert!(share(&picked, "a-x1-1") > 0.2, "{picked:?}");
 }
 
+/// Load pattern: two thirds of the instances of a deep service refuse half of what they
+/// get, those of the daemon's own zone among them. While the sound ones have room, they
+/// get nearly everything, though they are in another zone.
+#[test]
+fn sound_instances_get_nearly_all_while_others_refuse_half() {
+    let mut fleet = FLEET.map(instance);
+    fleet[0].good = 0.45;
+    fleet[1].good = 0.45;
+    fleet[2].good = 0.45;
+    let picked = replay(&mut warm_router(&fleet, 7), WARM, 6_000, 10, &fleet);
+    assert!(share(&picked, "a-x2-2") > 0.9, "{picked:?}");
+}
+
+/// Load pattern: as above, and the sound instance is full. The rest is spread rather
+/// than queued there, and the daemon goes on to try the others.
+#[test]
+fn refusing_instances_get_what_does_not_fit_elsewhere() {
+    let mut fleet = FLEET.map(instance);
+    fleet[0].good = 0.45;
+    fleet[1].good = 0.45;
+    fleet[2].good = 0.45;
+    fleet[3].others = 60;
+    let picked = replay(&mut warm_router(&fleet, 8), WARM, 6_000, 10, &fleet);
+    assert!(share(&picked, "a-x2-2") < 0.5, "{picked:?}");
+}
+
 /// Load pattern: an empty instance is added during a surge. It must get work soon,
 /// and not all of it at once.
 #[test]
