--- a/lib/src/process/admission/level.rs
+++ b/lib/src/process/admission/level.rs
@@ -27,6 +27,9 @@
     /// Level that admits every request.
     pub const OPEN: Self = Self { criticality: Criticality::Deferrable, threshold: u16::MAX };
 
+    /// Level of a path on which no request can succeed.
+    pub const CLOSED: Self = Self { criticality: Criticality::Critical, threshold: 0 };
+
     /// Returns whether a request of this criticality and hash passes.
     pub fn admits(self, criticality: Criticality, hash: u16) -> bool {
         (criticality, hash) <= (self.criticality, self.threshold)
--- a/lib/src/process/admission/mod.rs
+++ b/lib/src/process/admission/mod.rs
@@ -5,6 +5,7 @@
 //! it does no I/O, so the tests, the policy benchmark and the daemon all run the
 //! same code. `docs/design/admission.md` gives the reasons and the measurements.
 
+mod called_paths;
 mod config;
 mod latency;
 mod level;
@@ -17,6 +18,7 @@
 mod state;
 mod work;
 
+pub use called_paths::CalledPaths;
 pub use config::AdmissionConfig;
 pub use config::Fault;
 pub use config::LimitPolicy;
--- a/lib/src/process/admission/path_levels.rs
+++ b/lib/src/process/admission/path_levels.rs
@@ -20,9 +20,6 @@
 /// without expiry could shed them forever.
 const LEVEL_LIFETIME: Duration = Duration::from_secs(1);
 
-/// Level that is stricter than any reported one.
-const CLOSED: Level = Level { criticality: Criticality::Critical, threshold: 0 };
-
 /// Interval at which levels are aggregated and the drain rate of a path is measured.
 const WINDOW: Duration = Duration::from_millis(100);
 
@@ -131,7 +128,7 @@
     fn new(now: Duration, level: Level) -> Self {
         Self {
             current_max: level,
-            previous_max: CLOSED,
+            previous_max: Level::CLOSED,
             observed_at: now,
             window_start: now,
             drain: DrainRate::default(),
@@ -145,7 +142,7 @@
             self.window_start = now;
             if self.observed_at + WINDOW >= self.window_start {
                 self.previous_max = self.current_max;
-                self.current_max = CLOSED;
+                self.current_max = Level::CLOSED;
             }
             self.drain.close_window(elapsed);
             self.pacing.close_window(self.drain.per_second() * elapsed.as_secs_f64());
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Locks are acquired in this order, and none is held across an await:
 //! requests in progress, a request's own account, call ledger and tokens, the
-//! issuer of idempotency tokens, the path levels, the router, the gate, the
+//! issuer of idempotency tokens, the called paths, the path levels, the router, the gate, the
 //! connection pools, the burn. Most code holds one lock at a time.
 
 mod gate;
@@ -30,6 +30,7 @@
 use super::Incarnation;
 use super::ServiceName;
 use super::admission::AdmissionConfig;
+use super::admission::CalledPaths;
 use super::admission::LimitPolicy;
 use super::admission::PathLevels;
 use super::burn::BurnTracker;
@@ -109,6 +110,8 @@
     pub decisions: DecisionLog,
     /// Admission levels of downstream services, by the path that requests take.
     pub path_levels: Mutex<PathLevels<PathKey>>,
+    /// Calls that the local upstream makes for the requests of each rule or route.
+    pub called_paths: Mutex<CalledPaths<PlanKey, PathKey>>,
     /// Consumption of the error budgets of the service-level objectives.
     pub burn: Mutex<BurnTracker>,
     config: ConfigHandle,
@@ -157,6 +160,7 @@
             metrics,
             decisions: DecisionLog::default(),
             path_levels: Mutex::default(),
+            called_paths: Mutex::default(),
             burn,
             config,
             settings,
--- a/lib/src/request/parent.rs
+++ b/lib/src/request/parent.rs
@@ -22,6 +22,7 @@
 use crate::process::Incarnation;
 use crate::process::RequestName;
 use crate::process::admission::Level;
+use crate::version::PlanKey;
 
 /// Identifies a request in progress to the local upstream.
 ///
@@ -60,6 +61,8 @@
 pub struct Parent {
     /// Context that the sending daemon sent; its remaining time is that on arrival.
     pub cx: Context,
+    /// Rule or route of the request in the version in force here.
+    pub kind: PlanKey,
     /// Name that the caller gave this attempt.
     pub name: Option<RequestName>,
     /// When the complete answer must have arrived.
@@ -160,6 +163,7 @@
     pub fn open(
         self: &Arc<Self>,
         cx: Context,
+        kind: PlanKey,
         name: Option<RequestName>,
         deadline: Instant,
         path_level: Arc<Mutex<Level>>,
@@ -167,6 +171,7 @@
         let account = Arc::new(Mutex::new(RetryAccount::receive(Some(cx.retries))));
         let parent = Arc::new(Parent {
             cx,
+            kind,
             name,
             deadline,
             account,
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -179,6 +179,9 @@
 
 async fn try_instances(node: &Arc<Node>, call: &mut Call) -> Result<Response<RelayBody>, Refusal> {
     check_path_level(node, call)?;
+    if let Some(parent) = &call.parent {
+        node.called_paths.lock().record_call(&parent.kind, &call.path);
+    }
     let mut tried: Vec<InstanceId> = Vec::new();
     let mut earlier_outcome: Option<Outcome> = None;
     let mut last_overload: Option<Refusal> = None;
@@ -246,7 +249,13 @@
     }
     match picked {
         Pick::To(vm) => Ok(vm),
-        Pick::None(NoRoute::UnknownService) => Err(Refusal::not_run(Reason::UnknownService)),
+        Pick::None(NoRoute::UnknownService) => {
+            // Requests that need this call fail until an instance is listed.
+            if cx.depth > 0 {
+                call.record_refusal_level(node, Level::CLOSED);
+            }
+            Err(Refusal::not_run(Reason::UnknownService))
+        }
         Pick::None(NoRoute::NoneWorking { retry_after }) => {
             Err(Refusal::not_run(Reason::NoInstance).retry_after(retry_after))
         }
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -129,7 +129,9 @@
         return Err(Refusal::not_run(Reason::RetriesSpent));
     }
     let deadline = Instant::now() + cx.remaining;
-    let work = admission_work(node, &cx, matching_plan_key(node, inbound));
+    let kind = matching_plan_key(node, inbound);
+    check_called_paths(node, &cx, kind, path_level)?;
+    let work = admission_work(node, &cx, kind);
     let permit = tokio::select! {
         admitted = node.gate.enter(work) => admitted.map_err(refusal_from_shed)?,
         () = wait_until_queue_closes(node) => return Err(Refusal::not_run(Reason::Leaving)),
@@ -145,7 +147,8 @@
     }
     let non_idempotent = cx.non_idempotent;
     let name = inbound.name.clone();
-    let parent = node.parents.open(cx, name, deadline, Arc::clone(path_level));
+    node.called_paths.lock().record_request(&kind);
+    let parent = node.parents.open(cx, kind, name, deadline, Arc::clone(path_level));
     let exchange = Exchange {
         inbound: inbound.clone(),
         payload,
@@ -161,6 +164,35 @@
     }
 }
 
+/// Refuses a new request if no call of a path that its kind usually takes can succeed,
+/// before it takes a slot.
+///
+/// Partly closed levels are left to the root, which averages over more answers. Calls on
+/// behalf of other requests are not refused: work was spent on these.
+fn check_called_paths(
+    node: &Node,
+    cx: &Context,
+    kind: PlanKey,
+    path_level: &Mutex<Level>,
+) -> Result<(), Refusal> {
+    if cx.depth > 0 {
+        return Ok(());
+    }
+    let now = node.clock.now();
+    let paths = node.called_paths.lock();
+    let mut levels = node.path_levels.lock();
+    for path in paths.usual(&kind) {
+        if levels.level(now, path) > Level::CLOSED {
+            continue;
+        }
+        if let Err(shed) = levels.check(now, path, cx.criticality, cx.hash, cx.objective) {
+            *path_level.lock() = Level::CLOSED;
+            return Err(refusal_from_shed(shed));
+        }
+    }
+    Ok(())
+}
+
 fn has_room_for_repeat(node: &Node, cx: &Context) -> bool {
     let Some(repeats) = &node.repeats else { return true };
     repeats.lock().has_room(node.clock.now(), cx.criticality, cx.hash)
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_answers;
 mod test_bad_input;
 mod test_burn;
+mod test_called_paths;
 mod test_config;
 mod test_config_graph;
 mod test_context;
