daemon: close the control listener at the end of a stop

Cause: the tasks of the configuration end when the last handle of the node is dropped, which may be after a new daemon has started at the same addresses. Since the control listener is one of them on a foreign platform, too, store_updates_resume_after_config_from_a_peer failed once: the restarted daemon could not bind it (unwrap in the mesh's start_daemon).

Change: stop() ends these tasks and waits for them. A follower logs a reader that fails once, and not again before a poll succeeds: with all readers gone it wrote a line for each attempt.

Ruled out: a race in the test, which restarts the daemon after its stop has returned.

--- a/lib/src/process/catalog/follower/calls.rs
+++ b/lib/src/process/catalog/follower/calls.rs
@@ -1,5 +1,6 @@
 //! Calls to the catalog, and the choice between it and its readers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -117,6 +118,8 @@
     pub(super) calls: CatalogCalls,
     pub(super) relay: RelayClient,
     pub(super) cursor: SourceCursor,
+    /// Whether the last poll of a reader failed.
+    pub(super) is_reader_lost: bool,
     /// Role of this daemon by the latest list of VMs.
     pub(super) role: watch::Receiver<ReadRole>,
     /// What this daemon passes on while it is a reader.
@@ -143,6 +146,7 @@
                 self.state.stop_reading(topic);
                 match self.relay.poll(reader, topic, after).await {
                     Ok((changes, revision)) => {
+                        self.is_reader_lost = false;
                         let catalog = self.calls.catalog();
                         let changes = changes
                             .into_iter()
@@ -154,9 +158,7 @@
                     }
                     Err(RelayError::ChangesDiscarded) => Err(CatalogError::ChangesDiscarded),
                     Err(err) => {
-                        spdlog::info!(
-                            "event=reader-failed of={topic} reader={reader} error={err:?}"
-                        );
+                        self.log_reader_lost(topic, reader, &err);
                         Err(CatalogError::Relay)
                     }
                 }
@@ -169,6 +171,14 @@
         watched
     }
 
+    /// Logs a failed poll, but not again before a poll has succeeded.
+    fn log_reader_lost(&mut self, topic: Topic, reader: SocketAddr, err: &RelayError) {
+        if !self.is_reader_lost {
+            self.is_reader_lost = true;
+            spdlog::info!("event=reader-lost of={topic} reader={reader} error={err:?}");
+        }
+    }
+
     async fn watch_catalog(
         &mut self,
         topic: Topic,
--- a/lib/src/process/catalog/follower/mod.rs
+++ b/lib/src/process/catalog/follower/mod.rs
@@ -85,6 +85,7 @@
         calls: calls(stream),
         relay: RelayClient::new(counters.clone()),
         cursor: SourceCursor::default(),
+        is_reader_lost: false,
         role: role.clone(),
         state: state.clone(),
     };
--- a/lib/src/process/config/driver.rs
+++ b/lib/src/process/config/driver.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpListener;
@@ -72,7 +73,7 @@
     /// daemon; `None` if the daemon follows no catalog.
     offers: Option<watch::Sender<Option<Arc<ConfigSnapshot>>>>,
     heartbeat: Arc<Heartbeat>,
-    _tasks: JoinSet<()>,
+    tasks: Mutex<JoinSet<()>>,
 }
 
 /// Channels that report other daemons' versions to the task that follows a catalog.
@@ -114,7 +115,7 @@
             newest_reported,
             offers,
             heartbeat,
-            _tasks: tasks,
+            tasks: Mutex::new(tasks),
         }
     }
 
@@ -146,6 +147,13 @@
         }
     }
 
+    /// Ends the background tasks and closes the control listener. The configuration in
+    /// force stays.
+    pub async fn stop(&self) {
+        let mut tasks = std::mem::take(&mut *self.tasks.lock());
+        tasks.shutdown().await;
+    }
+
     /// Returns whether the daemon may act on its configuration: it is ready, and
     /// the process was not paused since the last heartbeat.
     pub fn is_ready(&self) -> bool {
@@ -201,7 +209,7 @@
         newest_reported,
         offers: None,
         heartbeat,
-        _tasks: tasks,
+        tasks: Mutex::new(tasks),
     }
 }
 
--- a/lib/src/process/daemon/stop.rs
+++ b/lib/src/process/daemon/stop.rs
@@ -38,6 +38,8 @@
         let deadline = Instant::now() + self.patience();
         self.announce_stop().await;
         let finished = tokio::time::timeout_at(deadline, self.finish(deadline)).await;
+        // A daemon that starts at the same addresses must find them free.
+        self.node.config().stop().await;
         self.node.decisions.flush_all();
         match finished {
             Ok(()) => {
