serve: try an upstream's own error elsewhere if the request is idempotent

Cause: an instance that answers part of its requests with errors while its health is good counted as sound, and each error of a deep instance failed the whole request above it.

Change: an error that no call of the request has caused counts as a failed attempt, and is marked for the sender, which tries another instance within the request's attempts, its time and the account of repeats. If that fails, too, the caller gets the upstream's answer.

Ruled out: retrying 504 (the upstream's time was up) and errors after a failed call (another instance would fail alike).

--- a/lib/src/request/headers.rs
+++ b/lib/src/request/headers.rs
@@ -60,6 +60,10 @@
 /// requests.
 pub const LEAVING: HeaderName = HeaderName::from_static("endivescale-leaving");
 
+/// Set between daemons on an upstream's error that none of its calls has caused, so that
+/// an idempotent request may be tried elsewhere.
+pub const UPSTREAM_ERROR: HeaderName = HeaderName::from_static("endivescale-upstream-error");
+
 /// Marks a message to another daemon that carries the configuration in force
 /// instead of a request for a service.
 pub const HELD: HeaderName = HeaderName::from_static("endivescale-held");
--- a/lib/src/request/parent.rs
+++ b/lib/src/request/parent.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
@@ -79,6 +80,8 @@
     path_level: Arc<Mutex<Level>>,
     /// Number of calls that may have run or may still run.
     may_have_run: AtomicUsize,
+    /// Whether a call was refused or failed.
+    has_failed_call: AtomicBool,
 }
 
 impl Parent {
@@ -98,6 +101,17 @@
         self.may_have_run.load(Ordering::SeqCst) > 0
     }
 
+    /// Records that a call was refused or failed.
+    pub fn record_failed_call(&self) {
+        self.has_failed_call.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether a call was refused or failed, which explains an error of the
+    /// upstream.
+    pub fn has_failed_call(&self) -> bool {
+        self.has_failed_call.load(Ordering::SeqCst)
+    }
+
     /// Records the admission level received with the answer to one of the calls.
     pub fn record_path_level(&self, level: Level) {
         let mut path_level = self.path_level.lock();
@@ -180,6 +194,7 @@
             ended: CancellationToken::new(),
             path_level,
             may_have_run: AtomicUsize::new(0),
+            has_failed_call: AtomicBool::new(false),
         });
         let mut table = self.table.lock();
         let sequence = table.next_sequence;
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -44,9 +44,14 @@
 use crate::request::RULES_VERSION;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::UPSTREAM_ERROR;
 use crate::request::message::Inbound;
 use crate::request::retries::Grant;
 
+/// Marks a response as an error that the upstream itself has caused.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UpstreamError;
+
 /// Counts one call as outstanding at an instance until this guard is dropped.
 #[derive(Debug)]
 struct OutstandingCall {
@@ -136,6 +141,9 @@
         return Err(refusal);
     }
     call.record_response_level(node, path_level.unwrap_or(Level::OPEN));
+    if rsp.headers().contains_key(UPSTREAM_ERROR) {
+        rsp.extensions_mut().insert(UpstreamError);
+    }
     strip(rsp.headers_mut(), node.dialect.answer_headers());
     Ok(rsp.map(|body| GuardedBody::new(body, wait_deadline, outstanding).boxed_unsync()))
 }
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::attempt;
+use super::attempt::UpstreamError;
 use crate::connection::body::RelayBody;
 use crate::process::InstanceId;
 use crate::process::admission::Level;
@@ -135,12 +136,32 @@
         Ok(())
     }
 
+    /// Checks that a request which an upstream answered with an error of its own may be
+    /// tried elsewhere, and charges for it.
+    ///
+    /// Load pattern: instances fail part of their requests while their health is good. The
+    /// error took `elapsed`, which the next attempt must still have.
+    fn charge_after_error(&mut self, elapsed: Duration) -> bool {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        !self.cx.non_idempotent
+            && left >= elapsed
+            && self.payload.has_body_left()
+            && self.account.lock().spend()
+    }
+
     fn log(&self, node: &Node, decision: &Decision<'_>) {
         let subject =
             LoggedRequest::new(self.inbound.name.as_ref(), &self.inbound.service, &self.cx);
         node.decisions.write(node.clock.now(), Some(&subject), decision);
     }
 
+    /// Records that the request is sent again after failed attempts.
+    fn prepare_repeat(&mut self, node: &Node, refusal: &Refusal) {
+        node.metrics.count(Counter::RetriesSpent);
+        self.cx.rerun |= refusal.outcome != Outcome::NotRun;
+        self.cx.repeat |= refusal.reached_upstream();
+    }
+
     /// Charges for another attempt: a retry token if the last attempt reached an
     /// upstream, one of the limited reroutes otherwise. Returns false if there is
     /// none left.
@@ -162,7 +183,14 @@
     node: &Arc<Node>,
     mut call: Call,
 ) -> Result<Response<RelayBody>, Refusal> {
-    let result = try_instances(node, &mut call).await;
+    let mut upstream_error = None;
+    let result = try_instances(node, &mut call, &mut upstream_error).await;
+    // The upstream's own answer tells the caller more than a failure of this daemon.
+    let result = result.or_else(|refusal| upstream_error.ok_or(refusal));
+    let failed = result.as_ref().map_or(true, |rsp| rsp.status().is_server_error());
+    if let (true, Some(parent)) = (failed, &call.parent) {
+        parent.record_failed_call();
+    }
     result.map_err(|refusal| with_retry_after(&call, refusal))
 }
 
@@ -177,7 +205,14 @@
     refusal.retry_after(spread_retry_after(left, call.cx.hash))
 }
 
-async fn try_instances(node: &Arc<Node>, call: &mut Call) -> Result<Response<RelayBody>, Refusal> {
+/// Sends a request to one instance after the other.
+///
+/// `upstream_error` receives an upstream's error that another attempt is to replace.
+async fn try_instances(
+    node: &Arc<Node>,
+    call: &mut Call,
+    upstream_error: &mut Option<Response<RelayBody>>,
+) -> Result<Response<RelayBody>, Refusal> {
     check_path_level(node, call)?;
     if let Some(parent) = &call.parent {
         node.called_paths.lock().record_call(&parent.kind, &call.path);
@@ -194,8 +229,24 @@
         let or_last_overload =
             |refusal: Refusal| last_overload.take().unwrap_or(refusal).after(earlier_outcome);
         let vm = pick_instance(node, call, &tried).map_err(or_last_overload)?;
+        let started = Instant::now();
         let refusal = match attempt::send_to_instance(node, &vm, call).await {
-            Ok(rsp) => return Ok(rsp),
+            Ok(rsp) => {
+                let is_upstream_error = rsp.extensions().get::<UpstreamError>().is_some();
+                if !is_upstream_error || !call.charge_after_error(started.elapsed()) {
+                    return Ok(rsp);
+                }
+                *upstream_error = Some(rsp);
+                let failure = Refusal::ran(Reason::UpstreamFailed);
+                call.log(
+                    node,
+                    &Decision::SentElsewhere { failed_at: &vm.instance, refusal: &failure },
+                );
+                call.prepare_repeat(node, &failure);
+                earlier_outcome = Some(Outcome::Ran);
+                tried.push(vm.instance.clone());
+                continue;
+            }
             Err(refusal) => refusal,
         };
         let failed_at = &vm.instance;
@@ -205,9 +256,7 @@
         }
         call.log(node, &Decision::SentElsewhere { failed_at, refusal: &refusal });
         let refusal = refusal.after(earlier_outcome);
-        node.metrics.count(Counter::RetriesSpent);
-        call.cx.rerun |= refusal.outcome != Outcome::NotRun;
-        call.cx.repeat |= refusal.reached_upstream();
+        call.prepare_repeat(node, &refusal);
         earlier_outcome = Some(refusal.outcome);
         last_overload = Some(refusal).filter(|refusal| refusal.reason.is_overload());
         tried.push(vm.instance.clone());
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -7,6 +7,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
@@ -43,8 +44,10 @@
 use crate::request::RETRIES_LEFT;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::UPSTREAM_ERROR;
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
+use crate::request::parent::Parent;
 use crate::version::PlanKey;
 
 /// Maximum depth of a call chain; deeper calls are refused.
@@ -212,7 +215,12 @@
     let deadline = exchange.deadline;
     let (rsp, lease, exchange) = send(node, exchange, deadline).await?;
     if should_buffer(&rsp) {
-        return buffer_response(rsp, lease, exchange, deadline).await;
+        let is_own_error = is_own_error(&rsp, exchange.parent.parent());
+        let mut rsp = buffer_response(rsp, lease, exchange, deadline).await?;
+        if is_own_error {
+            rsp.headers_mut().insert(UPSTREAM_ERROR, HeaderValue::from_static("1"));
+        }
+        return Ok(rsp);
     }
     let retries = exchange.parent.parent().take_retries();
     let guard = ExchangeGuard { exchange: Some(exchange), lease: Some(lease) };
@@ -254,6 +262,15 @@
     len.is_some_and(|len| len <= BUFFERING_THRESHOLD_BYTES) || !is_delimited(rsp)
 }
 
+/// Whether a response is an error that the upstream itself has caused.
+///
+/// An upstream also answers with an error if one of its calls fails or its time is up;
+/// another instance would answer alike.
+fn is_own_error(rsp: &Response<Incoming>, parent: &Parent) -> bool {
+    let status = rsp.status();
+    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT && !parent.has_failed_call()
+}
+
 /// Reads a complete response body into memory before it is relayed.
 async fn buffer_response(
     rsp: Response<Incoming>,
@@ -261,6 +278,10 @@
     exchange: Exchange,
     wait_deadline: Instant,
 ) -> Result<Response<RelayBody>, Refusal> {
+    let completion = match is_own_error(&rsp, exchange.parent.parent()) {
+        true => Completion::Failed,
+        false => Completion::Answered,
+    };
     let (parts, incoming) = rsp.into_parts();
     let guard = ExchangeGuard { exchange: None, lease: Some(lease) };
     let guarded = GuardedBody::new(body::relay(incoming), wait_deadline, guard).boxed_unsync();
@@ -270,7 +291,7 @@
         exchange.complete(Completion::Failed);
         return Err(Refusal::ran(Reason::UpstreamFailed));
     };
-    exchange.complete(Completion::Answered);
+    exchange.complete(completion);
     let mut rsp = Response::from_parts(parts, body::full(buffered));
     rsp.headers_mut().insert(RETRIES_LEFT, retries.into());
     Ok(rsp)
