serve: leave out an instance whose address belongs to another service

An instance had ended and its address was given to an instance of another service while its entry was still listed. The daemon there refuses as unknown-service, at once, so the router took the instance for idle: about 1,500 requests in 3 s were sent there first and then elsewhere.

Change: such a refusal marks the instance as gone, as 421 and instance-gone do.

Ruled out: a daemon with wrong settings; the lines name one instance only, and the daemon serves its own service.

--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -230,7 +230,12 @@
 fn observation_in(headers: &HeaderMap) -> Observation {
     let refusal = Refusal::from_headers(headers);
     match refusal.map(|refusal| refusal.reason) {
-        Some(Reason::UpstreamMoved | Reason::InstanceGone) => Observation::Gone,
+        // The daemon at the address belongs to another service, which has got the address
+        // of an instance that ended. Such a refusal is quick, so the instance would look
+        // idle and get ever more.
+        Some(Reason::UpstreamMoved | Reason::InstanceGone | Reason::UnknownService) => {
+            Observation::Gone
+        }
         Some(Reason::UpstreamUnreachable) => Observation::ConnectFailed,
         _ => Observation::Answered,
     }
