--- a/lib/tests/test_admission.rs
+++ b/lib/tests/test_admission.rs
@@ -35,6 +35,21 @@
     AdmissionConfig { queue_entries: 2, ..AdmissionConfig::new(1) }
 }
 
+/// Load pattern: an upstream refuses half of what it gets, and the owner sends it again with
+/// success. The refusals must show, or callers send it as much as a sound one.
+#[test]
+fn refused_attempts_lower_the_success_ratio() {
+    let mut admission = Admission::new(&one_slot());
+    for n in 0..200 {
+        let now = ms(n * 10);
+        let work = Work { deadline: now + ms(2000), ..work(Criticality::Normal) };
+        let ticket = ticket(admission.arrive(now, work));
+        admission.record_resend();
+        admission.complete(now + ms(5), ticket, Completion::Answered);
+    }
+    assert!((0.4..0.6).contains(&admission.success_ratio()), "{}", admission.success_ratio());
+}
+
 fn ticket(arrival: Arrival) -> Ticket {
     match arrival {
         Arrival::Admitted(ticket) | Arrival::Queued(ticket) => ticket,
