serve: count a call that the upstream gives up as failed

An upstream whose call is late gives it up and answers 500; the call's future is dropped before its result is known, so the error passed for one of the upstream's own and was tried again elsewhere, in the middle of an overload.

Change: a call counts as failed from its begin until it is answered without an error.

Ruled out: calls that are refused (they were recorded).

Test: call_that_the_upstream_gives_up_is_a_failed_one.

--- a/lib/src/request/parent.rs
+++ b/lib/src/request/parent.rs
@@ -101,13 +101,13 @@
         self.may_have_run.load(Ordering::SeqCst) > 0
     }
 
-    /// Records that a call was refused or failed.
-    pub fn record_failed_call(&self) {
-        self.has_failed_call.store(true, Ordering::SeqCst);
+    /// Begins a call, which counts as failed unless [`CallGuard::succeed`] is called.
+    pub fn begin_call(self: &Arc<Self>) -> CallGuard {
+        CallGuard { parent: Arc::clone(self), has_succeeded: false }
     }
 
-    /// Returns whether a call was refused or failed, which explains an error of the
-    /// upstream.
+    /// Returns whether a call was refused, failed or given up, which explains an error of
+    /// the upstream.
     pub fn has_failed_call(&self) -> bool {
         self.has_failed_call.load(Ordering::SeqCst)
     }
@@ -128,6 +128,32 @@
     }
 }
 
+/// Records how a call of the upstream ended.
+///
+/// The upstream may also give a call up, for example when its time is up, and answer the
+/// request with an error. The call's future is dropped then, so the guard counts the call
+/// as failed when it is dropped.
+#[derive(Debug)]
+pub struct CallGuard {
+    parent: Arc<Parent>,
+    has_succeeded: bool,
+}
+
+impl CallGuard {
+    /// Records that the call was answered without an error.
+    pub fn succeed(mut self) {
+        self.has_succeeded = true;
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        if !self.has_succeeded {
+            self.parent.has_failed_call.store(true, Ordering::SeqCst);
+        }
+    }
+}
+
 /// All requests in progress at the local upstream.
 #[derive(Debug)]
 pub struct Parents {
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -183,13 +183,14 @@
     node: &Arc<Node>,
     mut call: Call,
 ) -> Result<Response<RelayBody>, Refusal> {
+    let guard = call.parent.as_ref().map(Parent::begin_call);
     let mut upstream_error = None;
     let result = try_instances(node, &mut call, &mut upstream_error).await;
     // The upstream's own answer tells the caller more than a failure of this daemon.
     let result = result.or_else(|refusal| upstream_error.ok_or(refusal));
-    let failed = result.as_ref().map_or(true, |rsp| rsp.status().is_server_error());
-    if let (true, Some(parent)) = (failed, &call.parent) {
-        parent.record_failed_call();
+    let has_succeeded = result.as_ref().is_ok_and(|rsp| !rsp.status().is_server_error());
+    if let (true, Some(guard)) = (has_succeeded, guard) {
+        guard.succeed();
     }
     result.map_err(|refusal| with_retry_after(&call, refusal))
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -25,6 +25,7 @@
 mod test_model_once;
 mod test_once;
 mod test_operators;
+mod test_parent;
 mod test_path;
 mod test_placing;
 mod test_relays;
--- a/lib/tests/test_context.rs
+++ b/lib/tests/test_context.rs
@@ -5,7 +5,7 @@
 use endivescale::request::RequestId;
 use endivescale::version::Criticality;
 
-fn sample() -> Context {
+pub(crate) fn sample() -> Context {
     Context {
         id: RequestId(7),
         criticality: Criticality::High,
