serve: count a call without an answer as the cause of its upstream's error

An upstream that gives a call up answers the request with an error, and the answer's head may reach the daemon before the end of the call's connection does. The call was then still in progress, and the error passed for one of the upstream's own.

Change: a call counts from its begin until it is answered without an error, by a counter in place of a guard.

Ruled out: waiting for the end of the calls, which would hold the answer.

--- a/lib/src/request/parent.rs
+++ b/lib/src/request/parent.rs
@@ -4,7 +4,6 @@
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
@@ -80,8 +79,8 @@
     path_level: Arc<Mutex<Level>>,
     /// Number of calls that may have run or may still run.
     may_have_run: AtomicUsize,
-    /// Whether a call was refused or failed.
-    has_failed_call: AtomicBool,
+    /// Number of calls without a good answer.
+    without_answer: AtomicUsize,
 }
 
 impl Parent {
@@ -101,15 +100,24 @@
         self.may_have_run.load(Ordering::SeqCst) > 0
     }
 
-    /// Begins a call, which counts as failed unless [`CallGuard::succeed`] is called.
-    pub fn begin_call(self: &Arc<Self>) -> CallGuard {
-        CallGuard { parent: Arc::clone(self), has_succeeded: false }
+    /// Counts a call as without a good answer, until [`Self::call_succeeded`] is called
+    /// for it.
+    pub fn call_began(&self) {
+        self.without_answer.fetch_add(1, Ordering::SeqCst);
     }
 
-    /// Returns whether a call was refused, failed or given up, which explains an error of
-    /// the upstream.
-    pub fn has_failed_call(&self) -> bool {
-        self.has_failed_call.load(Ordering::SeqCst)
+    /// Records that a call was answered without an error.
+    pub fn call_succeeded(&self) {
+        self.without_answer.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    /// Returns whether a call was refused, has failed, or has no answer yet, which explains
+    /// an error of the upstream.
+    ///
+    /// An upstream that gives a call up when the call's time is over may answer the request
+    /// before the daemon learns that the call has ended.
+    pub fn lacks_call_answer(&self) -> bool {
+        self.without_answer.load(Ordering::SeqCst) > 0
     }
 
     /// Records the admission level received with the answer to one of the calls.
@@ -128,32 +136,6 @@
     }
 }
 
-/// Records how a call of the upstream ended.
-///
-/// The upstream may also give a call up, for example when its time is up, and answer the
-/// request with an error. The call's future is dropped then, so the guard counts the call
-/// as failed when it is dropped.
-#[derive(Debug)]
-pub struct CallGuard {
-    parent: Arc<Parent>,
-    has_succeeded: bool,
-}
-
-impl CallGuard {
-    /// Records that the call was answered without an error.
-    pub fn succeed(mut self) {
-        self.has_succeeded = true;
-    }
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        if !self.has_succeeded {
-            self.parent.has_failed_call.store(true, Ordering::SeqCst);
-        }
-    }
-}
-
 /// All requests in progress at the local upstream.
 #[derive(Debug)]
 pub struct Parents {
@@ -220,7 +202,7 @@
             ended: CancellationToken::new(),
             path_level,
             may_have_run: AtomicUsize::new(0),
-            has_failed_call: AtomicBool::new(false),
+            without_answer: AtomicUsize::new(0),
         });
         let mut table = self.table.lock();
         let sequence = table.next_sequence;
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -183,14 +183,17 @@
     node: &Arc<Node>,
     mut call: Call,
 ) -> Result<Response<RelayBody>, Refusal> {
-    let guard = call.parent.as_ref().map(Parent::begin_call);
+    let parent = call.parent.clone();
+    if let Some(parent) = &parent {
+        parent.call_began();
+    }
     let mut upstream_error = None;
     let result = try_instances(node, &mut call, &mut upstream_error).await;
     // The upstream's own answer tells the caller more than a failure of this daemon.
     let result = result.or_else(|refusal| upstream_error.ok_or(refusal));
     let has_succeeded = result.as_ref().is_ok_and(|rsp| !rsp.status().is_server_error());
-    if let (true, Some(guard)) = (has_succeeded, guard) {
-        guard.succeed();
+    if let (true, Some(parent)) = (has_succeeded, &parent) {
+        parent.call_succeeded();
     }
     result.map_err(|refusal| with_retry_after(&call, refusal))
 }
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -268,7 +268,7 @@
 /// another instance would answer alike.
 fn is_own_error(rsp: &Response<Incoming>, parent: &Parent) -> bool {
     let status = rsp.status();
-    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT && !parent.has_failed_call()
+    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT && !parent.lacks_call_answer()
 }
 
 /// Reads a complete response body into memory before it is relayed.
