catalog: probe a store that failed with short calls, and stagger the watches

The store was silent from 1.5 to 6.0 s. All daemons had started together, so their watches of 10 s ended together during the outage and failed at 5.62 s. Each tried again 0.1 s later, while the store was still silent; those calls were never answered and would have ended after 13 s. All daemons missed versions 7 to 25, sent from 6.96 s on, until another daemon's version reached them at 10.7 to 12.0 s.

Change: after a failure the calls wait 0.1 s and are given up after 1.5 s, until one is answered. Waits are drawn between half and all of the longest, so that the daemons of a fleet do not watch in step.

Ruled out: relays (a zone of four has none) and the 250 ms that a reported version waits (nobody had a newer version to report).

--- a/lib/src/process/catalog/follower/calls.rs
+++ b/lib/src/process/catalog/follower/calls.rs
@@ -29,8 +29,17 @@
 /// Longest time that one watch call waits for changes. If an answer is lost, changes
 /// are missed for that long.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Shortest wait, as a share of the longest. Daemons that start together would otherwise
+/// watch in step, and an outage at the end of a wait would make all of them miss changes
+/// for as long.
+const WATCH_WAIT_SHARE_MIN: f64 = 0.5;
+/// Wait of the calls after a failure, until one succeeds.
+const PROBE_WAIT: Duration = Duration::from_millis(100);
 /// Time that an answer may take in addition to the requested wait.
 const ANSWER_TIMEOUT_MARGIN: Duration = Duration::from_secs(3);
+/// The same after a failure. The catalog may still be silent, and a call that it does not
+/// answer must not outlast the outage by seconds.
+const PROBE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1400);
 /// Delay after the first of several failures.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 /// Longest delay after several failures. Once the catalog is back, a daemon has only
@@ -75,7 +84,11 @@
         answer: impl Future<Output = Result<T, CatalogError>>,
     ) -> Result<T, CatalogError> {
         self.counters.platform_calls.add_one();
-        let result = timeout(wait + ANSWER_TIMEOUT_MARGIN, answer).await;
+        let margin = match self.failures {
+            0 => ANSWER_TIMEOUT_MARGIN,
+            _ => PROBE_TIMEOUT_MARGIN,
+        };
+        let result = timeout(wait + margin, answer).await;
         let result = result.unwrap_or(Err(CatalogError::Timeout));
         match &result {
             Ok(_) => self.record_success(topic),
@@ -84,6 +97,17 @@
         result
     }
 
+    /// Returns how long the next watch call waits for changes, `longest` at most.
+    ///
+    /// Load pattern: the catalog is silent for some seconds and then serves again. A call
+    /// that was sent during the outage is never answered, so calls are short until one is.
+    pub(super) fn watch_wait(&mut self, longest: Duration) -> Duration {
+        match self.failures {
+            0 => longest.mul_f64(self.rng.random_range(WATCH_WAIT_SHARE_MIN..=1.0)),
+            _ => PROBE_WAIT,
+        }
+    }
+
     fn record_success(&mut self, topic: Topic) {
         if self.failures > 0 {
             let failures = self.failures;
@@ -186,8 +210,9 @@
         is_reader: bool,
     ) -> Result<Watched, CatalogError> {
         let catalog = self.calls.catalog();
-        let call = catalog.watch(topic, after, WATCH_WAIT);
-        let batch = self.calls.finish(topic, WATCH_WAIT, call).await;
+        let wait = self.calls.watch_wait(WATCH_WAIT);
+        let call = catalog.watch(topic, after, wait);
+        let batch = self.calls.finish(topic, wait, call).await;
         match &batch {
             Ok(batch) if is_reader => self.state.record_changes(topic, after, batch),
             Ok(_) | Err(CatalogError::ChangesDiscarded) => {}
--- a/lib/src/process/catalog/follower/local_entry.rs
+++ b/lib/src/process/catalog/follower/local_entry.rs
@@ -57,10 +57,13 @@
         let catalog = self.calls.catalog();
         let mut is_discarded = false;
         loop {
-            let wait = if is_discarded { Duration::ZERO } else { WATCH_WAIT };
+            let wait = match is_discarded {
+                true => Duration::ZERO,
+                false => self.calls.watch_wait(WATCH_WAIT),
+            };
             let call = match is_discarded {
                 true => catalog.entry(key),
-                false => catalog.watch_entry(key, after, WATCH_WAIT),
+                false => catalog.watch_entry(key, after, wait),
             };
             match self.calls.finish(Topic::Vms, wait, call).await {
                 Ok(batch) => {
