stop: refuse callers' requests late in a stop

A daemon got SIGTERM at 21.1 s, took a caller's request 4.1 s later while others were still in progress, passed it on, and cut it off at the end of its patience, 5.6 s after the signal.

Change: after the notice of 3 s a stopping daemon refuses new requests of callers as not run, with a Retry-After; calls of its upstream are served on.

--- a/lib/src/process/daemon/stop.rs
+++ b/lib/src/process/daemon/stop.rs
@@ -88,6 +88,9 @@
     /// Closes the listeners as soon as the requests in progress allow it.
     async fn finish(&mut self, deadline: Instant) {
         self.stop_peers.cancel();
+        // Callers had the notice time to go elsewhere. A request accepted from now on might
+        // not end before the stop does, and would be cut off.
+        self.node.lifecycle.refuse_callers();
         if self.upstream_keeps_running() {
             // Requests in progress may still make calls at the callers' listener.
             let idle = self.node.lifecycle.wait_idle();
--- a/lib/src/process/node/lifecycle.rs
+++ b/lib/src/process/node/lifecycle.rs
@@ -16,6 +16,7 @@
 pub struct Lifecycle {
     announced: AtomicBool,
     leaving: AtomicBool,
+    refusing_callers: AtomicBool,
     in_progress: AtomicUsize,
     idle: Notify,
     leaving_started: Notify,
@@ -56,6 +57,17 @@
         self.leaving.load(Ordering::SeqCst)
     }
 
+    /// Stops accepting new requests of outside callers. Calls of the local upstream are
+    /// still served, because requests in progress need them.
+    pub fn refuse_callers(&self) {
+        self.refusing_callers.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether new requests of outside callers are refused.
+    pub fn is_refusing_callers(&self) -> bool {
+        self.refusing_callers.load(Ordering::SeqCst)
+    }
+
     /// Waits until [`Self::leave`] is called.
     pub async fn wait_leaving(&self) {
         loop {
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -37,6 +37,10 @@
 /// How long a response body is still relayed after the maximum deadline.
 pub(super) const RESPONSE_BODY_GRACE: Duration = Duration::from_secs(60);
 
+/// Retry delay for requests that arrive late in the stop of this daemon: callers find
+/// another one at once, or this one after its restart.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Serves one request of an outside caller.
 ///
 /// # Errors
@@ -104,6 +108,9 @@
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
     let plan = inbound.plan(&rules.policy)?;
     let parent = sender_info.name.as_ref().and_then(|name| node.dialect.parent_of(name));
+    if parent.is_none() && node.lifecycle.is_refusing_callers() {
+        return Err(Refusal::not_run(Reason::Leaving).retry_after(LEAVING_RETRY_AFTER));
+    }
     let parent = parent.and_then(|parent| node.parents.find_named(parent));
     inbound.name = sender_info.name;
     let deadline = response_deadline(node, &plan, sender_info.deadline);
