log: write a line when the list of VMs names an instance otherwise

Each daemon now writes which instances a list adds, marks as leaving or drops, at most 20 lines a second; what is left out is counted as for decisions.

--- a/lib/src/process/log/bound.rs
+++ b/lib/src/process/log/bound.rs
@@ -1,10 +1,10 @@
-//! Rate limit for log lines about single requests.
+//! Rate limit for log lines about single requests and instances.
 
 use std::time::Duration;
 
 /// Maximum number of lines of one kind per second.
 ///
-/// With five kinds and about 200 bytes a line, a daemon writes at most 20 KB/s, a
+/// With six kinds and about 200 bytes a line, a daemon writes at most 24 KB/s, a
 /// thousandth of what a disk can write, and an operator can still follow the log.
 pub(crate) const MAX_LINES_PER_SECOND: u32 = 20;
 
--- a/lib/src/process/log/decision.rs
+++ b/lib/src/process/log/decision.rs
@@ -1,4 +1,4 @@
-//! Log lines about decisions on single requests.
+//! Log lines about decisions on single requests and instances.
 
 use std::fmt;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use crate::process::RequestName;
 use crate::process::ServiceName;
 use crate::process::burn::Role;
+use crate::process::membership::Listing;
 use crate::request::Context;
 use crate::request::Outcome;
 use crate::request::Refusal;
@@ -73,7 +74,7 @@
     }
 }
 
-/// A daemon's decision on one request; it prints as `key=value` pairs.
+/// A daemon's decision on a request or an instance; it prints as `key=value` pairs.
 #[derive(Debug)]
 pub enum Decision<'a> {
     /// The request was refused or has failed.
@@ -114,10 +115,20 @@
         /// Time since the request arrived.
         after: Duration,
     },
+    /// A new list of VMs offers an instance for requests, or no longer does.
+    Listed {
+        /// The instance.
+        instance: &'a InstanceId,
+        /// How the new list names it.
+        listing: Listing,
+        /// Version of the new list, which this daemon counts by itself.
+        list: u64,
+    },
 }
 
 /// Kinds of decisions, by event name. Each kind has a rate limit of its own.
-const KINDS: [&str; 5] = ["refused", "sent-elsewhere", "not-repeated", "resent", "cancelled"];
+const KINDS: [&str; 6] =
+    ["refused", "sent-elsewhere", "not-repeated", "resent", "cancelled", "instance-listed"];
 
 impl Decision<'_> {
     /// Returns the index of the decision's kind in [`KINDS`].
@@ -128,6 +139,7 @@
             Self::NotRepeated { .. } => 2,
             Self::Resent { .. } => 3,
             Self::Cancelled { .. } => 4,
+            Self::Listed { .. } => 5,
         }
     }
 }
@@ -157,6 +169,9 @@
             Self::Cancelled { role, after } => {
                 write!(f, "role={} after_ms={}", role.as_str(), after.as_millis())
             }
+            Self::Listed { instance, listing, list } => {
+                write!(f, "instance={instance} as={listing} list={list}")
+            }
         }
     }
 }
@@ -175,8 +190,8 @@
 impl DecisionLog {
     /// Writes the line of a decision, or counts the line as left out.
     ///
-    /// `subject` is `None` for a request that failed to parse before its service
-    /// was known.
+    /// `subject` is `None` for a decision on an instance, and for a request that failed
+    /// to parse before its service was known.
     pub fn write(&self, now: Duration, subject: Option<&LoggedRequest>, decision: &Decision<'_>) {
         let kind = decision.kind();
         let (action, left_out) = {
--- a/lib/src/process/membership/mod.rs
+++ b/lib/src/process/membership/mod.rs
@@ -2,11 +2,14 @@
 
 mod departed;
 mod health_record;
+mod list_change;
 mod members;
 mod vm;
 
 pub use departed::Departed;
 pub use health_record::Observation;
+pub use list_change::Listing;
+pub use list_change::listing_changes;
 pub use members::Health;
 pub use members::Membership;
 pub use vm::UpstreamFacts;
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -38,11 +38,13 @@
 use super::clock::Clock;
 use super::config::ActiveRules;
 use super::config::ConfigHandle;
+use super::log::Decision;
 use super::log::DecisionLog;
 use super::log::DrainCause;
 use super::membership::Departed;
 use super::membership::VmList;
 use super::membership::VmState;
+use super::membership::listing_changes;
 use super::metrics::Metrics;
 use super::repeats::RepeatAccount;
 use super::repeats::RepeatBound;
@@ -247,6 +249,14 @@
         }
     }
 
+    fn log_listing_changes(&self, previous: &VmList, list: &VmList) {
+        let now = self.clock.now();
+        for (instance, listing) in listing_changes(previous, list) {
+            let decision = Decision::Listed { instance, listing, list: list.version };
+            self.decisions.write(now, None, &decision);
+        }
+    }
+
     /// Reports closed connections to peers to the router until the process ends.
     pub async fn follow_peers(self: Arc<Self>) {
         let Some(mut ended) = self.ended_peers.lock().take() else { return };
@@ -258,9 +268,13 @@
     /// Applies each new list of VMs until the source of lists is closed.
     pub async fn follow_vms(self: Arc<Self>) {
         let mut vms: watch::Receiver<_> = self.config.vms.clone();
+        let mut previous: Option<Arc<VmList>> = None;
         loop {
             let list = vms.borrow_and_update().clone();
             if let Some(list) = list {
+                if let Some(previous) = previous.replace(list.clone()) {
+                    self.log_listing_changes(&previous, &list);
+                }
                 self.router.lock().apply(self.clock.now(), &list);
                 self.apply_local_entries(&list);
                 if self.is_listed_as_leaving(&list) {
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -3,12 +3,14 @@
 use endivescale::process::InstanceId;
 use endivescale::process::membership::Departed;
 use endivescale::process::membership::Health;
+use endivescale::process::membership::Listing;
 use endivescale::process::membership::Membership;
 use endivescale::process::membership::Observation;
 use endivescale::process::membership::UpstreamFacts;
 use endivescale::process::membership::Vm;
 use endivescale::process::membership::VmList;
 use endivescale::process::membership::VmState;
+use endivescale::process::membership::listing_changes;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
@@ -231,6 +233,18 @@
     assert!(!departed.contains(&"a-x1-1".into()));
 }
 
+#[test]
+fn listing_changes_name_each_instance_that_is_offered_otherwise() {
+    let old = list(1, &["a-x1-1", "a-x1-2", "a-x1-3"]);
+    let mut new = list(2, &["a-x1-1", "a-x1-2", "a-x1-4"]);
+    new.vms[1].state = VmState::Leaving;
+    let (second, third, fourth) = ("a-x1-2".into(), "a-x1-3".into(), "a-x1-4".into());
+    let expected =
+        [(&second, Listing::Leaving), (&fourth, Listing::Live), (&third, Listing::Unlisted)];
+    assert_eq!(listing_changes(&old, &new), expected);
+    assert_eq!(listing_changes(&new, &new), []);
+}
+
 /// A leaving daemon that ends its connection may be back at once.
 #[test]
 fn a_restarted_daemon_is_probed_soon_after_its_connection_ended() {
