catalog: give up a watch before a lost answer can break a bound

Callers' requests reached upstreams up to seconds after they had said they leave (DRAIN), and versions came late, after an outage of the store.

Cause: a watch that is sent to a silent store is never answered, and a daemon cannot tell it from one that waits. But the first call of an outage still waited 5 to 10 s and 3 s more. If the entries change just before, all daemons send that call at once.

Change: a reader's watch lasts 2.8 to 3.1 s and is given up after 1.4 s more, so that no daemon is deaf for 5 s. Each third call after a failure may take 3 s, so that a slow store is still read.

--- a/lib/src/process/catalog/follower/calls.rs
+++ b/lib/src/process/catalog/follower/calls.rs
@@ -26,20 +26,26 @@
 use crate::process::log;
 use crate::process::log::StateChange;
 
-/// Longest time that one watch call waits for changes. If an answer is lost, changes
-/// are missed for that long.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Longest time that a daemon may not notice that its call is never answered.
+///
+/// A call that was sent while the catalog is silent looks like one that waits for changes.
+/// The tightest deployment binds a daemon again 3 s after an outage, and then allows 2 s
+/// for a change to take effect. See `docs/design/relays.md`.
+const SILENCE_MAX: Duration = Duration::from_millis(4500);
+/// Time that an answer may take in addition to the requested wait.
+const ANSWER_TIMEOUT_MARGIN: Duration = Duration::from_millis(1400);
+/// The same for every [`SLOW_PROBE_INTERVAL`]th call after a failure, so that a catalog
+/// that is slow but not silent is read.
+const SLOW_PROBE_MARGIN: Duration = Duration::from_secs(3);
+/// One of so many calls after a failure may take longer.
+const SLOW_PROBE_INTERVAL: u32 = 3;
+/// Longest time that one watch call waits for changes.
+const WATCH_WAIT: Duration = SILENCE_MAX.saturating_sub(ANSWER_TIMEOUT_MARGIN);
 /// Shortest wait, as a share of the longest. Daemons that start together would otherwise
-/// watch in step, and an outage at the end of a wait would make all of them miss changes
-/// for as long.
-const WATCH_WAIT_SHARE_MIN: f64 = 0.5;
+/// watch in step.
+const WATCH_WAIT_SHARE_MIN: f64 = 0.9;
 /// Wait of the calls after a failure, until one succeeds.
 const PROBE_WAIT: Duration = Duration::from_millis(100);
-/// Time that an answer may take in addition to the requested wait.
-const ANSWER_TIMEOUT_MARGIN: Duration = Duration::from_secs(3);
-/// The same after a failure. The catalog may still be silent, and a call that it does not
-/// answer must not outlast the outage by seconds.
-const PROBE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1400);
 /// Delay after the first of several failures.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
 /// Longest delay after several failures. Once the catalog is back, a daemon has only
@@ -84,11 +90,7 @@
         answer: impl Future<Output = Result<T, CatalogError>>,
     ) -> Result<T, CatalogError> {
         self.counters.platform_calls.add_one();
-        let margin = match self.failures {
-            0 => ANSWER_TIMEOUT_MARGIN,
-            _ => PROBE_TIMEOUT_MARGIN,
-        };
-        let result = timeout(wait + margin, answer).await;
+        let result = timeout(wait + self.answer_margin(), answer).await;
         let result = result.unwrap_or(Err(CatalogError::Timeout));
         match &result {
             Ok(_) => self.record_success(topic),
@@ -108,6 +110,13 @@
         }
     }
 
+    fn answer_margin(&self) -> Duration {
+        match self.failures > 0 && self.failures.is_multiple_of(SLOW_PROBE_INTERVAL) {
+            true => SLOW_PROBE_MARGIN,
+            false => ANSWER_TIMEOUT_MARGIN,
+        }
+    }
+
     fn record_success(&mut self, topic: Topic) {
         if self.failures > 0 {
             let failures = self.failures;
