serve: refuse requests for an instance that leaves, at the daemon beside it

Callers' requests reached upstreams after they had said they leave (DRAIN), if the sender's list was late, or if they waited for a slot meanwhile.

Cause: only senders looked at the list. Its test checked the list only.

Change: the table of departed instances also knows which ones the list names as leaving, or no longer names, at the local upstream's address. Requests for them are refused as not run, at once, and after 1 s those that wait in the queue; a request that the upstream refused is not sent to it again. An instance listed as leaving is reported with the answer, so that the sender leaves it out. One that is unlisted is not reported, since a list may have lost its entry.

--- /dev/null
+++ b/lib/src/process/membership/local_instances.rs
@@ -0,0 +1,107 @@
+//! Instances for which the local upstream must no longer run requests.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+
+use super::Vm;
+use super::VmList;
+use super::VmState;
+use crate::process::InstanceId;
+
+/// Most instances that are remembered as gone from the list. Others of this address
+/// ended long ago, and nobody sends to them.
+const UNLISTED_MAX: usize = 16;
+
+/// Whether the local upstream may run requests for an instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LocalStanding {
+    /// Nothing speaks against it.
+    Current,
+    /// The instance is listed as leaving.
+    Leaving,
+    /// The instance was listed and no longer is. The list may have lost it by mistake.
+    Unlisted,
+    /// Another upstream uses the instance's address.
+    Departed,
+}
+
+/// What is known of the instances that use or have used the local upstream's address.
+///
+/// Other daemons' lists may be older than the local one. This daemon is the only way to
+/// its upstream, so it refuses requests for an instance that may not receive any,
+/// whatever their senders know.
+#[derive(Debug)]
+pub struct LocalInstances {
+    /// Address of the local upstream.
+    upstream: SocketAddr,
+    /// The departed instances, with the start time that the list gave for their
+    /// upstreams when the departure was recorded, in milliseconds since the Unix
+    /// epoch.
+    departed: IndexMap<InstanceId, Option<u64>>,
+    /// The listed instances, with the start times of their upstreams.
+    listed: IndexMap<InstanceId, Option<u64>>,
+    /// The instances that the last list names at the local upstream's address.
+    local: IndexMap<InstanceId, VmState>,
+    /// Instances that an earlier list named at the address and the last one does not name.
+    unlisted: IndexMap<InstanceId, ()>,
+}
+
+impl LocalInstances {
+    /// Creates a table without instances for the upstream at an address.
+    pub fn new(upstream: SocketAddr) -> Self {
+        Self {
+            upstream,
+            departed: IndexMap::new(),
+            listed: IndexMap::new(),
+            local: IndexMap::new(),
+            unlisted: IndexMap::new(),
+        }
+    }
+
+    /// Records that an instance has left the local upstream's address.
+    pub fn record_departure(&mut self, instance: &InstanceId) {
+        let start_ms = self.listed.get(instance).copied().flatten();
+        self.departed.insert(instance.clone(), start_ms);
+    }
+
+    /// Returns whether the local upstream may run requests for an instance.
+    ///
+    /// An instance that no list has named yet may have started just now.
+    pub fn standing(&self, instance: &InstanceId) -> LocalStanding {
+        if self.departed.contains_key(instance) {
+            return LocalStanding::Departed;
+        }
+        match self.local.get(instance) {
+            Some(VmState::Leaving) => LocalStanding::Leaving,
+            None if self.unlisted.contains_key(instance) => LocalStanding::Unlisted,
+            Some(VmState::Live) | None => LocalStanding::Current,
+        }
+    }
+
+    /// Applies a new list.
+    ///
+    /// Removes the departed instances that the list no longer names, and those whose
+    /// upstream has another start time in it, since they may be back.
+    pub fn apply(&mut self, list: &VmList) {
+        self.listed = list.vms.iter().map(|vm| (vm.instance.clone(), start_ms(vm))).collect();
+        let listed = &self.listed;
+        self.departed.retain(|instance, start_ms| listed.get(instance) == Some(start_ms));
+        let local = self.local_instances(list);
+        let before = std::mem::replace(&mut self.local, local);
+        self.unlisted.extend(before.into_keys().map(|instance| (instance, ())));
+        let listed = &self.listed;
+        self.unlisted.retain(|instance, ()| !listed.contains_key(instance));
+        let excess = self.unlisted.len().saturating_sub(UNLISTED_MAX);
+        self.unlisted.drain(..excess);
+    }
+
+    fn local_instances(&self, list: &VmList) -> IndexMap<InstanceId, VmState> {
+        let is_local = |vm: &&Vm| vm.upstream.is_some_and(|facts| facts.address == self.upstream);
+        list.vms.iter().filter(is_local).map(|vm| (vm.instance.clone(), vm.state)).collect()
+    }
+}
+
+fn start_ms(vm: &Vm) -> Option<u64> {
+    vm.upstream.map(|facts| facts.start_ms)
+}
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 
@@ -28,6 +29,7 @@
 pub use self::token_registry::RunStart;
 pub use self::token_registry::TokenRegistry;
 use super::Incarnation;
+use super::InstanceId;
 use super::ServiceName;
 use super::admission::AdmissionConfig;
 use super::admission::CalledPaths;
@@ -41,7 +43,8 @@
 use super::log::Decision;
 use super::log::DecisionLog;
 use super::log::DrainCause;
-use super::membership::Departed;
+use super::membership::LocalInstances;
+use super::membership::LocalStanding;
 use super::membership::VmList;
 use super::membership::VmState;
 use super::membership::listing_changes;
@@ -94,8 +97,10 @@
     pub gate: Arc<Gate>,
     /// Limit on the repeats that reach the local upstream, if one is set.
     pub repeats: Option<Mutex<RepeatAccount>>,
-    /// Instances known to have left the local upstream's address.
-    pub departed: Mutex<Departed>,
+    /// Instances for which the local upstream must no longer run requests.
+    pub local_instances: Mutex<LocalInstances>,
+    /// Wakes the tasks that wait for a change of [`Self::local_instances`].
+    local_instances_changed: Notify,
     /// Connections to other daemons.
     pub peers: PeerPool,
     /// Addresses of peers whose connections were closed; taken by [`Self::follow_peers`].
@@ -153,7 +158,8 @@
             router: Mutex::new(Router::new(place, rand::random())),
             gate: Gate::new(&admission_config(&settings), clock),
             repeats: settings.repeats.map(|bound| Mutex::new(repeat_account(&bound))),
-            departed: Mutex::default(),
+            local_instances: Mutex::new(LocalInstances::new(settings.upstream.address)),
+            local_instances_changed: Notify::new(),
             peers,
             config_sent: Mutex::default(),
             ended_peers: Mutex::new(Some(ended_peers)),
@@ -228,8 +234,24 @@
         })
     }
 
+    /// Returns whether the local upstream may run requests for an instance.
+    pub fn local_standing(&self, instance: &InstanceId) -> LocalStanding {
+        self.local_instances.lock().standing(instance)
+    }
+
+    /// Waits until the local upstream must no longer run requests for an instance.
+    pub async fn wait_instance_leaves(&self, instance: &InstanceId) {
+        loop {
+            let changed = self.local_instances_changed.notified();
+            if self.local_standing(instance) != LocalStanding::Current {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Applies a new list to what depends on the local upstream: its number of
-    /// slots, the departed instances and the size of its service.
+    /// slots, the instances that may not receive requests and the size of its service.
     ///
     /// Of several entries with the upstream's address, the one with the latest
     /// start describes it; earlier ones are of upstreams that used the address
@@ -241,7 +263,8 @@
         if let Some(own) = own.max_by_key(|facts| facts.start_ms) {
             self.gate.set_slots(own.slots as usize);
         }
-        self.departed.lock().apply(list);
+        self.local_instances.lock().apply(list);
+        self.local_instances_changed.notify_waiters();
         if let Some(repeats) = &self.repeats {
             let service = &self.settings.daemon.service;
             let instances = list.vms.iter().filter(|vm| vm.service == *service);
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -19,6 +19,7 @@
 use crate::process::admission::Completion;
 use crate::process::log::Decision;
 use crate::process::log::LoggedRequest;
+use crate::process::membership::LocalStanding;
 use crate::process::metrics::Counter;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
@@ -78,6 +79,7 @@
         let is_before_deadline = Instant::now() < self.deadline;
         has_free_slots
             && is_before_deadline
+            && node.local_standing(&self.instance) == LocalStanding::Current
             && self.payload.has_body_left()
             && node.repeats.is_some()
             && count_upstream_attempt(node, &self.parent.parent().cx, true)
@@ -131,7 +133,7 @@
                 return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
             }
             ResponseClass::Misdirected => {
-                node.departed.lock().insert(&exchange.instance);
+                node.local_instances.lock().record_departure(&exchange.instance);
                 exchange.complete(Completion::Failed);
                 return Err(Refusal::not_run(Reason::UpstreamMoved));
             }
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -14,6 +14,7 @@
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tokio::time::sleep;
 
 use super::exchange::Exchange;
 use super::exchange::count_upstream_attempt;
@@ -34,6 +35,7 @@
 use crate::process::admission::Work;
 use crate::process::burn::Role;
 use crate::process::config::ActiveRules;
+use crate::process::membership::LocalStanding;
 use crate::process::node::Node;
 use crate::request::Context;
 use crate::request::LEAVING;
@@ -56,6 +58,9 @@
 const LATE_FINISH_GRACE: Duration = Duration::from_secs(30);
 /// How long a leaving daemon still passes queued requests to its upstream.
 const LEAVING_QUEUE_GRACE: Duration = Duration::from_secs(2);
+/// The same if only the upstream leaves. No request may reach it later than 2 s after the
+/// platform has listed it as leaving, which this daemon learns with a delay.
+const INSTANCE_LEAVING_QUEUE_GRACE: Duration = Duration::from_secs(1);
 /// Longest response of known length to an idempotent request that is buffered
 /// before it is relayed. Buffering a longer one would delay its first byte.
 const BUFFERING_THRESHOLD_BYTES: u64 = 64 * 1024;
@@ -93,7 +98,8 @@
         load.set_sensitive(true);
         rsp.headers_mut().insert(LOAD, load);
     }
-    if node.lifecycle.is_leaving() {
+    let instance_leaves = node.local_standing(instance) == LocalStanding::Leaving;
+    if node.lifecycle.is_leaving() || instance_leaves {
         rsp.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
     }
     let body_deadline = Instant::now() + node.settings.limits.max_deadline + LATE_FINISH_GRACE;
@@ -125,8 +131,12 @@
     if cx.depth > MAX_DEPTH {
         return Err(Refusal::not_run(Reason::TooDeep));
     }
-    if node.departed.lock().contains(instance) {
-        return Err(Refusal::not_run(Reason::InstanceGone));
+    match node.local_standing(instance) {
+        LocalStanding::Current => {}
+        LocalStanding::Leaving | LocalStanding::Unlisted => {
+            return Err(Refusal::not_run(Reason::Leaving));
+        }
+        LocalStanding::Departed => return Err(Refusal::not_run(Reason::InstanceGone)),
     }
     if cx.repeat && !has_room_for_repeat(node, &cx) {
         return Err(Refusal::not_run(Reason::RetriesSpent));
@@ -137,7 +147,7 @@
     let work = admission_work(node, &cx, kind);
     let permit = tokio::select! {
         admitted = node.gate.enter(work) => admitted.map_err(refusal_from_shed)?,
-        () = wait_until_queue_closes(node) => return Err(Refusal::not_run(Reason::Leaving)),
+        () = wait_until_queue_closes(node, instance) => return Err(Refusal::not_run(Reason::Leaving)),
     };
     let payload = Payload::read(body, deadline).await?;
     // The deadline may have passed while the request waited, for example because the
@@ -201,10 +211,20 @@
     repeats.lock().has_room(node.clock.now(), cx.criticality, cx.hash)
 }
 
-/// Waits until the daemon leaves and queued requests must be refused.
-async fn wait_until_queue_closes(node: &Node) {
-    node.lifecycle.wait_leaving().await;
-    tokio::time::sleep(LEAVING_QUEUE_GRACE).await;
+/// Waits until the daemon or the instance leaves and queued requests must be refused.
+async fn wait_until_queue_closes(node: &Node, instance: &InstanceId) {
+    let daemon_leaves = async {
+        node.lifecycle.wait_leaving().await;
+        sleep(LEAVING_QUEUE_GRACE).await;
+    };
+    let instance_leaves = async {
+        node.wait_instance_leaves(instance).await;
+        sleep(INSTANCE_LEAVING_QUEUE_GRACE).await;
+    };
+    tokio::select! {
+        () = daemon_leaves => {}
+        () = instance_leaves => {}
+    }
 }
 
 /// Runs a request that is cancelled if its caller disconnects.
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -1,9 +1,10 @@
 use std::time::Duration;
 
 use endivescale::process::InstanceId;
-use endivescale::process::membership::Departed;
 use endivescale::process::membership::Health;
 use endivescale::process::membership::Listing;
+use endivescale::process::membership::LocalInstances;
+use endivescale::process::membership::LocalStanding;
 use endivescale::process::membership::Membership;
 use endivescale::process::membership::Observation;
 use endivescale::process::membership::UpstreamFacts;
@@ -221,16 +222,49 @@
     assert_eq!(s.health(3_003), WORKS);
 }
 
+/// Returns an empty table of a daemon whose upstream listens where [`started`] says.
+fn local_instances() -> LocalInstances {
+    LocalInstances::new(started("a-x1-1", 100).upstream.unwrap().address)
+}
+
 #[test]
 fn a_departed_instance_is_forgotten_once_the_list_has_caught_up() {
-    let mut departed = Departed::default();
+    let mut local = local_instances();
     let list = |born| VmList { version: 1, vms: vec![started("a-x1-1", born)] };
-    departed.apply(&list(100));
-    departed.insert(&"a-x1-1".into());
-    departed.apply(&list(100));
-    assert!(departed.contains(&"a-x1-1".into()));
-    departed.apply(&list(200));
-    assert!(!departed.contains(&"a-x1-1".into()));
+    local.apply(&list(100));
+    local.record_departure(&"a-x1-1".into());
+    local.apply(&list(100));
+    assert_eq!(local.standing(&"a-x1-1".into()), LocalStanding::Departed);
+    local.apply(&list(200));
+    assert_eq!(local.standing(&"a-x1-1".into()), LocalStanding::Current);
+}
+
+#[test]
+fn local_upstream_runs_nothing_for_an_instance_that_leaves_or_left_the_list() {
+    let mut local = local_instances();
+    let leaving = Vm { state: VmState::Leaving, ..started("a-x1-1", 100) };
+    let lists = [
+        (vec![], LocalStanding::Current),
+        (vec![started("a-x1-1", 100)], LocalStanding::Current),
+        (vec![leaving], LocalStanding::Leaving),
+        (vec![started("a-x1-2", 200)], LocalStanding::Unlisted),
+        (vec![started("a-x1-1", 300), started("a-x1-2", 200)], LocalStanding::Current),
+    ];
+    for (vms, expected) in lists {
+        local.apply(&VmList { version: 1, vms });
+        assert_eq!(local.standing(&"a-x1-1".into()), expected);
+    }
+}
+
+/// Instances of other VMs are not this daemon's to judge.
+#[test]
+fn entries_at_other_addresses_do_not_matter() {
+    let mut local = LocalInstances::new("127.0.0.9:9".parse().unwrap());
+    let leaving = Vm { state: VmState::Leaving, ..started("a-x1-1", 100) };
+    local.apply(&VmList { version: 1, vms: vec![leaving] });
+    assert_eq!(local.standing(&"a-x1-1".into()), LocalStanding::Current);
+    local.apply(&VmList { version: 2, vms: vec![] });
+    assert_eq!(local.standing(&"a-x1-1".into()), LocalStanding::Current);
 }
 
 #[test]
