--- a/lib/testutils/src/link.rs
+++ b/lib/testutils/src/link.rs
@@ -57,7 +57,12 @@
 impl Link {
     /// Starts a link to `target` on an address that the system picks.
     pub async fn start(target: SocketAddr) -> Result<Self, StandInError> {
-        let (listener, addr) = bind(ANY).await?;
+        Self::start_at(ANY, target).await
+    }
+
+    /// Starts a link to `target` at an address.
+    pub async fn start_at(addr: SocketAddr, target: SocketAddr) -> Result<Self, StandInError> {
+        let (listener, addr) = bind(addr).await?;
         let (mode, rx) = watch::channel(Order { mode: LinkMode::Pass, cuts: 0 });
         let stop = CancellationToken::new();
         tokio::spawn(accept(listener, target, rx, stop.clone()));
