connection: checksum the heads of messages between daemons

Submissions ran twice, or ran though their callers had been promised that they had not, on real processes (TWICE and REFUSED in the users' report of real machines; whether theirs has this cause can't be told from the lines that they gave).

Cause: HTTP/2 compresses heads by tables of both ends. A link that loses bytes and goes on desynchronises them without an error; later answers then decode to other headers. The sender believed an outcome of not-run without any reason (logged as reason=other) on an answer of status 200 and sent the submission elsewhere.

The new test of a corrupted answer fails with the check of the seal taken out (200 in place of 502).

Change: each head carries a checksum, an answer's also over its request's. A head that does not match is not believed: outcome unknown, connection given up.

--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -29,6 +29,7 @@
 use super::peers::MAX_STREAMS;
 use super::pipeline;
 use super::pipeline::ConnectionCx;
+use super::seal::Sealed;
 use super::tcp;
 
 /// Longest time that a client may take to send the head of an HTTP/1.1 request.
@@ -149,9 +150,9 @@
     let service = ServiceBuilder::new()
         .map_request(|req: Request<Incoming>| req.map(body::relay))
         .service(service);
-    let service = TowerToHyperService::new(service);
     match protocol {
         Protocol::Http1 => {
+            let service = TowerToHyperService::new(service);
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
@@ -163,6 +164,7 @@
             });
         }
         Protocol::Http2 => {
+            let service = TowerToHyperService::new(Sealed::new(service));
             let connection = http2::Builder::new(TokioExecutor::new())
                 .timer(TokioTimer::new())
                 .max_concurrent_streams(MAX_STREAMS)
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -5,6 +5,7 @@
 pub mod listener;
 pub mod peers;
 pub mod pipeline;
+pub mod seal;
 pub mod strip;
 pub mod tcp;
 pub mod upstream;
--- a/lib/src/connection/peers.rs
+++ b/lib/src/connection/peers.rs
@@ -1,6 +1,9 @@
 //! Pool of connections to other daemons, with one HTTP/2 connection for each peer address.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::Request;
@@ -19,8 +22,13 @@
 use tokio::sync::mpsc::unbounded_channel;
 
 use super::body::RelayBody;
+use super::seal::Seal;
+use super::seal::SealCheck;
+use super::seal::check_response;
+use super::seal::seal_request;
 use super::tcp;
 use super::tcp::ConnectError;
+use crate::request::SEAL;
 
 /// Pause between pings on a connection that carries requests.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
@@ -58,6 +66,9 @@
         /// Error reported by the connection.
         source: hyper::Error,
     },
+    /// The head of the response is not as the peer sent it.
+    #[snafu(display("the head of the peer's response was corrupted on the way"))]
+    Corrupted,
 }
 
 impl PeerError {
@@ -65,17 +76,26 @@
     pub fn is_unsent(&self) -> bool {
         match self {
             Self::Connect { .. } | Self::Handshake { .. } | Self::NotSent => true,
-            Self::Failed { .. } => false,
+            Self::Failed { .. } | Self::Corrupted => false,
         }
     }
 }
 
 type Sender = http2::SendRequest<RelayBody>;
 
+/// An open connection to a peer.
+#[derive(Clone, Debug)]
+struct Connection {
+    sender: Sender,
+    /// Whether the peer has sealed a response on this connection. From then on all
+    /// responses need a seal.
+    is_sealed: Arc<AtomicBool>,
+}
+
 /// Open connections to peers, by address.
 #[derive(Debug)]
 pub struct PeerPool {
-    senders: Mutex<IndexMap<SocketAddr, Sender>>,
+    connections: Mutex<IndexMap<SocketAddr, Connection>>,
     closed_tx: UnboundedSender<SocketAddr>,
 }
 
@@ -84,20 +104,20 @@
     /// connection that closes.
     pub fn new() -> (Self, UnboundedReceiver<SocketAddr>) {
         let (closed_tx, closed_rx) = unbounded_channel();
-        (Self { senders: Mutex::default(), closed_tx }, closed_rx)
+        (Self { connections: Mutex::default(), closed_tx }, closed_rx)
     }
 
-    fn open_sender(&self, address: SocketAddr) -> Option<Sender> {
-        let mut senders = self.senders.lock();
-        let sender = senders.get(&address)?;
-        if sender.is_closed() {
-            senders.swap_remove(&address);
+    fn open_connection(&self, address: SocketAddr) -> Option<Connection> {
+        let mut connections = self.connections.lock();
+        let connection = connections.get(&address)?;
+        if connection.sender.is_closed() {
+            connections.swap_remove(&address);
             return None;
         }
-        Some(sender.clone())
+        Some(connection.clone())
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Sender, PeerError> {
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, PeerError> {
         let stream = tcp::connect(address).await.context(ConnectSnafu)?;
         let (sender, connection) = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
@@ -120,13 +140,14 @@
 
     /// Adds a connection to the pool, unless an earlier one to the same peer is open, and
     /// returns the connection in the pool. Two can be opened at the same time.
-    fn insert_if_absent(&self, address: SocketAddr, sender: Sender) -> Sender {
-        let mut senders = self.senders.lock();
-        match senders.get(&address) {
-            Some(earlier) if !earlier.is_closed() => earlier.clone(),
+    fn insert_if_absent(&self, address: SocketAddr, sender: Sender) -> Connection {
+        let mut connections = self.connections.lock();
+        match connections.get(&address) {
+            Some(earlier) if !earlier.sender.is_closed() => earlier.clone(),
             _ => {
-                senders.insert(address, sender.clone());
-                sender
+                let connection = Connection { sender, is_sealed: Arc::default() };
+                connections.insert(address, connection.clone());
+                connection
             }
         }
     }
@@ -141,18 +162,19 @@
     pub async fn send(
         &self,
         address: SocketAddr,
-        req: Request<RelayBody>,
+        mut req: Request<RelayBody>,
     ) -> Result<Response<Incoming>, PeerError> {
-        let mut sender = match self.open_sender(address) {
-            Some(sender) => sender,
+        let mut connection = match self.open_connection(address) {
+            Some(connection) => connection,
             None => self.connect(address).await?,
         };
-        if sender.ready().await.is_err() {
+        if connection.sender.ready().await.is_err() {
             self.remove(address);
-            sender = self.connect(address).await?;
+            connection = self.connect(address).await?;
         }
-        match sender.try_send_request(req).await {
-            Ok(rsp) => Ok(rsp),
+        let seal = seal_request(&mut req);
+        match connection.sender.try_send_request(req).await {
+            Ok(rsp) => self.check_seal(address, &connection, rsp, seal),
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(PeerError::NotSent),
                 None => Err(PeerError::Failed { source: err.into_error() }),
@@ -160,15 +182,41 @@
         }
     }
 
+    /// Checks that a response is as its peer sent it; gives up the connection otherwise.
+    fn check_seal(
+        &self,
+        address: SocketAddr,
+        connection: &Connection,
+        mut rsp: Response<Incoming>,
+        request: Seal,
+    ) -> Result<Response<Incoming>, PeerError> {
+        let check = check_response(&rsp, request);
+        let is_believed = match check {
+            SealCheck::Valid(_) => {
+                connection.is_sealed.store(true, Ordering::Relaxed);
+                true
+            }
+            SealCheck::Missing => !connection.is_sealed.load(Ordering::Relaxed),
+            SealCheck::Broken => false,
+        };
+        if !is_believed {
+            spdlog::warn!("event=head-corrupted of=response peer={address} check={check:?}");
+            self.remove(address);
+            return CorruptedSnafu.fail();
+        }
+        rsp.headers_mut().remove(SEAL);
+        Ok(rsp)
+    }
+
     /// Removes the connection to `address`, if there is one, from the pool. Requests in
     /// progress on the connection continue.
     pub fn remove(&self, address: SocketAddr) {
-        self.senders.lock().swap_remove(&address);
+        self.connections.lock().swap_remove(&address);
     }
 
     /// Returns the number of open connections.
     pub fn len(&self) -> usize {
-        self.senders.lock().len()
+        self.connections.lock().len()
     }
 
     /// Whether no connection is open.
--- a/lib/src/request/headers.rs
+++ b/lib/src/request/headers.rs
@@ -68,6 +68,10 @@
 /// instead of a request for a service.
 pub const HELD: HeaderName = HeaderName::from_static("endivescale-held");
 
+/// Checksum of the head of a message between daemons; see
+/// [`crate::connection::seal`].
+pub const SEAL: HeaderName = HeaderName::from_static("endivescale-seal");
+
 /// Version of the rules that the sending daemon applied.
 pub const RULES_VERSION: HeaderName = HeaderName::from_static("endivescale-rules-version");
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -34,6 +34,7 @@
 mod test_retry_bound;
 mod test_routing;
 mod test_rules;
+mod test_seal;
 mod test_settings;
 mod test_shedding;
 mod test_shedding_daemons;
