catalog: follow a store that comes back from an older copy

Users' words: in a drill the store comes back from a copy some seconds old, gives its revisions out again and raises Store-Era. Nothing read the header: entries under reused revisions were missed, an instance that had said it leaves became live again, and a service that the copy lacked was emptied at once.

A position is now an era with a number, ordered by era. Answers of an earlier era are left out, a later one makes the topic be read anew. The roster keeps leaving instances leaving, removed ones away for 10 s, and those that the copy lacks for 4 s.

Not done: the drill as a step of the exhaustive and randomized models.

--- a/lib/src/process/catalog/error.rs
+++ b/lib/src/process/catalog/error.rs
@@ -44,6 +44,19 @@
     /// The platform has discarded the changes after the requested revision.
     #[snafu(display("the platform has discarded the requested changes"))]
     ChangesDiscarded,
+    /// The platform has come back from an older copy, so that changes after the requested
+    /// revision are other ones.
+    #[snafu(display("the platform has come back from an older copy, in era {era}"))]
+    EraChanged {
+        /// The era that has begun.
+        era: u64,
+    },
+    /// The answer is of an era before the newest that is known.
+    #[snafu(display("the answer is of era {era}, which is over"))]
+    EarlierEra {
+        /// The era of the answer.
+        era: u64,
+    },
     /// The daemon that reads the catalog for others did not tell the changes.
     #[snafu(display("the daemon that reads the catalog did not answer"))]
     Relay,
@@ -51,3 +64,10 @@
     #[snafu(display("the platform did not answer in time"))]
     Timeout,
 }
+
+impl CatalogError {
+    /// Whether the topic must be read completely before it can be watched again.
+    pub fn requires_read(&self) -> bool {
+        matches!(self, Self::ChangesDiscarded | Self::EraChanged { .. })
+    }
+}
--- a/lib/src/process/catalog/follower/calls.rs
+++ b/lib/src/process/catalog/follower/calls.rs
@@ -81,6 +81,14 @@
         &self.counters
     }
 
+    /// Logs and counts that a topic has been read in another era than before.
+    pub(super) fn record_era(&self, topic: Topic, from: Revision, to: Revision) {
+        if from != Revision::default() && from.era != to.era {
+            self.counters.eras.add_one();
+            log::write(&StateChange::CatalogEra { topic, from, to });
+        }
+    }
+
     /// Waits for the answer to a call that the platform may delay by `wait`, and
     /// records the result.
     pub(super) async fn finish<T>(
@@ -127,8 +135,11 @@
 
     fn record_failure(&mut self, topic: Topic, err: &CatalogError) {
         self.counters.platform_failures.add_one();
+        if matches!(err, CatalogError::EarlierEra { .. }) {
+            self.counters.earlier_era_answers.add_one();
+        }
         // Discarded changes are not an outage: the catalog is read again at once.
-        if matches!(err, CatalogError::ChangesDiscarded) {
+        if err.requires_read() {
             return;
         }
         if self.failures == 0 {
@@ -164,7 +175,7 @@
     ///
     /// # Errors
     ///
-    /// Fails with [`CatalogError::ChangesDiscarded`] if the topic must be read
+    /// Fails with an error that [`CatalogError::requires_read`] if the topic must be read
     /// completely. After other errors the next call may use another source.
     pub(super) async fn watch(
         &mut self,
@@ -198,7 +209,8 @@
             }
         };
         match &watched {
-            Ok(_) | Err(CatalogError::ChangesDiscarded) => self.cursor.record_success(source),
+            Ok(_) => self.cursor.record_success(source),
+            Err(err) if err.requires_read() => self.cursor.record_success(source),
             Err(_) => self.cursor.record_failure(source),
         }
         watched
@@ -224,7 +236,8 @@
         let batch = self.calls.finish(topic, wait, call).await;
         match &batch {
             Ok(batch) if is_reader => self.state.record_changes(topic, after, batch),
-            Ok(_) | Err(CatalogError::ChangesDiscarded) => {}
+            Ok(_) => {}
+            Err(err) if err.requires_read() => {}
             Err(_) => self.state.stop_reading(topic),
         }
         Ok(Watched { batch: batch?, source: Source::Catalog })
--- a/lib/src/process/catalog/follower/local_entry.rs
+++ b/lib/src/process/catalog/follower/local_entry.rs
@@ -10,7 +10,6 @@
 use tokio::sync::watch;
 
 use super::calls::CatalogCalls;
-use crate::process::catalog::CatalogError;
 use crate::process::catalog::Change;
 use crate::process::catalog::EntryKey;
 use crate::process::catalog::Revision;
@@ -55,26 +54,26 @@
     /// Watches an entry until the receiver of its changes is gone.
     async fn watch(&mut self, key: &EntryKey, mut after: Revision) {
         let catalog = self.calls.catalog();
-        let mut is_discarded = false;
+        let mut must_read = false;
         loop {
-            let wait = match is_discarded {
+            let wait = match must_read {
                 true => Duration::ZERO,
                 false => self.calls.watch_wait(WATCH_WAIT),
             };
-            let call = match is_discarded {
+            let call = match must_read {
                 true => catalog.entry(key),
                 false => catalog.watch_entry(key, after, wait),
             };
             match self.calls.finish(Topic::Vms, wait, call).await {
                 Ok(batch) => {
-                    is_discarded = false;
+                    must_read = false;
                     after = batch.revision;
                     if !batch.changes.is_empty() && self.changes.send(batch.changes).await.is_err()
                     {
                         return;
                     }
                 }
-                Err(CatalogError::ChangesDiscarded) => is_discarded = true,
+                Err(err) if err.requires_read() => must_read = true,
                 Err(_) => self.calls.back_off().await,
             }
         }
--- a/lib/src/process/catalog/follower/mod.rs
+++ b/lib/src/process/catalog/follower/mod.rs
@@ -29,6 +29,7 @@
 use super::relay::RelayState;
 use super::relay::SourceCursor;
 use crate::process::Zone;
+use crate::process::clock::Clock;
 use crate::process::config::ActiveRules;
 use crate::process::config::ConfigCounters;
 use crate::process::config::ConfigHandle;
@@ -105,6 +106,7 @@
     let roster = VmsFollower {
         source: source(1),
         roster: Roster::default(),
+        clock: Clock::start(),
         vms_tx,
         offers,
         local,
--- a/lib/src/process/catalog/follower/policy.rs
+++ b/lib/src/process/catalog/follower/policy.rs
@@ -39,9 +39,11 @@
 impl PolicyFollower {
     /// Reads the policy, then watches it; never returns.
     pub(super) async fn run(mut self) {
+        let mut before = Revision::default();
         loop {
             let after = self.read().await;
-            self.watch(after).await;
+            self.source.calls.record_era(Topic::Policy, before, after);
+            before = self.watch(after).await;
         }
     }
 
@@ -80,19 +82,19 @@
     }
 
     /// Applies changes until some may have been missed or another daemon reports
-    /// a newer version.
-    async fn watch(&mut self, mut after: Revision) {
+    /// a newer version. Returns the revision up to which they are complete.
+    async fn watch(&mut self, mut after: Revision) -> Revision {
         loop {
             let watched = tokio::select! {
                 watched = self.source.watch(Topic::Policy, after) => watched,
-                () = newer_version_reported(&mut self.newest_reported, &self.rules_tx) => return,
+                () = newer_version_reported(&mut self.newest_reported, &self.rules_tx) => return after,
             };
             match watched {
                 Ok(watched) => {
                     after = watched.batch.revision;
                     self.apply(watched.into_changes());
                 }
-                Err(CatalogError::ChangesDiscarded) => return,
+                Err(err) if err.requires_read() => return after,
                 Err(_) => self.source.calls.back_off().await,
             }
         }
--- a/lib/src/process/catalog/follower/vms.rs
+++ b/lib/src/process/catalog/follower/vms.rs
@@ -23,6 +23,7 @@
 use crate::process::catalog::handover;
 use crate::process::catalog::relay;
 use crate::process::catalog::relay::ReadRole;
+use crate::process::clock::Clock;
 use crate::process::membership::VmList;
 
 /// Pause after changes of entries, in which further ones gather at the catalog.
@@ -47,6 +48,8 @@
 pub(super) struct VmsFollower {
     pub(super) source: ChangeSource,
     pub(super) roster: Roster,
+    /// Time since the start of the task.
+    pub(super) clock: Clock,
     pub(super) vms_tx: watch::Sender<Option<Arc<VmList>>>,
     /// Configurations received from other daemons.
     pub(super) offers: watch::Receiver<Option<Arc<ConfigSnapshot>>>,
@@ -59,14 +62,17 @@
 enum Update {
     Watched(Result<Watched, CatalogError>),
     Local(Vec<Change>),
+    Expiry,
 }
 
 impl VmsFollower {
     /// Reads the entries, then watches them; never returns.
     pub(super) async fn run(mut self) {
+        let mut before = Revision::default();
         loop {
             let after = self.read().await;
-            self.watch(after).await;
+            self.source.calls.record_era(Topic::Vms, before, after);
+            before = self.watch(after).await;
         }
     }
 
@@ -86,8 +92,8 @@
             tokio::select! {
                 read = attempt => {
                     if let Ok((pages, revision)) = read {
-                        self.source.state.record_entries(revision);
-                        self.roster.replace(pages);
+                        self.source.state.record_entries(&pages, revision);
+                        self.roster.replace(self.clock.now(), pages);
                         self.publish(revision);
                         return revision;
                     }
@@ -103,26 +109,37 @@
         self.vms_tx.send_replace(Some(Arc::new(list)));
     }
 
-    /// Applies changes until some may have been missed.
-    async fn watch(&mut self, mut after: Revision) {
+    /// Applies changes until some may have been missed. Returns the revision up to which
+    /// they are complete.
+    async fn watch(&mut self, mut after: Revision) -> Revision {
         loop {
+            let expiry = self.roster.next_expiry().map(|at| at.saturating_sub(self.clock.now()));
             let update = tokio::select! {
                 watched = self.source.watch(Topic::Vms, after) => Update::Watched(watched),
                 Some(changes) = self.local_changes.recv() => Update::Local(changes),
+                () = sleep(expiry.unwrap_or_default()), if expiry.is_some() => Update::Expiry,
             };
             match update {
                 Update::Watched(Ok(watched)) => {
-                    after = watched.batch.revision;
+                    let before = std::mem::replace(&mut after, watched.batch.revision);
                     let gathers = watched.is_change_of_catalog();
-                    self.apply(watched.into_changes(), after);
+                    match before.era < after.era {
+                        true => self.begin_era(watched.into_changes(), before, after),
+                        false => self.apply(watched.into_changes(), after),
+                    }
                     self.roster.forget_removals(after);
                     if gathers {
                         sleep(GATHER_TIME).await;
                     }
                 }
-                Update::Watched(Err(CatalogError::ChangesDiscarded)) => return,
+                Update::Watched(Err(err)) if err.requires_read() => return after,
                 Update::Watched(Err(_)) => self.source.calls.back_off().await,
                 Update::Local(changes) => self.apply(changes, after),
+                Update::Expiry => {
+                    if self.roster.expire(self.clock.now()) {
+                        self.publish(after);
+                    }
+                }
             }
         }
     }
@@ -131,13 +148,21 @@
     fn apply(&mut self, changes: Vec<Change>, complete: Revision) {
         let mut differs = false;
         for change in changes {
-            differs |= self.roster.apply(change);
+            differs |= self.roster.apply(self.clock.now(), change);
         }
         if differs {
             self.publish(complete);
         }
     }
 
+    /// Applies all that a reader has of a later era.
+    fn begin_era(&mut self, changes: Vec<Change>, before: Revision, complete: Revision) {
+        self.source.calls.record_era(Topic::Vms, before, complete);
+        if self.roster.begin_era(self.clock.now(), complete.era, changes) {
+            self.publish(complete);
+        }
+    }
+
     fn publish(&mut self, complete: Revision) {
         self.vms_tx.send_replace(Some(Arc::new(self.roster.build_list())));
         let Some(local) = &self.local else { return };
@@ -172,6 +197,10 @@
         let after = pages.last().and_then(|page| page.entries.last()).map(|(key, ..)| key);
         let call = catalog.page(after);
         let page = calls.finish(Topic::Vms, Duration::ZERO, call).await?;
+        let era = page.revision.era;
+        if pages.first().is_some_and(|first| first.revision.era != era) {
+            return Err(CatalogError::EraChanged { era });
+        }
         let is_last = !page.has_more || page.entries.is_empty();
         pages.push(page);
         if is_last {
--- a/lib/src/process/catalog/mod.rs
+++ b/lib/src/process/catalog/mod.rs
@@ -36,11 +36,59 @@
 use crate::version::Policy;
 
 /// Position in the sequence of all changes to a catalog.
+///
+/// A catalog that comes back from an older copy begins a new era and gives out numbers
+/// again, so positions are ordered by era first. See `docs/design/eras.md`.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
 )]
-#[serde(transparent)]
-pub struct Revision(pub u64);
+#[serde(from = "RevisionText", into = "RevisionText")]
+pub struct Revision {
+    /// Era of the catalog; 0 if the catalog states none.
+    pub era: u64,
+    /// Number of the change within its era.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Returns the position of a change.
+    pub const fn new(era: u64, number: u64) -> Self {
+        Self { era, number }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
+
+/// A [`Revision`] as it is sent between daemons. Those of earlier builds know the number
+/// only, which is all that there is in era 0.
+#[derive(Clone, Copy, Deserialize, Serialize)]
+#[serde(untagged)]
+enum RevisionText {
+    Number(u64),
+    InEra(u64, u64),
+}
+
+impl From<RevisionText> for Revision {
+    fn from(text: RevisionText) -> Self {
+        match text {
+            RevisionText::Number(number) => Self::new(0, number),
+            RevisionText::InEra(era, number) => Self::new(era, number),
+        }
+    }
+}
+
+impl From<Revision> for RevisionText {
+    fn from(Revision { era, number }: Revision) -> Self {
+        match era {
+            0 => Self::Number(number),
+            _ => Self::InEra(era, number),
+        }
+    }
+}
 
 /// Key of one entry of a catalog.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
--- a/lib/src/process/catalog/relay/history.rs
+++ b/lib/src/process/catalog/relay/history.rs
@@ -68,6 +68,8 @@
     Changes(Vec<RelayedChange>, Revision),
     /// Some of the changes are not kept.
     Discarded,
+    /// The asker knows of a later era than the history.
+    Behind,
 }
 
 /// The latest changes of one topic, complete between two revisions.
@@ -78,12 +80,16 @@
     /// Revision up to which the changes are complete.
     end: Revision,
     changes: VecDeque<RelayedChange>,
+    /// How many changes at the front make up all that there was at `start`, if they are
+    /// kept. They serve followers of earlier eras.
+    snapshot_len: usize,
 }
 
 impl History {
     /// Begins anew at a revision: what led to it is unknown.
     pub fn restart(&mut self, at: Revision) {
         self.changes.clear();
+        self.snapshot_len = 0;
         self.start = at;
         self.end = at;
     }
@@ -95,6 +101,16 @@
         self.extend(Revision::default(), changes, at);
     }
 
+    /// Begins a new era with changes that make up all that there is at a revision.
+    ///
+    /// A follower of an earlier era needs all of them. One of the same era that is not as
+    /// far must not get them, because they do not tell what was removed meanwhile.
+    pub fn begin_era(&mut self, changes: Vec<RelayedChange>, at: Revision) {
+        self.restart(at);
+        self.snapshot_len = changes.len();
+        self.changes.extend(changes);
+    }
+
     /// Appends all changes after one revision up to another.
     ///
     /// If the daemon got some changes from another reader meanwhile, these are
@@ -113,19 +129,29 @@
             }
             self.changes.push_back(change);
         }
-        while self.changes.len() > CHANGES_MAX {
+        while self.changes.len() > CHANGES_MAX.max(self.snapshot_len) {
             let Some(dropped) = self.changes.pop_front() else { break };
-            self.start = dropped.revision();
+            self.start = self.start.max(dropped.revision());
+            self.snapshot_len = 0;
         }
         self.end = self.end.max(up_to);
     }
 
+    /// Returns the era that the history tells of.
+    pub fn era(&self) -> u64 {
+        self.end.era
+    }
+
     /// Returns the changes after a revision.
     ///
     /// A follower that is ahead, because it polled another reader before, gets no
     /// changes and keeps its revision.
     pub fn since(&self, after: Revision) -> Since {
-        if after < self.start {
+        if after.era > self.end.era {
+            return Since::Behind;
+        }
+        let needs_snapshot = after.era < self.start.era;
+        if after < self.start && !(needs_snapshot && self.snapshot_len > 0) {
             return Since::Discarded;
         }
         let newer = self.changes.iter().filter(|change| change.revision() > after);
--- a/lib/src/process/catalog/relay/server.rs
+++ b/lib/src/process/catalog/relay/server.rs
@@ -23,6 +23,9 @@
 use super::rpc::PollRequest;
 use crate::connection::tcp;
 use crate::process::catalog::ChangeBatch;
+use crate::process::catalog::Entry;
+use crate::process::catalog::EntryKey;
+use crate::process::catalog::Page;
 use crate::process::catalog::Revision;
 use crate::process::catalog::Topic;
 use crate::process::config::ConfigCounters;
@@ -86,6 +89,7 @@
             Since::Changes(changes, _) if changes.is_empty() => None,
             Since::Changes(changes, revision) => Some(PollAnswer::Changes(changes, revision)),
             Since::Discarded => Some(PollAnswer::Discarded),
+            Since::Behind => Some(PollAnswer::NotReading),
         }
     }
 }
@@ -104,9 +108,15 @@
     }
 
     /// Records a complete read of the entries, which does not tell their changes.
-    pub(in crate::process::catalog) fn record_entries(&self, at: Revision) {
+    ///
+    /// The first one of an era is kept for followers of earlier eras, which would otherwise
+    /// all read the catalog at once.
+    pub(in crate::process::catalog) fn record_entries(&self, pages: &[Page], at: Revision) {
         self.vms.update(|inner| {
-            inner.history.restart(at);
+            match at.era > inner.history.era() {
+                true => inner.history.begin_era(written(pages), at),
+                false => inner.history.restart(at),
+            }
             inner.is_reading = true;
         });
     }
@@ -142,6 +152,14 @@
     }
 }
 
+fn written(pages: &[Page]) -> Vec<RelayedChange> {
+    let entries = pages.iter().flat_map(|page| &page.entries);
+    let written = |(key, at, entry): &(EntryKey, Revision, Entry)| {
+        RelayedChange::Written(key.clone(), *at, entry.clone())
+    };
+    entries.map(written).collect()
+}
+
 fn relayed(batch: &ChangeBatch) -> Vec<RelayedChange> {
     let changes = batch.changes.iter();
     changes.filter_map(|change| RelayedChange::of(change, batch.revision)).collect()
--- a/lib/src/process/catalog/roster.rs
+++ b/lib/src/process/catalog/roster.rs
@@ -1,6 +1,7 @@
 //! Builds the list of VMs from the platform's entries.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use rustc_hash::FxBuildHasher;
@@ -12,40 +13,171 @@
 use super::Revision;
 use crate::process::membership::Vm;
 use crate::process::membership::VmList;
+use crate::process::membership::VmState;
+
+/// Time for which an entry that a new era lacks is still believed. Instances write their
+/// entries again within two seconds.
+const UNCONFIRMED_LIFETIME: Duration = Duration::from_secs(4);
+/// Time for which a removal is remembered, and for which an older copy's entry of the
+/// removed instance is not believed afterwards. The copy is some seconds old, and the lease
+/// of an instance that is gone runs out in it within 5 s.
+const REMOVAL_LIFETIME: Duration = Duration::from_secs(10);
 
 /// The latest known entries of a catalog.
 ///
 /// Each entry has its own revision, since the pages of one read are not an atomic
 /// snapshot and a change may arrive twice.
+///
+/// If the catalog comes back from an older copy, the entries follow it, with three
+/// exceptions, each for a limited time: an instance that has said it is leaving is not
+/// live again because the copy says so; a removed one does not return with the copy; one
+/// that the copy lacks is kept until it had time to write its entry again. See
+/// `docs/design/eras.md`.
 #[derive(Debug, Default)]
 pub struct Roster {
-    entries: IndexMap<EntryKey, (Revision, Entry), FxBuildHasher>,
+    entries: IndexMap<EntryKey, Known, FxBuildHasher>,
     /// Removed entries whose removal may be known before earlier changes, because the
     /// local upstream's entry is watched apart.
     removed: IndexMap<EntryKey, Revision, FxBuildHasher>,
+    /// Instances whose entries were removed lately.
+    departed: IndexMap<EntryKey, DepartedInstance, FxBuildHasher>,
+    /// Newest era of which entries are known.
+    era: u64,
     /// Version of the last list built.
     version: u64,
 }
 
+/// One entry, and how long it is believed.
+#[derive(Debug)]
+struct Known {
+    revision: Revision,
+    entry: Entry,
+    /// When the entry is removed, unless it is written before.
+    expires_at: Option<Duration>,
+}
+
+/// An instance whose entry was removed.
+#[derive(Debug)]
+struct DepartedInstance {
+    /// Start of the instance's upstream, in milliseconds since the Unix epoch.
+    start_ms: Option<u64>,
+    /// When the removal is forgotten.
+    forget_at: Duration,
+    /// The entry that an older copy has, used if it is still there at `forget_at`.
+    in_copy: Option<(Revision, Entry)>,
+}
+
+/// Whether an entry was read from an older copy or may have been written since.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Origin {
+    Copy,
+    Writer,
+}
+
+fn start_ms(entry: &Entry) -> Option<u64> {
+    match entry {
+        Entry::Listed(vm) => vm.upstream.map(|facts| facts.start_ms),
+        Entry::Unusable(_) => None,
+    }
+}
+
+/// Whether two entries describe the same start of an instance, as far as they say so.
+fn is_same_start(left: &Entry, right: &Entry) -> bool {
+    start_ms(left).is_some() && start_ms(left) == start_ms(right)
+}
+
 impl Roster {
     /// Replaces all entries by the pages of one read.
-    pub fn replace(&mut self, pages: Vec<Page>) {
+    pub fn replace(&mut self, now: Duration, pages: Vec<Page>) {
+        let era = pages.first().map_or(self.era, |page| page.revision.era);
+        if era > self.era && !self.entries.is_empty() {
+            let entries = pages.into_iter().flat_map(|page| page.entries);
+            let changes = entries.map(|(key, at, entry)| Change::Written(key, at, entry));
+            self.begin_era(now, era, changes.collect());
+            return;
+        }
+        self.era = era;
         self.entries.clear();
         self.removed.clear();
         for (key, revision, entry) in pages.into_iter().flat_map(|page| page.entries) {
-            self.write(key, revision, entry);
+            self.write(now, key, revision, entry, Origin::Writer);
         }
     }
 
+    /// Applies the changes that make up all that a later era has, and returns whether the
+    /// list may differ.
+    pub fn begin_era(&mut self, now: Duration, era: u64, changes: Vec<Change>) -> bool {
+        self.era = era;
+        self.removed.clear();
+        let mut differs = false;
+        for change in changes {
+            differs |= match change {
+                Change::Written(key, revision, entry) => {
+                    self.write(now, key, revision, entry, Origin::Copy)
+                }
+                change => self.apply(now, change),
+            };
+        }
+        for known in self.entries.values_mut() {
+            if known.revision.era < era && known.expires_at.is_none() {
+                known.expires_at = Some(now + UNCONFIRMED_LIFETIME);
+            }
+        }
+        differs
+    }
+
     /// Applies a change; returns whether the list may differ.
-    pub fn apply(&mut self, change: Change) -> bool {
+    pub fn apply(&mut self, now: Duration, change: Change) -> bool {
         match change {
             Change::Policy(_) => false,
-            Change::Written(key, revision, entry) => self.write(key, revision, entry),
-            Change::Removed(key, revision) => self.remove(&key, revision),
+            Change::Written(key, revision, entry) => {
+                // The entry of the local upstream may be read in an era before the others.
+                let origin = match revision.era > self.era {
+                    true => Origin::Copy,
+                    false => Origin::Writer,
+                };
+                self.write(now, key, revision, entry, origin)
+            }
+            Change::Removed(key, revision) => self.remove(now, &key, revision),
         }
     }
 
+    /// Returns the newest era of which entries are known.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Returns when [`Self::expire`] is due.
+    pub fn next_expiry(&self) -> Option<Duration> {
+        let entries = self.entries.values().filter_map(|known| known.expires_at);
+        let departed = self.departed.values().filter(|departed| departed.in_copy.is_some());
+        entries.chain(departed.map(|departed| departed.forget_at)).min()
+    }
+
+    /// Ends the beliefs whose time is over; returns whether the list may differ.
+    pub fn expire(&mut self, now: Duration) -> bool {
+        let is_over = |known: &Known| known.expires_at.is_some_and(|at| at <= now);
+        let unconfirmed = self.entries.iter().filter(|(_, known)| is_over(known));
+        let unconfirmed: Vec<EntryKey> = unconfirmed.map(|(key, _)| key.clone()).collect();
+        let mut differs = !unconfirmed.is_empty();
+        for key in unconfirmed {
+            self.depart(now, &key);
+        }
+        let over: Vec<EntryKey> = self
+            .departed
+            .iter()
+            .filter(|(_, departed)| departed.forget_at <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in over {
+            let departed = self.departed.swap_remove(&key);
+            if let Some((revision, entry)) = departed.and_then(|departed| departed.in_copy) {
+                differs |= self.write(now, key, revision, entry, Origin::Writer);
+            }
+        }
+        differs
+    }
+
     /// Forgets removals up to a revision, up to which all changes were applied.
     pub fn forget_removals(&mut self, complete: Revision) {
         self.removed.retain(|_, at| *at > complete);
@@ -54,7 +186,7 @@
     /// Returns the key of the entry whose upstream listens on an address. Of several,
     /// it is the one that started last.
     pub fn key_at(&self, upstream: SocketAddr) -> Option<EntryKey> {
-        let at_address = self.entries.iter().filter_map(|(key, (_, entry))| match entry {
+        let at_address = self.entries.iter().filter_map(|(key, known)| match &known.entry {
             Entry::Listed(vm) => {
                 vm.upstream.filter(|facts| facts.address == upstream).map(|facts| (facts, key))
             }
@@ -66,7 +198,7 @@
     /// Builds the list of VMs, with a version one higher than the last.
     pub fn build_list(&mut self) -> VmList {
         self.version += 1;
-        let vms = self.entries.values().filter_map(|(_, entry)| match entry {
+        let vms = self.entries.values().filter_map(|known| match &known.entry {
             Entry::Listed(vm) => Some(vm),
             Entry::Unusable(_) => None,
         });
@@ -81,30 +213,91 @@
 
     /// Returns the VMs of all usable entries.
     pub fn vms(&self) -> impl Iterator<Item = &Vm> {
-        self.entries.values().filter_map(|(_, entry)| match entry {
+        self.entries.values().filter_map(|known| match &known.entry {
             Entry::Listed(vm) => Some(vm),
             Entry::Unusable(_) => None,
         })
     }
 
-    fn write(&mut self, key: EntryKey, revision: Revision, entry: Entry) -> bool {
+    fn write(
+        &mut self,
+        now: Duration,
+        key: EntryKey,
+        revision: Revision,
+        entry: Entry,
+        origin: Origin,
+    ) -> bool {
         if self.removed.get(&key).is_some_and(|removed| *removed >= revision) {
             return false;
         }
         let current = self.entries.get(&key);
-        if current.is_some_and(|(current, _)| *current >= revision) {
+        if current.is_some_and(|current| current.revision >= revision) {
+            return false;
+        }
+        let departed = self.departed.get_mut(&key);
+        if let Some(DepartedInstance { in_copy: Some((in_copy, _)), .. }) = &departed
+            && *in_copy >= revision
+        {
             return false;
         }
-        let differs = current.is_none_or(|(_, current)| *current != entry);
-        self.entries.insert(key, (revision, entry));
+        if origin == Origin::Copy
+            && let Some(departed) = departed
+            && departed.start_ms.is_some()
+            && departed.start_ms == start_ms(&entry)
+        {
+            departed.in_copy = Some((revision, entry));
+            departed.forget_at = now + REMOVAL_LIFETIME;
+            return false;
+        }
+        self.departed.swap_remove(&key);
+        let entry = match current {
+            Some(current) if origin == Origin::Copy => keep_leaving(&current.entry, entry),
+            Some(_) | None => entry,
+        };
+        let differs = current.is_none_or(|current| current.entry != entry);
+        self.entries.insert(key, Known { revision, entry, expires_at: None });
         differs
     }
 
-    fn remove(&mut self, key: &EntryKey, revision: Revision) -> bool {
-        if self.entries.get(key).is_some_and(|(current, _)| *current >= revision) {
+    fn remove(&mut self, now: Duration, key: &EntryKey, revision: Revision) -> bool {
+        let current = self.entries.get_mut(key);
+        if current.as_ref().is_some_and(|current| current.revision >= revision) {
             return false;
         }
         self.removed.insert(key.clone(), revision);
-        self.entries.shift_remove(key).is_some()
+        if let Some(departed) = self.departed.get_mut(key) {
+            departed.in_copy = None;
+        }
+        let Some(current) = current else { return false };
+        // The copy may lack an instance that has not written its entry again.
+        if current.revision.era < revision.era {
+            current.expires_at.get_or_insert(now + UNCONFIRMED_LIFETIME);
+            return false;
+        }
+        self.depart(now, key);
+        true
+    }
+
+    /// Removes an entry and remembers its instance as departed.
+    fn depart(&mut self, now: Duration, key: &EntryKey) {
+        self.departed.retain(|_, departed| departed.forget_at > now || departed.in_copy.is_some());
+        let Some(known) = self.entries.shift_remove(key) else { return };
+        let departed = DepartedInstance {
+            start_ms: start_ms(&known.entry),
+            forget_at: now + REMOVAL_LIFETIME,
+            in_copy: None,
+        };
+        self.departed.insert(key.clone(), departed);
+    }
+}
+
+/// Returns an older copy's entry, as leaving if the instance is known to leave.
+fn keep_leaving(known: &Entry, copy: Entry) -> Entry {
+    let is_leaving = matches!(known, Entry::Listed(vm) if vm.state == VmState::Leaving);
+    match copy {
+        Entry::Listed(vm) if is_leaving && is_same_start(known, &Entry::Listed(vm.clone())) => {
+            Entry::Listed(Vm { state: VmState::Leaving, ..vm })
+        }
+        copy => copy,
     }
 }
--- a/lib/src/process/config/counters.rs
+++ b/lib/src/process/config/counters.rs
@@ -46,6 +46,10 @@
     platform_calls,
     /// Calls to the platform that failed.
     platform_failures,
+    /// Topics of the platform that were read anew because it came back from an older copy.
+    eras,
+    /// Answers of the platform that were left out because their era is over.
+    earlier_era_answers,
     /// Versions put into force.
     accepted,
     /// Versions refused because their text is invalid.
--- a/lib/src/process/log/state_change.rs
+++ b/lib/src/process/log/state_change.rs
@@ -6,6 +6,7 @@
 use crate::process::Incarnation;
 use crate::process::InstanceId;
 use crate::process::admission::Level;
+use crate::process::catalog::Revision;
 use crate::process::catalog::Topic;
 use crate::process::config::VersionId;
 use crate::process::settings::SettingsChange;
@@ -94,6 +95,16 @@
         /// Calls that failed since the part was last read.
         failures: u32,
     },
+    /// A part of the platform's catalog has come back from an older copy and was read
+    /// again.
+    CatalogEra {
+        /// Part of the catalog.
+        topic: Topic,
+        /// Revision up to which it was known before.
+        from: Revision,
+        /// Revision up to which it is known now.
+        to: Revision,
+    },
     /// A peer stopped responding and is sent no new requests.
     PeerLost {
         /// VM name of the peer.
@@ -144,6 +155,7 @@
             | Self::PatienceEnded { .. } => spdlog::Level::Error,
             Self::PeerLost { .. }
             | Self::CatalogLost { .. }
+            | Self::CatalogEra { .. }
             | Self::SheddingBegan { .. }
             | Self::PauseNoticed { .. } => spdlog::Level::Warn,
             Self::Started { .. }
@@ -191,6 +203,9 @@
             Self::CatalogBack { topic, failures } => {
                 write!(f, "event=catalog-back topic={topic} failures={failures}")
             }
+            Self::CatalogEra { topic, from, to } => {
+                write!(f, "event=catalog-era topic={topic} from={from} to={to}")
+            }
             Self::PeerLost { instance } => write!(f, "event=peer-lost instance={instance}"),
             Self::PeerBack { instance } => write!(f, "event=peer-back instance={instance}"),
             Self::SheddingBegan { level } => write!(f, "event=shedding-began level={level}"),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -32,6 +32,7 @@
 mod test_repeats;
 mod test_retries;
 mod test_retry_bound;
+mod test_roster;
 mod test_routing;
 mod test_rules;
 mod test_seal;
--- a/lib/tests/test_relays.rs
+++ b/lib/tests/test_relays.rs
@@ -47,11 +47,11 @@
 }
 
 fn change(revision: u64) -> RelayedChange {
-    RelayedChange::Removed(EntryKey("e".into()), Revision(revision))
+    RelayedChange::Removed(EntryKey("e".into()), Revision::new(0, revision))
 }
 
 fn policy(revision: u64) -> RelayedChange {
-    RelayedChange::Policy(Revision(revision), "text".into())
+    RelayedChange::Policy(Revision::new(0, revision), "text".into())
 }
 
 macro_rules! few_readers {
@@ -122,42 +122,102 @@
 #[test]
 fn a_history_returns_what_came_later() {
     let mut history = History::default();
-    history.restart(Revision(5));
-    history.extend(Revision(5), vec![change(6), change(8)], Revision(9));
-    assert_eq!(history.since(Revision(4)), Since::Discarded);
-    assert_eq!(history.since(Revision(5)), Since::Changes(vec![change(6), change(8)], Revision(9)));
-    assert_eq!(history.since(Revision(6)), Since::Changes(vec![change(8)], Revision(9)));
-    assert_eq!(history.since(Revision(30)), Since::Changes(Vec::new(), Revision(30)));
+    history.restart(Revision::new(0, 5));
+    history.extend(Revision::new(0, 5), vec![change(6), change(8)], Revision::new(0, 9));
+    assert_eq!(history.since(Revision::new(0, 4)), Since::Discarded);
+    assert_eq!(
+        history.since(Revision::new(0, 5)),
+        Since::Changes(vec![change(6), change(8)], Revision::new(0, 9))
+    );
+    assert_eq!(
+        history.since(Revision::new(0, 6)),
+        Since::Changes(vec![change(8)], Revision::new(0, 9))
+    );
+    assert_eq!(
+        history.since(Revision::new(0, 30)),
+        Since::Changes(Vec::new(), Revision::new(0, 30))
+    );
 }
 
 /// A daemon that polled another reader for a while has not recorded those changes.
 #[test]
 fn a_history_with_a_gap_begins_anew() {
     let mut history = History::default();
-    history.restart(Revision(5));
-    history.extend(Revision(5), vec![change(6)], Revision(6));
-    history.extend(Revision(9), vec![change(10)], Revision(10));
-    assert_eq!(history.since(Revision(6)), Since::Discarded);
-    assert_eq!(history.since(Revision(9)), Since::Changes(vec![change(10)], Revision(10)));
+    history.restart(Revision::new(0, 5));
+    history.extend(Revision::new(0, 5), vec![change(6)], Revision::new(0, 6));
+    history.extend(Revision::new(0, 9), vec![change(10)], Revision::new(0, 10));
+    assert_eq!(history.since(Revision::new(0, 6)), Since::Discarded);
+    assert_eq!(
+        history.since(Revision::new(0, 9)),
+        Since::Changes(vec![change(10)], Revision::new(0, 10))
+    );
+}
+
+/// Returns a history that has begun era 2 at revision 4, with a change after it.
+fn history_of_era_2() -> History {
+    let removed = |number| RelayedChange::Removed(EntryKey("e".into()), Revision::new(2, number));
+    let mut history = History::default();
+    history.extend(Revision::new(1, 0), vec![change(9)], Revision::new(1, 9));
+    history.begin_era(vec![removed(1), removed(3)], Revision::new(2, 4));
+    history.extend(Revision::new(2, 4), vec![removed(5)], Revision::new(2, 5));
+    history
+}
+
+#[test]
+fn followers_of_an_earlier_era_get_all_that_the_new_one_has() {
+    let history = history_of_era_2();
+    for after in [Revision::new(0, 0), Revision::new(1, 3), Revision::new(1, 50)] {
+        let Since::Changes(changes, at) = history.since(after) else { panic!("kept") };
+        assert_eq!((changes.len(), at), (3, Revision::new(2, 5)));
+    }
+}
+
+/// The snapshot does not tell what was removed since a revision of its own era.
+#[test]
+fn followers_of_the_same_era_do_not_get_its_snapshot() {
+    let history = history_of_era_2();
+    assert_eq!(history.since(Revision::new(2, 2)), Since::Discarded);
+    let Since::Changes(changes, _) = history.since(Revision::new(2, 4)) else { panic!("kept") };
+    assert_eq!(changes.len(), 1);
+}
+
+#[test]
+fn reader_that_is_behind_in_era_is_no_reader() {
+    assert_eq!(history_of_era_2().since(Revision::new(3, 1)), Since::Behind);
+}
+
+#[test]
+fn revisions_of_era_0_are_sent_as_earlier_builds_know_them() {
+    for (revision, text) in [(Revision::new(0, 7), "7"), (Revision::new(2, 7), "[2,7]")] {
+        assert_eq!(serde_json::to_string(&revision).unwrap(), text);
+        assert_eq!(serde_json::from_str::<Revision>(text).unwrap(), revision);
+    }
 }
 
 #[test]
 fn a_history_keeps_one_policy() {
     let mut history = History::default();
-    history.replace(vec![policy(3)], Revision(3));
-    history.extend(Revision(3), vec![policy(7)], Revision(7));
-    assert_eq!(history.since(Revision(0)), Since::Changes(vec![policy(7)], Revision(7)));
-    assert_eq!(history.since(Revision(7)), Since::Changes(Vec::new(), Revision(7)));
+    history.replace(vec![policy(3)], Revision::new(0, 3));
+    history.extend(Revision::new(0, 3), vec![policy(7)], Revision::new(0, 7));
+    assert_eq!(
+        history.since(Revision::new(0, 0)),
+        Since::Changes(vec![policy(7)], Revision::new(0, 7))
+    );
+    assert_eq!(history.since(Revision::new(0, 7)), Since::Changes(Vec::new(), Revision::new(0, 7)));
 }
 
 #[test]
 fn a_history_is_bounded() {
     let mut history = History::default();
     for revision in 1..=10_000 {
-        history.extend(Revision(revision - 1), vec![change(revision)], Revision(revision));
+        history.extend(
+            Revision::new(0, revision - 1),
+            vec![change(revision)],
+            Revision::new(0, revision),
+        );
     }
-    assert_eq!(history.since(Revision(1)), Since::Discarded);
-    let Since::Changes(kept, _) = history.since(Revision(9_000)) else { panic!("kept") };
+    assert_eq!(history.since(Revision::new(0, 1)), Since::Discarded);
+    let Since::Changes(kept, _) = history.since(Revision::new(0, 9_000)) else { panic!("kept") };
     assert_eq!(kept.len(), 1_000);
 }
 
@@ -181,7 +241,7 @@
 fn entries_pass_between_daemons_unchanged() {
     let written = RelayedChange::Written(
         EntryKey("servers/i-1".into()),
-        Revision(4),
+        Revision::new(0, 4),
         Entry::Listed(daemon(1)),
     );
     let text = serde_json::to_string(&written).expect("JSON");
@@ -278,7 +338,7 @@
         let broken = self.broken;
         let daemon = &mut self.daemons[n];
         match answer {
-            None => {
+            None | Some(Since::Behind) => {
                 daemon.cursor.record_failure(source);
                 daemon.is_reading &= source != Source::Catalog;
             }
@@ -290,19 +350,21 @@
                     daemon.after = self.revision;
                 }
             }
-            Some(Since::Changes(changes, Revision(up_to))) => {
+            Some(Since::Changes(changes, Revision { number: up_to, .. })) => {
                 daemon.cursor.record_success(source);
                 let passes_on = source == Source::Catalog && is_reader;
                 if passes_on || broken == Broken::RelaysRelayed {
                     let after = match broken {
-                        Broken::KeepsGap => Revision(0),
-                        _ => Revision(daemon.after),
+                        Broken::KeepsGap => Revision::new(0, 0),
+                        _ => Revision::new(0, daemon.after),
                     };
-                    daemon.history.extend(after, changes.clone(), Revision(up_to));
+                    daemon.history.extend(after, changes.clone(), Revision::new(0, up_to));
                 }
                 daemon.is_reading = passes_on || broken == Broken::RelaysRelayed;
                 for change in changes {
-                    let RelayedChange::Removed(_, Revision(at)) = change else { continue };
+                    let RelayedChange::Removed(_, Revision { number: at, .. }) = change else {
+                        continue;
+                    };
                     if !daemon.held.contains(&at) {
                         daemon.held.push(at);
                     }
@@ -317,13 +379,13 @@
         self.catalog_calls += 1;
         let daemon = &self.daemons[n];
         let changes = (daemon.after + 1..=self.revision).map(change).collect();
-        (!daemon.is_cut).then_some(Since::Changes(changes, Revision(self.revision)))
+        (!daemon.is_cut).then_some(Since::Changes(changes, Revision::new(0, self.revision)))
     }
 
     fn ask_reader(&self, n: usize, reader: SocketAddr) -> Option<Since> {
         let target = self.daemons.iter().find(|daemon| daemon.vm.control == reader)?;
         let answers = target.is_up && target.is_reading;
-        answers.then(|| target.history.since(Revision(self.daemons[n].after)))
+        answers.then(|| target.history.since(Revision::new(0, self.daemons[n].after)))
     }
 
     /// Kills, restarts, cuts, heals, or lets a daemon learn another list.
@@ -340,7 +402,7 @@
                 daemon.after = revision;
                 daemon.cursor = SourceCursor::default();
                 daemon.history = History::default();
-                daemon.history.restart(Revision(revision));
+                daemon.history.restart(Revision::new(0, revision));
                 daemon.is_reading = false;
             }
             3 => {
