--- a/lib/src/connection/seal.rs
+++ b/lib/src/connection/seal.rs
@@ -39,7 +39,7 @@
     SEAL,
 ];
 
-/// Checksum of a message's head.
+/// Checksum of a message's head; the same on every platform.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Seal(u64);
 
@@ -62,16 +62,16 @@
         let authority = uri.authority().map_or("", |authority| authority.as_str());
         write_part(&mut hasher, authority.as_bytes());
         write_part(&mut hasher, uri.path_and_query().map_or("", |path| path.as_str()).as_bytes());
-        hasher.write_u64(hash_headers(req.headers()));
+        hasher.write(&hash_headers(req.headers()).to_be_bytes());
         Self(hasher.finish())
     }
 
     /// Returns the checksum of an answer, which also covers the request that it is for.
     fn of_response(status: StatusCode, headers: &HeaderMap, request: Self) -> Self {
         let mut hasher = SipHasher13::new();
-        hasher.write_u64(request.0);
-        hasher.write_u16(status.as_u16());
-        hasher.write_u64(hash_headers(headers));
+        hasher.write(&request.0.to_be_bytes());
+        hasher.write(&status.as_u16().to_be_bytes());
+        hasher.write(&hash_headers(headers).to_be_bytes());
         Self(hasher.finish())
     }
 
@@ -129,7 +129,7 @@
 
 /// Hashes one part of a head with its length, so that parts cannot run together.
 fn write_part(hasher: &mut SipHasher13, part: &[u8]) {
-    hasher.write_usize(part.len());
+    hasher.write(&(part.len() as u64).to_be_bytes());
     hasher.write(part);
 }
 
