--- a/lib/src/process/catalog/roster.rs
+++ b/lib/src/process/catalog/roster.rs
@@ -142,11 +142,6 @@
         }
     }
 
-    /// Returns the newest era of which entries are known.
-    pub fn era(&self) -> u64 {
-        self.era
-    }
-
     /// Returns when [`Self::expire`] is due.
     pub fn next_expiry(&self) -> Option<Duration> {
         let entries = self.entries.values().filter_map(|known| known.expires_at);
