test: play drills of the store in the model of relays

A daemon that holds a change which the catalog has lost now fails the check, too; before, only their number counted.

--- a/lib/tests/test_relays.rs
+++ b/lib/tests/test_relays.rs
@@ -248,6 +248,14 @@
     assert_eq!(serde_json::from_str::<RelayedChange>(&text).expect("a change"), written);
 }
 
+/// Returns the name by which the model tells changes apart.
+fn name(change: &RelayedChange) -> u64 {
+    match change {
+        RelayedChange::Removed(EntryKey(name), _) => name.parse().expect("a number"),
+        other => panic!("the model makes no such change: {other:?}"),
+    }
+}
+
 /// A deliberate fault, to show that the model finds it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Broken {
@@ -259,6 +267,10 @@
     NeverReads,
     /// A reader that followed meanwhile keeps its history as if it were complete.
     KeepsGap,
+    /// Revisions are compared without their eras.
+    IgnoresEras,
+    /// The catalog's word that changes were discarded is the only sign of a new era.
+    KnowsDiscardedOnly,
 }
 
 /// One daemon of the model.
@@ -268,9 +280,9 @@
     list: usize,
     is_up: bool,
     is_cut: bool,
-    /// Revisions whose changes it holds, and the revision it is complete up to.
+    /// Names of the changes that it holds, and the revision it is complete up to.
     held: Vec<u64>,
-    after: u64,
+    after: Revision,
     cursor: SourceCursor,
     history: History,
     is_reading: bool,
@@ -280,8 +292,13 @@
 struct Model {
     daemons: Vec<Modelled>,
     lists: Vec<Vec<Vm>>,
-    /// Changes at the catalog: one for each revision from 1 on.
-    revision: u64,
+    /// Names of the changes at the catalog: one for each revision from 1 on.
+    changes: Vec<u64>,
+    /// Name of the next change.
+    next_change: u64,
+    era: u64,
+    /// Whether a daemon has gone back to an earlier revision.
+    has_gone_back: bool,
     catalog_calls: usize,
     broken: Broken,
     rng: ChaCha8Rng,
@@ -296,7 +313,7 @@
             is_up: true,
             is_cut: false,
             held: Vec::new(),
-            after: 0,
+            after: Revision::default(),
             cursor: SourceCursor::default(),
             history: History::default(),
             is_reading: false,
@@ -304,7 +321,10 @@
         Self {
             daemons: daemons.collect(),
             lists: vec![list],
-            revision: 0,
+            changes: Vec::new(),
+            next_change: 0,
+            era: 0,
+            has_gone_back: false,
             catalog_calls: 0,
             broken,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -343,49 +363,102 @@
                 daemon.is_reading &= source != Source::Catalog;
             }
             Some(Since::Discarded) => {
-                // The daemon reads everything anew.
                 self.catalog_calls += 1;
                 if !daemon.is_cut {
-                    daemon.held = (1..=self.revision).collect();
-                    daemon.after = self.revision;
+                    self.read_all(n);
                 }
             }
-            Some(Since::Changes(changes, Revision { number: up_to, .. })) => {
+            Some(Since::Changes(changes, up_to)) => {
                 daemon.cursor.record_success(source);
                 let passes_on = source == Source::Catalog && is_reader;
                 if passes_on || broken == Broken::RelaysRelayed {
                     let after = match broken {
-                        Broken::KeepsGap => Revision::new(0, 0),
-                        _ => Revision::new(0, daemon.after),
+                        Broken::KeepsGap => Revision::default(),
+                        _ => daemon.after,
                     };
-                    daemon.history.extend(after, changes.clone(), Revision::new(0, up_to));
+                    daemon.history.extend(after, changes.clone(), up_to);
                 }
                 daemon.is_reading = passes_on || broken == Broken::RelaysRelayed;
-                for change in changes {
-                    let RelayedChange::Removed(_, Revision { number: at, .. }) = change else {
-                        continue;
-                    };
-                    if !daemon.held.contains(&at) {
-                        daemon.held.push(at);
+                if up_to.era > daemon.after.era {
+                    daemon.held.clear();
+                }
+                for name in changes.iter().map(name) {
+                    if !daemon.held.contains(&name) {
+                        daemon.held.push(name);
                     }
                 }
-                assert!(up_to >= daemon.after, "a daemon went back");
+                self.has_gone_back |= up_to < daemon.after;
                 daemon.after = up_to;
             }
         }
     }
 
+    /// Lets a daemon read everything anew.
+    fn read_all(&mut self, n: usize) {
+        let at = self.revision();
+        let all = self.named_changes(0);
+        let daemon = &mut self.daemons[n];
+        self.has_gone_back |= at < daemon.after;
+        daemon.held.clone_from(&self.changes);
+        daemon.after = at;
+        match at.era > daemon.history.era() {
+            true => daemon.history.begin_era(all, at),
+            false => daemon.history.restart(at),
+        }
+    }
+
+    /// Returns the era that daemons see.
+    fn seen_era(&self) -> u64 {
+        match self.broken {
+            Broken::IgnoresEras | Broken::KnowsDiscardedOnly => 0,
+            _ => self.era,
+        }
+    }
+
+    fn revision(&self) -> Revision {
+        Revision::new(self.seen_era(), self.changes.len() as u64)
+    }
+
+    /// Returns the changes after a number.
+    fn named_changes(&self, after: u64) -> Vec<RelayedChange> {
+        let numbered = (1..).zip(&self.changes).filter(|(number, _)| *number > after);
+        let named = |(number, name): (u64, &u64)| {
+            let key = EntryKey(name.to_string().into());
+            RelayedChange::Removed(key, Revision::new(self.seen_era(), number))
+        };
+        numbered.map(named).collect()
+    }
+
+    fn change(&mut self) {
+        self.changes.push(self.next_change);
+        self.next_change += 1;
+    }
+
+    /// The catalog comes back from a copy that is older by some changes.
+    fn drill(&mut self) {
+        let lost = self.rng.random_range(0..=self.changes.len().min(5));
+        self.changes.truncate(self.changes.len() - lost);
+        self.era += 1;
+    }
+
     fn ask_catalog(&mut self, n: usize) -> Option<Since> {
         self.catalog_calls += 1;
         let daemon = &self.daemons[n];
-        let changes = (daemon.after + 1..=self.revision).map(change).collect();
-        (!daemon.is_cut).then_some(Since::Changes(changes, Revision::new(0, self.revision)))
+        let is_unknown = daemon.after.number > self.changes.len() as u64;
+        let is_discarded = self.broken == Broken::KnowsDiscardedOnly && is_unknown;
+        if daemon.is_cut {
+            return None;
+        }
+        if is_discarded || daemon.after.era < self.seen_era() {
+            return Some(Since::Discarded);
+        }
+        Some(Since::Changes(self.named_changes(daemon.after.number), self.revision()))
     }
 
     fn ask_reader(&self, n: usize, reader: SocketAddr) -> Option<Since> {
         let target = self.daemons.iter().find(|daemon| daemon.vm.control == reader)?;
         let answers = target.is_up && target.is_reading;
-        answers.then(|| target.history.since(Revision::new(0, self.daemons[n].after)))
+        answers.then(|| target.history.since(self.daemons[n].after))
     }
 
     /// Kills, restarts, cuts, heals, or lets a daemon learn another list.
@@ -396,14 +469,12 @@
             1 => self.daemons[n].is_cut ^= true,
             2 => {
                 // The restarted daemon has read everything.
-                let revision = self.revision;
                 let daemon = &mut self.daemons[n];
-                daemon.held = (1..=revision).collect();
-                daemon.after = revision;
+                daemon.after = Revision::default();
                 daemon.cursor = SourceCursor::default();
                 daemon.history = History::default();
-                daemon.history.restart(Revision::new(0, revision));
                 daemon.is_reading = false;
+                self.read_all(n);
             }
             3 => {
                 // As after a partition, lists may differ in a third of their daemons.
@@ -415,25 +486,43 @@
         }
     }
 
-    /// Whether every daemon that is up and reaches the catalog knows every change.
+    /// Whether every daemon that is up and reaches the catalog knows every change and no
+    /// other, and none has ever gone back.
     fn is_complete(&self) -> bool {
         let sound = self.daemons.iter().filter(|daemon| daemon.is_up && !daemon.is_cut);
-        let mut sound = sound.map(|daemon| daemon.held.len() as u64 == self.revision);
-        sound.all(|holds_all| holds_all)
+        let holds_all = |daemon: &Modelled| {
+            let mut held = daemon.held.clone();
+            held.sort_unstable();
+            held == self.changes
+        };
+        !self.has_gone_back && sound.fold(true, |all, daemon| all && holds_all(daemon))
     }
 }
 
+/// How often the catalog comes back from an older copy while disturbances are played.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Drills {
+    Never,
+    /// With each disturbance of so many on average.
+    OneIn(u32),
+}
+
 /// Plays disturbances and changes; returns whether all sound daemons knew all changes
 /// after enough rounds without any: one for each reader, one at the catalog, and one
 /// for the readers themselves.
-fn converges(size: usize, seed: u64, broken: Broken, disturbances: usize) -> bool {
+fn converges(size: usize, seed: u64, broken: Broken, drills: Drills, disturbances: usize) -> bool {
     let mut model = Model::new(size, seed, broken);
     for _ in 0..disturbances {
         model.disturb();
-        model.revision += 1;
+        model.change();
+        if let Drills::OneIn(interval) = drills
+            && model.rng.random_ratio(1, interval)
+        {
+            model.drill();
+        }
         model.round();
     }
-    model.revision += 1;
+    model.change();
     for _ in 0..6 {
         model.round();
     }
@@ -441,35 +530,41 @@
 }
 
 macro_rules! holds_relays {
-    ($($name:ident: $size:expr, $seeds:expr, $disturbances:expr;)*) => {
+    ($($name:ident: $size:expr, $drills:expr, $seeds:expr, $disturbances:expr;)*) => {
         $(#[test]
         fn $name() {
             for seed in 0..$seeds {
-                assert!(converges($size, seed, Broken::No, $disturbances), "seed {seed}");
+                let holds = converges($size, seed, Broken::No, $drills, $disturbances);
+                assert!(holds, "seed {seed}");
             }
         })*
     };
 }
 
 holds_relays! {
-    holds_relays_in_a_fleet_of_8: 8, 200, 40;
-    holds_relays_in_a_fleet_of_100: 100, 40, 60;
-    holds_relays_in_a_fleet_of_1000: 1_000, 2, 12;
+    holds_relays_in_a_fleet_of_8: 8, Drills::Never, 200, 40;
+    holds_relays_in_a_fleet_of_100: 100, Drills::Never, 40, 60;
+    holds_relays_in_a_fleet_of_1000: 1_000, Drills::Never, 2, 12;
+    holds_relays_over_drills_in_a_fleet_of_8: 8, Drills::OneIn(6), 200, 40;
+    holds_relays_over_drills_in_a_fleet_of_100: 100, Drills::OneIn(6), 40, 60;
+    holds_relays_over_drills_in_a_fleet_of_1000: 1_000, Drills::OneIn(3), 2, 12;
 }
 
 macro_rules! finds_fault {
-    ($($name:ident: $broken:expr;)*) => {
+    ($($name:ident: $broken:expr, $drills:expr;)*) => {
         $(#[test]
         fn $name() {
-            assert!((0..100).any(|seed| !converges(100, seed, $broken, 300)));
+            assert!((0..100).any(|seed| !converges(100, seed, $broken, $drills, 300)));
         })*
     };
 }
 
 finds_fault! {
-    finds_daemons_that_relay_what_was_relayed: Broken::RelaysRelayed;
-    finds_followers_that_never_read: Broken::NeverReads;
-    finds_histories_that_hide_a_gap: Broken::KeepsGap;
+    finds_daemons_that_relay_what_was_relayed: Broken::RelaysRelayed, Drills::Never;
+    finds_followers_that_never_read: Broken::NeverReads, Drills::Never;
+    finds_histories_that_hide_a_gap: Broken::KeepsGap, Drills::Never;
+    finds_revisions_without_eras: Broken::IgnoresEras, Drills::OneIn(6);
+    finds_readers_that_know_discarded_changes_only: Broken::KnowsDiscardedOnly, Drills::OneIn(6);
 }
 
 /// At rest, the calls of a round follow the number of readers, not that of daemons.
@@ -481,7 +576,7 @@
             model.round();
         }
         model.catalog_calls = 0;
-        model.revision += 1;
+        model.change();
         model.round();
         assert_eq!(model.catalog_calls, readers, "at {size} daemons");
     }
