--- a/lib/tests/test_relays.rs
+++ b/lib/tests/test_relays.rs
@@ -489,13 +489,13 @@
     /// Whether every daemon that is up and reaches the catalog knows every change and no
     /// other, and none has ever gone back.
     fn is_complete(&self) -> bool {
-        let sound = self.daemons.iter().filter(|daemon| daemon.is_up && !daemon.is_cut);
+        let mut sound = self.daemons.iter().filter(|daemon| daemon.is_up && !daemon.is_cut);
         let holds_all = |daemon: &Modelled| {
             let mut held = daemon.held.clone();
             held.sort_unstable();
             held == self.changes
         };
-        !self.has_gone_back && sound.fold(true, |all, daemon| all && holds_all(daemon))
+        !self.has_gone_back && sound.all(holds_all)
     }
 }
 
