--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -40,3 +40,4 @@
 mod test_shedding;
 mod test_shedding_daemons;
 mod test_standins;
+mod test_whole_requests;
