admission: start late work by the hash of its request, not by age

Cause: while a class waits too long, the newest request of the deepest calls started first and the oldest expired. Which calls those are has nothing to do with the request that made them, so nearly every request lost one of its ten calls, and the slots of the other nine had served nothing.

Change: while late, the request that would be shed last starts first. Shedding goes by the root request's hash at every hop, so starting does as well.

Ruled out: the level opening too fast.

--- a/lib/benches/policy/variant.rs
+++ b/lib/benches/policy/variant.rs
@@ -32,7 +32,7 @@
     name: "adaptive",
     policy: Policy::Adaptive,
     limit: LimitPolicy::Aimd,
-    order: QueueOrder::AdaptiveLifo,
+    order: QueueOrder::AdaptiveRank,
     deadline_cut: true,
     feedback: true,
     balance: true,
--- a/lib/src/process/admission/config.rs
+++ b/lib/src/process/admission/config.rs
@@ -65,9 +65,9 @@
 pub enum QueueOrder {
     /// Oldest request first.
     Fifo,
-    /// Newest request first while the queueing delay exceeds its target, oldest
-    /// first otherwise.
-    AdaptiveLifo,
+    /// The request that is shed last first while the queueing delay exceeds its target,
+    /// oldest first otherwise.
+    AdaptiveRank,
 }
 
 /// Defect that a test injects to prove that it detects the violation.
@@ -88,7 +88,7 @@
             policy: Policy::Adaptive,
             slots,
             limit: LimitPolicy::Aimd,
-            order: QueueOrder::AdaptiveLifo,
+            order: QueueOrder::AdaptiveRank,
             queue_entries: slots * QUEUE_ENTRIES_PER_SLOT,
             shed_past_deadline: true,
             brief_wait: Duration::from_millis(250),
--- a/lib/src/process/admission/queue.rs
+++ b/lib/src/process/admission/queue.rs
@@ -103,19 +103,17 @@
         self.load.seconds_ahead_of(criticality, depth)
     }
 
-    /// Returns the request of one criticality that starts next.
-    pub(super) fn next_to_start(
-        &self,
-        criticality: Criticality,
-        newest_first: bool,
-    ) -> Option<Ticket> {
+    /// Returns the oldest of the deepest requests of one criticality.
+    pub(super) fn oldest_of(&self, criticality: Criticality) -> Option<Ticket> {
         let order = &self.by_start_order[usize::from(criticality.rank())];
-        let &(depth, oldest) = order.first()?;
-        if !newest_first {
-            return Some(oldest);
-        }
-        let deepest = (depth, Ticket(0))..=(depth, Ticket(u64::MAX));
-        order.range(deepest).next_back().map(|&(_, newest)| newest)
+        order.first().map(|&(_, oldest)| oldest)
+    }
+
+    /// Returns the request of one criticality that is shed last.
+    pub(super) fn last_to_shed_of(&self, criticality: Criticality) -> Option<Ticket> {
+        let first = ((criticality, Reverse(u8::MAX), 0), Ticket(0));
+        let last = ((criticality, Reverse(0), u16::MAX), Ticket(u64::MAX));
+        self.by_shed_order.range(first..=last).next().map(|&(_, ticket)| ticket)
     }
 
     /// Returns the oldest request in the queue.
--- a/lib/src/process/admission/state/dispatch.rs
+++ b/lib/src/process/admission/state/dispatch.rs
@@ -42,15 +42,20 @@
         Criticality::ALL
             .into_iter()
             .filter(|&criticality| self.has_slot(now, criticality))
-            .find_map(|criticality| {
-                self.queue.next_to_start(criticality, self.newest_first(now, criticality))
-            })
+            .find_map(|criticality| self.next_of(now, criticality))
     }
 
-    fn newest_first(&self, now: Duration, criticality: Criticality) -> bool {
+    /// Returns the queued request of one criticality that starts next.
+    ///
+    /// Load pattern: each request makes many calls here, and only part of them fits. The
+    /// requests whose calls are served are chosen by the same hash at every hop, so that
+    /// they end whole. Any order by age would serve some calls of every request.
+    fn next_of(&self, now: Duration, criticality: Criticality) -> Option<Ticket> {
         match self.cfg.order {
-            QueueOrder::Fifo => false,
-            QueueOrder::AdaptiveLifo => self.is_late(now, criticality),
+            QueueOrder::AdaptiveRank if self.is_late(now, criticality) => {
+                self.queue.last_to_shed_of(criticality)
+            }
+            QueueOrder::AdaptiveRank | QueueOrder::Fifo => self.queue.oldest_of(criticality),
         }
     }
 
--- a/lib/tests/test_shedding.rs
+++ b/lib/tests/test_shedding.rs
@@ -63,7 +63,7 @@
 struct Trace {
     slots: usize,
     queue_entries: usize,
-    young_first: bool,
+    ranks_when_late: bool,
     learned_limit: bool,
     events: Vec<Event>,
 }
@@ -73,7 +73,7 @@
         Self {
             slots: usize::arbitrary(g) % 8 + 1,
             queue_entries: usize::arbitrary(g) % 8 + 1,
-            young_first: bool::arbitrary(g),
+            ranks_when_late: bool::arbitrary(g),
             learned_limit: bool::arbitrary(g),
             events: Vec::arbitrary(g),
         }
@@ -110,7 +110,7 @@
 
 impl Observer {
     fn new(trace: &Trace, fault: Option<Fault>) -> Self {
-        let order = if trace.young_first { QueueOrder::AdaptiveLifo } else { QueueOrder::Fifo };
+        let order = if trace.ranks_when_late { QueueOrder::AdaptiveRank } else { QueueOrder::Fifo };
         let limit = if trace.learned_limit { LimitPolicy::Aimd } else { LimitPolicy::Slots };
         let cfg = AdmissionConfig {
             queue_entries: trace.queue_entries,
