upstream: believe a refusal only for the request that it names

Callers saw non-idempotent requests run twice, and refusals with a promise for requests that had run.

Cause, shown by runs of the tests below on the code before: - A 421 or a refusal without the request's id was believed, so that a late extra one counted for the next request on the connection. Seen: "r2 got 200 and ran 2 times", and after a 421 "r2 got 503 and ran 1 times". - A refused request was sent again on the connection that had refused it. A second copy of the refusal then named the request that was running. Seen: "r0 got 200 and ran 3 times".

Now an answer counts only with the id of its request, and the pool skips a connection for requests that it has refused. The dialect says which request an answer names; the library decides what that proves.

Ruled out: health probes, since the daemon sends none to its upstream; a 421 with the right id closes its connection already. The own dialect names no request in answers and is unchanged.

No assertion changed. Before: the four tests that a refusal misleads fail.

--- a/lib/src/connection/upstream.rs
+++ b/lib/src/connection/upstream.rs
@@ -1,8 +1,8 @@
 //! Pool of connections to the local upstream.
 //!
 //! A connection is reused only after a response was read to its end; in all other cases it
-//! is closed, so that no caller receives the rest of another caller's response. See
-//! `docs/design/answers.md`.
+//! is closed, so that no caller receives the rest of another caller's response. No request
+//! is sent again on a connection that it was refused on. See `docs/design/answers.md`.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,6 +25,7 @@
 use super::body::RelayBody;
 use super::tcp;
 use super::tcp::ConnectError;
+use crate::process::RequestName;
 
 /// Why a request to the local upstream received no response.
 #[derive(Debug, Snafu)]
@@ -65,6 +66,8 @@
 /// Longest unwanted response that is read to its end so that its connection can be reused,
 /// in bytes.
 const MAX_DISCARDED_BYTES: u64 = 4096;
+/// Number of refused requests whose names a connection holds; after more it is closed.
+const MAX_REFUSED_NAMES: usize = 32;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Fraction of the keep-alive timeout stated by the upstream for which an idle connection is
 /// reused, so that the upstream does not close it while a request is in transit.
@@ -72,6 +75,22 @@
 
 type Sender = http1::SendRequest<RelayBody>;
 
+/// A connection, with the requests that must not be sent on it again.
+///
+/// A second copy of a refusal may still arrive. It names the refused request, so it would
+/// be believed if that request were running on the same connection.
+#[derive(Debug)]
+struct Connection {
+    sender: Sender,
+    refused: Vec<RequestName>,
+}
+
+impl Connection {
+    fn has_refused(&self, name: Option<&RequestName>) -> bool {
+        name.is_some_and(|name| self.refused.contains(name))
+    }
+}
+
 /// Idle connections to one upstream, the most recently used last.
 #[derive(Debug)]
 pub struct UpstreamPool {
@@ -83,7 +102,7 @@
 /// A connection without a request in progress.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: Sender,
+    connection: Connection,
     /// When the connection is no longer reused because the upstream may close it; `None` if
     /// the upstream stated no timeout.
     reuse_until: Option<Instant>,
@@ -92,14 +111,14 @@
 impl IdleConnection {
     fn is_usable(&self) -> bool {
         let is_unexpired = self.reuse_until.is_none_or(|until| Instant::now() < until);
-        is_unexpired && self.sender.is_ready()
+        is_unexpired && self.connection.sender.is_ready()
     }
 }
 
 /// A connection that is in use for one request.
 #[derive(Debug)]
 pub struct Lease {
-    sender: Sender,
+    connection: Connection,
     pool: Arc<UpstreamPool>,
     /// How long the upstream keeps an idle connection open, if its response stated that.
     keep_alive: Option<Duration>,
@@ -111,25 +130,28 @@
         Arc::new(Self { address, capacity, idle: Mutex::new(Vec::new()) })
     }
 
-    fn take_idle(&self) -> Option<Sender> {
+    /// Takes the most recently used connection that has not refused the request `name`.
+    fn take_idle(&self, name: Option<&RequestName>) -> Option<Connection> {
         let mut idle = self.idle.lock();
-        while let Some(last) = idle.pop() {
-            if last.is_usable() {
-                return Some(last.sender);
+        for index in (0..idle.len()).rev() {
+            if !idle[index].is_usable() {
+                idle.remove(index);
+            } else if !idle[index].connection.has_refused(name) {
+                return Some(idle.remove(index).connection);
             }
         }
         None
     }
 
-    async fn connect(&self) -> Result<Sender, UpstreamError> {
+    async fn connect(&self) -> Result<Connection, UpstreamError> {
         let stream = tcp::connect(self.address).await.context(ConnectSnafu)?;
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
         tokio::spawn(connection);
-        Ok(sender)
+        Ok(Connection { sender, refused: Vec::new() })
     }
 
-    /// Sends a request and returns the response with the lease of its connection.
+    /// Sends the request `name` and returns the response with the lease of its connection.
     ///
     /// A request that was certainly not written is sent again on a new connection, because
     /// the upstream may have closed an idle one in the meantime.
@@ -141,28 +163,29 @@
     pub async fn send(
         self: &Arc<Self>,
         req: Request<RelayBody>,
+        name: Option<&RequestName>,
     ) -> Result<(Response<Incoming>, Lease), UpstreamError> {
-        let req = match self.take_idle() {
-            Some(sender) => match self.send_on(sender, req).await {
+        let req = match self.take_idle(name) {
+            Some(connection) => match self.send_on(connection, req).await {
                 Ok(response) => return Ok(response),
                 Err((UpstreamError::NotSent, Some(req))) => *req,
                 Err((err, _)) => return Err(err),
             },
             None => req,
         };
-        let sender = self.connect().await?;
-        self.send_on(sender, req).await.map_err(|(err, _)| err)
+        let connection = self.connect().await?;
+        self.send_on(connection, req).await.map_err(|(err, _)| err)
     }
 
     async fn send_on(
         self: &Arc<Self>,
-        mut sender: Sender,
+        mut connection: Connection,
         req: Request<RelayBody>,
     ) -> Result<(Response<Incoming>, Lease), (UpstreamError, Option<Box<Request<RelayBody>>>)> {
-        match sender.try_send_request(req).await {
+        match connection.sender.try_send_request(req).await {
             Ok(rsp) => {
                 let keep_alive = keep_alive_timeout(rsp.headers());
-                Ok((rsp, Lease { sender, pool: Arc::clone(self), keep_alive }))
+                Ok((rsp, Lease { connection, pool: Arc::clone(self), keep_alive }))
             }
             Err(mut err) => match err.take_message() {
                 Some(req) => Err((UpstreamError::NotSent, Some(Box::new(req)))),
@@ -178,13 +201,17 @@
 }
 
 impl Lease {
-    /// Reads a short unwanted response to its end and returns the connection to the pool. If
-    /// the response is long or its length is unknown, the connection is closed instead.
-    pub fn discard_answer(self, rsp: Response<Incoming>) {
+    /// Reads a short refusal of the request `name` to its end and returns the connection to
+    /// the pool. If the refusal is long or its length is unknown, or the connection has
+    /// refused many requests, the connection is closed instead.
+    pub fn discard_refusal(mut self, rsp: Response<Incoming>, name: Option<&RequestName>) {
         let len = rsp.body().size_hint().exact();
-        if len.is_none_or(|len| len > MAX_DISCARDED_BYTES) {
+        let is_long = len.is_none_or(|len| len > MAX_DISCARDED_BYTES);
+        let refused = &mut self.connection.refused;
+        if is_long || refused.len() >= MAX_REFUSED_NAMES {
             return;
         }
+        refused.extend(name.cloned());
         tokio::spawn(async move {
             if rsp.into_body().collect().await.is_ok() {
                 self.release();
@@ -196,7 +223,7 @@
     pub fn release(mut self) {
         tokio::spawn(async move {
             // The connection becomes ready only once the whole request was written, too.
-            if self.sender.ready().await.is_err() {
+            if self.connection.sender.ready().await.is_err() {
                 return;
             }
             let reuse_until = self
@@ -205,7 +232,7 @@
             let mut idle = self.pool.idle.lock();
             idle.retain(IdleConnection::is_usable);
             if idle.len() < self.pool.capacity {
-                idle.push(IdleConnection { sender: self.sender, reuse_until });
+                idle.push(IdleConnection { connection: self.connection, reuse_until });
             }
         });
     }
--- a/lib/src/request/dialect/mod.rs
+++ b/lib/src/request/dialect/mod.rs
@@ -62,10 +62,36 @@
     Shed,
     /// The address now belongs to another upstream, which did not run the request.
     Misdirected,
-    /// The answer belongs to another request.
+    /// The answer belongs to another request, or does not say to which.
     Foreign,
 }
 
+/// Which request the upstream names in its answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Echo {
+    /// Answers of the dialect name no request.
+    Unused,
+    /// The request for which the answer was received.
+    Own,
+    /// Another request.
+    Other,
+    /// No request, although answers of the dialect name theirs.
+    Missing,
+}
+
+impl ResponseClass {
+    /// Returns the class of an answer with this echo.
+    ///
+    /// An answer without a name may be a late one to an earlier request on the
+    /// connection, so that it proves nothing about this request.
+    pub fn for_echo(self, echo: Echo) -> Self {
+        match echo {
+            Echo::Unused | Echo::Own => self,
+            Echo::Other | Echo::Missing => Self::Foreign,
+        }
+    }
+}
+
 /// HTTP conventions of callers and of the local upstream.
 pub trait Dialect: fmt::Debug + Send + Sync + 'static {
     /// Returns the headers with special meaning to the daemon that callers may set.
@@ -98,14 +124,12 @@
     /// Adds the headers that inform the upstream about a request.
     fn insert_upstream_headers(&self, headers: &mut HeaderMap, info: &UpstreamInfo<'_>);
 
-    /// Determines from the status and headers of an upstream's answer what happened
-    /// to the request called `name`.
-    fn classify_response(
-        &self,
-        status: StatusCode,
-        headers: &HeaderMap,
-        name: Option<&RequestName>,
-    ) -> ResponseClass;
+    /// Determines what an upstream's answer says in its status and headers about the
+    /// request that it names.
+    fn classify_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseClass;
+
+    /// Determines whether an upstream's answer names the request called `name`.
+    fn echo(&self, headers: &HeaderMap, name: Option<&RequestName>) -> Echo;
 
     /// Adds the headers that tell the caller that the upstream itself failed.
     fn mark_failure(&self, headers: &mut HeaderMap);
--- a/lib/src/request/dialect/own.rs
+++ b/lib/src/request/dialect/own.rs
@@ -10,6 +10,7 @@
 use http::header;
 
 use super::Dialect;
+use super::Echo;
 use super::ResponseClass;
 use super::SenderInfo;
 use super::UpstreamInfo;
@@ -73,12 +74,7 @@
         headers.insert(DEADLINE_MS, left_ms.into());
     }
 
-    fn classify_response(
-        &self,
-        status: StatusCode,
-        headers: &HeaderMap,
-        _name: Option<&RequestName>,
-    ) -> ResponseClass {
+    fn classify_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseClass {
         let is_marked_not_run = headers.get(OUTCOME).is_some_and(|value| value == "not-run");
         match is_marked_not_run && status == StatusCode::SERVICE_UNAVAILABLE {
             true => ResponseClass::Shed,
@@ -86,6 +82,10 @@
         }
     }
 
+    fn echo(&self, _headers: &HeaderMap, _name: Option<&RequestName>) -> Echo {
+        Echo::Unused
+    }
+
     fn mark_failure(&self, headers: &mut HeaderMap) {
         headers.insert(OUTCOME, HeaderValue::from_static(Outcome::Ran.as_str()));
         headers.insert(REASON, HeaderValue::from_static(Reason::UpstreamFailed.as_str()));
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -124,10 +124,10 @@
                 node.metrics.count(Counter::RetriesSpent);
                 let decision = Decision::Resent { times: resends };
                 node.decisions.write(node.clock.now(), Some(&exchange.subject()), &decision);
-                lease.discard_answer(rsp);
+                lease.discard_refusal(rsp, exchange.inbound.name.as_ref());
             }
             ResponseClass::Shed => {
-                lease.discard_answer(rsp);
+                lease.discard_refusal(rsp, exchange.inbound.name.as_ref());
                 let retries = exchange.parent.parent().take_retries();
                 exchange.complete(Completion::Overloaded);
                 return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
@@ -154,7 +154,8 @@
     let req = exchange.build_request(node);
     let req = req.ok_or((Refusal::not_run(Reason::BadBody), Completion::Failed))?;
     node.metrics.count(Counter::ForwardedToUpstream);
-    match timeout_at(wait_deadline, node.upstream.send(req)).await {
+    let name = exchange.inbound.name.as_ref();
+    match timeout_at(wait_deadline, node.upstream.send(req, name)).await {
         Ok(Ok((rsp, lease))) => {
             let class = classify_response(node, &rsp, exchange);
             Ok((rsp, lease, class))
@@ -189,8 +190,9 @@
 /// have run, because the effects of such calls are effects of the request.
 fn classify_response(node: &Node, rsp: &Response<Incoming>, exchange: &Exchange) -> ResponseClass {
     let parent = exchange.parent.parent();
-    let class = node.dialect.classify_response(rsp.status(), rsp.headers(), parent.name.as_ref());
-    match class {
+    let echo = node.dialect.echo(rsp.headers(), parent.name.as_ref());
+    let class = node.dialect.classify_response(rsp.status(), rsp.headers());
+    match class.for_echo(echo) {
         ResponseClass::Shed if parent.has_child_that_may_have_run() => ResponseClass::Answered,
         class => class,
     }
