entry: answer a non-idempotent request at its route's timeout

Callers of the users' platform waited for up to 30 s longer for a non-idempotent request whose upstream did not finish its answer.

Cause: the entry waits past the deadline so that a resend under an idempotency token gets the answer. Where the dialect names each attempt there are no tokens, and no one can fetch it.

Seen before: a test that let an upstream stall within its body ended in "no response before the timeout" of 30 s, and so did one with endless interim answers.

The request still runs to its end at the owner.

--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -106,9 +106,17 @@
         ..call.cx.clone()
     };
     let is_local = vm.peer == node.peer_addr;
-    let wait_deadline = call.wait_deadline();
+    let wait_deadline = call.wait_deadline(node);
     let result = match is_local {
-        true => Ok(owner::serve(node, cx, &call.inbound, &vm.instance, body).await),
+        true => {
+            let is_detached = cx.non_idempotent;
+            let serving = owner::serve(node, cx, &call.inbound, &vm.instance, body);
+            // The owner ends other requests itself at their deadline.
+            match is_detached {
+                true => timeout_at(wait_deadline, serving).await.map_err(|_| SendFailure::TimedOut),
+                false => Ok(serving.await),
+            }
+        }
         false => match build_peer_request(node, &cx, &call.inbound, &vm.instance, body) {
             Ok(req) => send_to_peer(node, vm.peer, req, wait_deadline).await,
             Err(refusal) => Err(SendFailure::Malformed(refusal)),
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -72,8 +72,11 @@
 
 impl Call {
     /// Returns the time at which the daemon stops waiting for the response.
-    pub(super) fn wait_deadline(&self) -> Instant {
-        match self.cx.non_idempotent {
+    ///
+    /// If the dialect names each attempt, there is no token by which the caller could
+    /// receive a later response.
+    pub(super) fn wait_deadline(&self, node: &Node) -> Instant {
+        match self.cx.non_idempotent && !node.dialect.names_attempts() {
             true => self.deadline + LATE_RESPONSE_GRACE,
             false => self.deadline,
         }
