upstream: bound heads, interim answers and buffered bodies without end

Now a head may have 64 KiB and 16 interim answers. The answers that are buffered share 16 MiB beside the first 64 KiB of each, and the memory stays reserved until the answer has been passed on. The limit of 8 MiB for one answer stays.

Ruled out: a lower limit for each answer, which would refuse long sound answers while memory is free. Not bounded: what the sockets' own buffers hold. Growing a buffer may briefly take twice the reserved bytes.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -2,6 +2,7 @@
 //! instead of the whole body.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -15,6 +16,8 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use snafu::Snafu;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 
 /// Why a relayed body is incomplete.
 ///
@@ -40,6 +43,9 @@
         /// Longest body accepted, in bytes.
         limit: usize,
     },
+    /// The bodies held in memory leave no room for the rest of this one.
+    #[snafu(display("no memory is left for the rest of the body"))]
+    NoRoom,
 }
 
 /// Body of a request or response that the daemon relays or creates itself.
@@ -156,6 +162,70 @@
     Ok(buf.freeze())
 }
 
+/// Step in which memory for a body is reserved, in bytes. The first step of each body is not
+/// counted.
+const RESERVATION_STEP_BYTES: usize = 64 * 1024;
+
+/// Limit on the memory that all buffered bodies together may hold.
+#[derive(Debug)]
+pub(crate) struct BodyMemory {
+    steps: Arc<Semaphore>,
+}
+
+/// Bytes of a body with the memory that is reserved for them.
+struct ReservedBytes {
+    bytes: Bytes,
+    _reserved: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl BodyMemory {
+    /// Creates a limit of `len` bytes beside the first step of each body.
+    pub(crate) fn new(len: usize) -> Self {
+        Self { steps: Arc::new(Semaphore::new(len / RESERVATION_STEP_BYTES)) }
+    }
+
+    /// Reads a body into memory, which stays reserved until the returned bytes are dropped.
+    /// Fails if the body is longer than `limit` bytes or if no memory is left for it.
+    pub(crate) async fn collect(
+        &self,
+        mut body: RelayBody,
+        limit: usize,
+    ) -> Result<Bytes, RelayError> {
+        let mut buf = bytes::BytesMut::new();
+        let mut reserved: Option<OwnedSemaphorePermit> = None;
+        let mut room = RESERVATION_STEP_BYTES;
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else { continue };
+            let len = buf.len() + data.len();
+            if len > limit {
+                return TooLongSnafu { limit }.fail();
+            }
+            while len > room {
+                let Ok(step) = Arc::clone(&self.steps).try_acquire_owned() else {
+                    return NoRoomSnafu.fail();
+                };
+                room += RESERVATION_STEP_BYTES;
+                match &mut reserved {
+                    Some(reserved) => reserved.merge(step),
+                    None => reserved = Some(step),
+                }
+            }
+            buf.extend_from_slice(&data);
+        }
+        let bytes = buf.freeze();
+        Ok(match reserved {
+            Some(_reserved) => Bytes::from_owner(ReservedBytes { bytes, _reserved }),
+            None => bytes,
+        })
+    }
+}
+
 /// Converts a body received by `hyper` into a [`RelayBody`].
 pub fn relay(body: hyper::body::Incoming) -> RelayBody {
     body.map_err(|source| RelayError::Cut { source }).boxed_unsync()
--- a/lib/src/connection/upstream.rs
+++ b/lib/src/connection/upstream.rs
@@ -6,6 +6,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -16,10 +18,12 @@
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use snafu::ResultExt as _;
 use snafu::Snafu;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::body::RelayBody;
@@ -51,6 +55,9 @@
         /// Error reported by the connection.
         source: hyper::Error,
     },
+    /// The upstream sent interim responses without a final one.
+    #[snafu(display("more than {MAX_INTERIM_RESPONSES} interim responses without a final one"))]
+    TooManyInterim,
 }
 
 impl UpstreamError {
@@ -58,7 +65,7 @@
     pub fn is_unsent(&self) -> bool {
         match self {
             Self::Connect { .. } | Self::Handshake { .. } | Self::NotSent => true,
-            Self::Failed { .. } => false,
+            Self::Failed { .. } | Self::TooManyInterim => false,
         }
     }
 }
@@ -66,6 +73,10 @@
 /// Longest unwanted response that is read to its end so that its connection can be reused,
 /// in bytes.
 const MAX_DISCARDED_BYTES: u64 = 4096;
+/// Longest head of a response that is accepted, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Number of interim responses to one request that are accepted.
+const MAX_INTERIM_RESPONSES: u32 = 16;
 /// Number of refused requests whose names a connection holds; after more it is closed.
 const MAX_REFUSED_NAMES: usize = 32;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -145,8 +156,10 @@
 
     async fn connect(&self) -> Result<Connection, UpstreamError> {
         let stream = tcp::connect(self.address).await.context(ConnectSnafu)?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
+            builder.handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
         tokio::spawn(connection);
         Ok(Connection { sender, refused: Vec::new() })
     }
@@ -180,9 +193,15 @@
     async fn send_on(
         self: &Arc<Self>,
         mut connection: Connection,
-        req: Request<RelayBody>,
+        mut req: Request<RelayBody>,
     ) -> Result<(Response<Incoming>, Lease), (UpstreamError, Option<Box<Request<RelayBody>>>)> {
-        match connection.sender.try_send_request(req).await {
+        let flooded = limit_interim_responses(&mut req);
+        let sent = tokio::select! {
+            biased;
+            sent = connection.sender.try_send_request(req) => sent,
+            () = flooded.notified() => return Err((UpstreamError::TooManyInterim, None)),
+        };
+        match sent {
             Ok(rsp) => {
                 let keep_alive = keep_alive_timeout(rsp.headers());
                 Ok((rsp, Lease { connection, pool: Arc::clone(self), keep_alive }))
@@ -238,6 +257,19 @@
     }
 }
 
+/// Counts the interim responses to a request. The returned event occurs when there are too
+/// many.
+fn limit_interim_responses(req: &mut Request<RelayBody>) -> Arc<Notify> {
+    let flooded = Arc::new(Notify::new());
+    let (count, event) = (AtomicU32::new(0), Arc::clone(&flooded));
+    on_informational(req, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+            event.notify_one();
+        }
+    });
+    flooded
+}
+
 /// Returns the timeout stated in the `keep-alive` header.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -56,6 +56,7 @@
 use super::settings::IdempotencySettings;
 use super::settings::RepeatSettings;
 use super::settings::Settings;
+use crate::connection::body::BodyMemory;
 use crate::connection::peers::PeerPool;
 use crate::connection::pipeline::ConnectionLimits;
 use crate::connection::upstream::UpstreamPool;
@@ -74,6 +75,9 @@
     pub plan: PlanKey,
 }
 
+/// Memory that all buffered responses of the upstream may hold together, in bytes.
+const RESPONSE_MEMORY_BYTES: usize = 16 * 1024 * 1024;
+
 /// State that all requests of one daemon share.
 #[derive(Debug)]
 pub struct Node {
@@ -109,6 +113,8 @@
     pub config_sent: Mutex<ConfigSendTimes>,
     /// Connections to the local upstream.
     pub upstream: Arc<UpstreamPool>,
+    /// Memory for the upstream's responses that are buffered.
+    pub(crate) response_memory: BodyMemory,
     /// Whether new requests are accepted, and how many are in progress.
     pub lifecycle: Arc<Lifecycle>,
     /// Counters for operators.
@@ -164,6 +170,7 @@
             config_sent: Mutex::default(),
             ended_peers: Mutex::new(Some(ended_peers)),
             upstream,
+            response_memory: BodyMemory::new(RESPONSE_MEMORY_BYTES),
             lifecycle: Arc::default(),
             metrics,
             decisions: DecisionLog::default(),
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -236,7 +236,7 @@
     let (rsp, lease, exchange) = send(node, exchange, deadline).await?;
     if should_buffer(&rsp) {
         let is_own_error = is_own_error(&rsp, exchange.parent.parent());
-        let mut rsp = buffer_response(rsp, lease, exchange, deadline).await?;
+        let mut rsp = buffer_response(node, rsp, lease, exchange, deadline).await?;
         if is_own_error {
             rsp.headers_mut().insert(UPSTREAM_ERROR, HeaderValue::from_static("1"));
         }
@@ -269,7 +269,7 @@
 async fn run_to_end(node: &Arc<Node>, exchange: Exchange) -> Result<Response<RelayBody>, Refusal> {
     let wait_deadline = exchange.deadline + LATE_FINISH_GRACE;
     let (rsp, lease, exchange) = send(node, exchange, wait_deadline).await?;
-    buffer_response(rsp, lease, exchange, wait_deadline).await
+    buffer_response(node, rsp, lease, exchange, wait_deadline).await
 }
 
 /// Whether a response is buffered before it is relayed.
@@ -293,6 +293,7 @@
 
 /// Reads a complete response body into memory before it is relayed.
 async fn buffer_response(
+    node: &Node,
     rsp: Response<Incoming>,
     lease: Lease,
     exchange: Exchange,
@@ -305,7 +306,7 @@
     let (parts, incoming) = rsp.into_parts();
     let guard = ExchangeGuard { exchange: None, lease: Some(lease) };
     let guarded = GuardedBody::new(body::relay(incoming), wait_deadline, guard).boxed_unsync();
-    let buffered = body::collect(guarded, MAX_BUFFERED_RESPONSE_BYTES).await;
+    let buffered = node.response_memory.collect(guarded, MAX_BUFFERED_RESPONSE_BYTES).await;
     let retries = exchange.parent.parent().take_retries();
     let Ok(buffered) = buffered else {
         exchange.complete(Completion::Failed);
