stop: end the calls accepted in a stop before the process does

What callers saw: an upstream's call that its daemon accepted 4.3 s after SIGTERM, with a patience of 6 s, was passed on to another VM's upstream, and its connection closed without an answer when the process ended 5.6 s after the signal.

Cause: calls are accepted until one second before the end of the stop, but kept the deadline of their route and parent, so that the upstream was told a time beyond the end.

Now the requests and calls that callers' connections bring in a stop get a deadline 300 ms before its end at the latest. The upstream is told it and answers at it. The stopping daemon waits for that answer up to 100 ms before its end, and the owner up to 100 ms past the deadline that it was sent, if the sender is another daemon; otherwise the daemon's own 504 would race with the upstream's answer. A request whose time is up before it was sent is refused as not run, `leaving`, with a Retry-After. Limited to platforms that keep the upstream.

Evidence: test_catalog::call_late_in_a_stop_is_answered_before_its_end.

--- a/lib/src/process/daemon/stop.rs
+++ b/lib/src/process/daemon/stop.rs
@@ -36,6 +36,9 @@
     /// limit of the stop expired.
     pub async fn stop(mut self) -> usize {
         let deadline = Instant::now() + self.patience();
+        if self.upstream_keeps_running() {
+            self.node.lifecycle.set_end(deadline);
+        }
         self.announce_stop().await;
         let finished = tokio::time::timeout_at(deadline, self.finish(deadline)).await;
         // A daemon that starts at the same addresses must find them free.
--- a/lib/src/process/node/lifecycle.rs
+++ b/lib/src/process/node/lifecycle.rs
@@ -1,11 +1,13 @@
 //! Whether the daemon accepts new requests, and how many are in progress.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::process::log;
 use crate::process::log::DrainCause;
@@ -15,6 +17,7 @@
 #[derive(Debug, Default)]
 pub struct Lifecycle {
     announced: AtomicBool,
+    end: OnceLock<Instant>,
     leaving: AtomicBool,
     refusing_callers: AtomicBool,
     in_progress: AtomicUsize,
@@ -37,6 +40,17 @@
         }
     }
 
+    /// Sets when the stop ends at the latest, which limits the deadlines of the requests
+    /// accepted from then on. Only the first call has an effect.
+    pub fn set_end(&self, end: Instant) {
+        self.end.get_or_init(|| end);
+    }
+
+    /// Returns the end set by [`Self::set_end`].
+    pub fn end(&self) -> Option<Instant> {
+        self.end.get().copied()
+    }
+
     /// Whether callers should use other daemons.
     pub fn is_stop_announced(&self) -> bool {
         self.announced.load(Ordering::SeqCst)
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -40,6 +40,14 @@
 /// did not reach an upstream. Each time costs a network hop; three are enough if
 /// one instance of the service in each availability zone cannot take the call.
 const MAX_REROUTES: u32 = 3;
+/// Time between the end of this daemon's stop and the deadline of the requests that are
+/// accepted in it. It covers the way of an upstream's answer at the deadline.
+const STOP_ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Time reserved at the end of this daemon's stop for writing the last responses.
+const STOP_WRITE_TIME: Duration = Duration::from_millis(100);
+/// Retry delay for requests that arrive late in the stop of this daemon: callers find
+/// another one at once, or this one after its restart.
+pub(super) const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry delay returned to a caller when every instance refuses requests of this
 /// criticality and hash.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -55,6 +63,9 @@
     pub(super) cx: Context,
     /// Time by which the complete response must have arrived.
     pub(super) deadline: Instant,
+    /// Time at which the daemon stops waiting for the response because it stops itself;
+    /// `None` if its stop does not shorten the deadline.
+    pub(super) stop_wait_deadline: Option<Instant>,
     /// Time by which a response meets the latency objective; `None` if operators
     /// set no objective.
     pub(super) objective: Option<Instant>,
@@ -76,9 +87,35 @@
     /// If the dialect names each attempt, there is no token by which the caller could
     /// receive a later response.
     pub(super) fn wait_deadline(&self, node: &Node) -> Instant {
-        match self.cx.non_idempotent && !node.dialect.names_attempts() {
-            true => self.deadline + LATE_RESPONSE_GRACE,
-            false => self.deadline,
+        let has_token = self.cx.non_idempotent && !node.dialect.names_attempts();
+        match self.stop_wait_deadline {
+            Some(wait_deadline) => wait_deadline,
+            None if has_token => self.deadline + LATE_RESPONSE_GRACE,
+            None => self.deadline,
+        }
+    }
+
+    /// Shortens the deadline so that the request ends before this daemon's stop does, if
+    /// one is in progress.
+    ///
+    /// The upstream ends its work at the deadline that it is told. The daemon waits for its
+    /// answer somewhat longer, because an answer in its place would not tell what has run.
+    pub(super) fn end_before_stop(&mut self, node: &Node) {
+        let Some(stop_end) = node.lifecycle.end() else { return };
+        let deadline = stop_end - STOP_ANSWER_TIME;
+        if self.deadline <= deadline {
+            return;
+        }
+        self.stop_wait_deadline = Some(self.wait_deadline(node).min(stop_end - STOP_WRITE_TIME));
+        self.deadline = deadline;
+        self.objective = self.objective.map(|objective| objective.min(deadline));
+    }
+
+    /// Returns the refusal of a request whose deadline passed before it was sent.
+    fn refuse_expired(&self) -> Refusal {
+        match self.stop_wait_deadline {
+            Some(_) => Refusal::not_run(Reason::Leaving).retry_after(LEAVING_RETRY_AFTER),
+            None => Refusal::not_run(Reason::Expired),
         }
     }
 
@@ -229,7 +266,7 @@
     let mut last_overload: Option<Refusal> = None;
     loop {
         if Instant::now() >= call.deadline {
-            return Err(Refusal::not_run(Reason::Expired).after(earlier_outcome));
+            return Err(call.refuse_expired().after(earlier_outcome));
         }
         // If no instance is left, the refusal of an overloaded one is more useful to
         // the caller than the lack of further instances.
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -14,6 +14,7 @@
 
 use super::at_most_once;
 use super::call::Call;
+use super::call::LEAVING_RETRY_AFTER;
 use super::call::dispatch;
 use super::tracker::RequestTracker;
 use crate::connection::body::GuardedBody;
@@ -37,10 +38,6 @@
 /// How long a response body is still relayed after the maximum deadline.
 pub(super) const RESPONSE_BODY_GRACE: Duration = Duration::from_secs(60);
 
-/// Retry delay for requests that arrive late in the stop of this daemon: callers find
-/// another one at once, or this one after its restart.
-const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Serves one request of an outside caller.
 ///
 /// # Errors
@@ -123,6 +120,7 @@
     // A token guarantees at most one run, even if the rule has changed since and
     // makes the request idempotent.
     call.cx.non_idempotent |= token.is_some();
+    call.end_before_stop(node);
     Ok(PreparedRequest { token, call })
 }
 
@@ -177,7 +175,18 @@
     let account = Arc::new(Mutex::new(RetryAccount::mint(plan.retries)));
     let path = PathKey { service: inbound.service.clone(), plan: plan.key };
     let objective = plan.objective.map(|time| deadline.min(Instant::now() + time));
-    Call { inbound, payload, cx, deadline, objective, account, reroutes: 0, path, parent: None }
+    Call {
+        inbound,
+        payload,
+        cx,
+        deadline,
+        stop_wait_deadline: None,
+        objective,
+        account,
+        reroutes: 0,
+        path,
+        parent: None,
+    }
 }
 
 /// Hashes a request id evenly over the range by which admission levels admit or
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -128,7 +128,18 @@
     let path = PathKey { service: inbound.service.clone(), plan: plan.key };
     let account = Arc::clone(&parent.account);
     let parent = Some(Arc::clone(parent));
-    Call { inbound, payload, cx, deadline, objective, account, reroutes: 0, path, parent }
+    Call {
+        inbound,
+        payload,
+        cx,
+        deadline,
+        stop_wait_deadline: None,
+        objective,
+        account,
+        reroutes: 0,
+        path,
+        parent,
+    }
 }
 
 async fn run_child(
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -56,6 +56,10 @@
 const MAX_DEPTH: u8 = 64;
 /// How long a non-idempotent request that has started may run after its deadline.
 const LATE_FINISH_GRACE: Duration = Duration::from_secs(30);
+/// How long the owner of an idempotent request waits after the deadline for the upstream's
+/// own answer. It covers an upstream that answers at the deadline; a sender that does not
+/// wait so long cancels the request.
+const DEADLINE_ANSWER_GRACE: Duration = Duration::from_millis(100);
 /// How long a leaving daemon still passes queued requests to its upstream.
 const LEAVING_QUEUE_GRACE: Duration = Duration::from_secs(2);
 /// The same if only the upstream leaves. No request may reach it later than 2 s after the
@@ -232,11 +236,11 @@
     node: &Arc<Node>,
     exchange: Exchange,
 ) -> Result<Response<RelayBody>, Refusal> {
-    let deadline = exchange.deadline;
-    let (rsp, lease, exchange) = send(node, exchange, deadline).await?;
+    let wait_deadline = attached_wait_deadline(node, &exchange);
+    let (rsp, lease, exchange) = send(node, exchange, wait_deadline).await?;
     if should_buffer(&rsp) {
         let is_own_error = is_own_error(&rsp, exchange.parent.parent());
-        let mut rsp = buffer_response(node, rsp, lease, exchange, deadline).await?;
+        let mut rsp = buffer_response(node, rsp, lease, exchange, wait_deadline).await?;
         if is_own_error {
             rsp.headers_mut().insert(UPSTREAM_ERROR, HeaderValue::from_static("1"));
         }
@@ -244,12 +248,25 @@
     }
     let retries = exchange.parent.parent().take_retries();
     let guard = ExchangeGuard { exchange: Some(exchange), lease: Some(lease) };
-    let body = |body| GuardedBody::new(body::relay(body), deadline, guard).boxed_unsync();
+    let body = |body| GuardedBody::new(body::relay(body), wait_deadline, guard).boxed_unsync();
     let mut rsp = rsp.map(body);
     rsp.headers_mut().insert(RETRIES_LEFT, retries.into());
     Ok(rsp)
 }
 
+/// Returns the time at which the owner stops waiting for the response to an idempotent
+/// request.
+///
+/// The daemon that sent the request waits as long as the caller does. Without a daemon in
+/// between, the owner has to end at the deadline itself.
+fn attached_wait_deadline(node: &Node, exchange: &Exchange) -> Instant {
+    let is_from_peer = exchange.parent.parent().cx.sender != node.incarnation;
+    match is_from_peer {
+        true => exchange.deadline + DEADLINE_ANSWER_GRACE,
+        false => exchange.deadline,
+    }
+}
+
 /// Runs a request to completion even if its caller disconnects, because cancelling
 /// it halfway would leave its effects unknown.
 async fn run_detached(
