connection: answer the request that is arriving when callers are disconnected

What callers saw: a request of which the first bytes had arrived when a stopping daemon closed its callers' connections was read to its end, and its connection closed without an answer.

Cause: the reader drops a request once the connection is to be closed, whether or not the writer has announced a last response. On a connection without a response in progress none announces it. Likewise, a request already received when the connection was to be closed was ignored or read at random, by the order in which `select!` polls.

Now the reader drops a request only if the writer has announced the last response; otherwise the request is served, and its response closes the connection.

Ruled out: that a request which was started is dropped between the reader's check and the queue. Reader and writer are polled by one task (`select!` in pipeline/mod.rs), there is no await between the check and the send, and the token is never reset; so a request that is started is in the queue before the writer looks at it again. That is read from the code, not shown by a run.

--- a/lib/src/connection/pipeline/mod.rs
+++ b/lib/src/connection/pipeline/mod.rs
@@ -17,6 +17,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use http::Request;
@@ -88,10 +89,12 @@
     let (mut from_caller, mut to_caller) = stream.into_split();
     let (tx, mut rx) = mpsc::channel(MAX_PIPELINED);
     let closing = cx.stop.child_token();
-    let requests = RequestLoop::new(&mut from_caller, service, &cx, closing.clone(), tx);
+    let last_announced = AtomicBool::new(false);
+    let requests =
+        RequestLoop::new(&mut from_caller, service, &cx, closing.clone(), &last_announced, tx);
     let is_done = tokio::select! {
         () = requests.run() => false,
-        written = writer::run(&mut to_caller, &mut rx, &closing) => written.is_ok(),
+        written = writer::run(&mut to_caller, &mut rx, &closing, &last_announced) => written.is_ok(),
     };
     if is_done && to_caller.shutdown().await.is_ok() {
         linger(&mut from_caller).await;
--- a/lib/src/connection/pipeline/requests.rs
+++ b/lib/src/connection/pipeline/requests.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -69,6 +70,8 @@
     cx: &'a ConnectionCx,
     /// Cancelled when no more requests are read because the connection is to be closed.
     closing: CancellationToken,
+    /// Whether the writer has announced its current response as the last one.
+    last_announced: &'a AtomicBool,
     tx: mpsc::Sender<QueuedResponse>,
     in_progress: Arc<AtomicUsize>,
 }
@@ -85,10 +88,11 @@
         service: S,
         cx: &'a ConnectionCx,
         closing: CancellationToken,
+        last_announced: &'a AtomicBool,
         tx: mpsc::Sender<QueuedResponse>,
     ) -> Self {
         let in_progress = Arc::default();
-        Self { reader: Reader::new(io), service, cx, closing, tx, in_progress }
+        Self { reader: Reader::new(io), service, cx, closing, last_announced, tx, in_progress }
     }
 
     /// Reads requests until the connection is to be closed, then waits until the caller closes
@@ -121,6 +125,8 @@
         let Ok(permit) = self.tx.clone().reserve_owned().await else { return Ok(false) };
         let limits = (self.cx.limits)();
         tokio::select! {
+            // A request that has arrived before the connection closes is answered.
+            biased;
             wait = wait_for_request(&mut self.reader, &self.in_progress, &limits) => match wait? {
                 WaitOutcome::Request => {}
                 WaitOutcome::Idle => return Ok(false),
@@ -137,12 +143,12 @@
             self.tx.send(QueuedResponse::Continue).await.map_err(|_| ReadFailure::Closed)?;
         }
         let incoming = body::read_beginning(&mut self.reader, Decoder::new(framing)).await?;
-        // The previous response may have closed the connection in the meantime. This request is
-        // then treated as one that was not read.
-        if self.closing.is_cancelled() {
+        // The previous response may have been announced as the last one in the meantime. This
+        // request is then treated as one that was not read.
+        if self.last_announced.load(Ordering::Relaxed) {
             return Ok(false);
         }
-        let close_after = head.close_after;
+        let close_after = head.close_after || self.closing.is_cancelled();
         let (body, remainder) = match incoming {
             IncomingBody::Complete(body) => (body, None),
             IncomingBody::Streamed(body, remainder) => (body, Some(remainder)),
--- a/lib/src/connection/pipeline/writer.rs
+++ b/lib/src/connection/pipeline/writer.rs
@@ -1,5 +1,8 @@
 //! Writes the responses of a connection in the order of its requests.
 
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
 use bytes::BytesMut;
 use futures_util::FutureExt as _;
 use http::Response;
@@ -48,6 +51,7 @@
     io: &mut W,
     rx: &mut mpsc::Receiver<QueuedResponse>,
     closing: &CancellationToken,
+    last_announced: &AtomicBool,
 ) -> Result<(), WriteError> {
     while let Some(queued) = rx.recv().await {
         match queued {
@@ -56,7 +60,7 @@
             }
             QueuedResponse::Rejection(err) => return write_rejection(io, err).await,
             QueuedResponse::Pending(pending) => {
-                let is_last = write_response(io, rx, closing, pending).await?;
+                let is_last = write_response(io, rx, closing, last_announced, pending).await?;
                 if is_last {
                     return Ok(());
                 }
@@ -83,6 +87,7 @@
     io: &mut W,
     rx: &mpsc::Receiver<QueuedResponse>,
     closing: &CancellationToken,
+    last_announced: &AtomicBool,
     pending: PendingResponse,
 ) -> Result<bool, WriteError> {
     let PendingResponse { task, is_head_method, supports_chunked, in_progress } = pending;
@@ -97,6 +102,7 @@
     // The requests that were already read are still answered; the last of these responses
     // announces that the connection closes.
     let is_last = closing.is_cancelled() && rx.is_empty();
+    last_announced.store(is_last, Ordering::Relaxed);
     let (parts, body) = rsp.into_parts();
     let mut buf = BytesMut::with_capacity(FLUSH_BYTES);
     encode::head(&mut buf, &parts, framing, is_last);
