connection: count the idle time of a caller's connection from its last response

What callers saw: connections that they reused after less than four fifths of `idle_timeout` were closed under the request. With an `idle_timeout` of 1 s: 0.5 s after a response that had taken 1.2 s; and 2 s after a response, when a configuration with 15 s had come into force on the way.

Cause: the wait for a request began when the previous request had been read, so that the time of its response counted as idle, and the timeout of the limits at that moment stayed in force for the whole wait.

Now the idle time begins when the last response has been written, and the longest timeout in force during the wait applies: callers may already use a new one or still use an old one.

Ruled out: a timeout that is shortened while a connection idles. The old one applied before the change, too; that is read from the code.

Evidence: test_catalog::connection_is_not_closed_as_idle_directly_after_a_long_response and idle_connection_follows_a_longer_idle_timeout.

--- a/lib/src/connection/pipeline/requests.rs
+++ b/lib/src/connection/pipeline/requests.rs
@@ -10,15 +10,17 @@
 use http::Method;
 use http::Request;
 use http::Response;
+use parking_lot::Mutex;
 use tokio::io::AsyncRead;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 use tower::Service;
 
 use super::ConnectionCx;
-use super::ConnectionLimits;
 use super::body;
 use super::body::IncomingBody;
 use super::error::ReadError;
@@ -55,11 +57,38 @@
 }
 
 /// Counts a request as in progress until its response has been written.
-pub(super) struct InProgressGuard(Arc<AtomicUsize>);
+pub(super) struct InProgressGuard(Arc<Activity>);
 
 impl Drop for InProgressGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        *self.0.last_end.lock() = Instant::now();
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Requests in progress on a connection, and how long it has been idle.
+struct Activity {
+    in_progress: AtomicUsize,
+    /// When the last response had been written; the start of the connection before the first.
+    last_end: Mutex<Instant>,
+}
+
+impl Activity {
+    fn new() -> Self {
+        Self { in_progress: AtomicUsize::new(0), last_end: Mutex::new(Instant::now()) }
+    }
+
+    fn begin(self: &Arc<Self>) -> InProgressGuard {
+        self.in_progress.fetch_add(1, Ordering::Relaxed);
+        InProgressGuard(Arc::clone(self))
+    }
+
+    /// Returns since when no request is in progress; now if one is.
+    fn idle_since(&self) -> Instant {
+        match self.in_progress.load(Ordering::Relaxed) {
+            0 => *self.last_end.lock(),
+            _ => Instant::now(),
+        }
     }
 }
 
@@ -73,7 +102,7 @@
     /// Whether the writer has announced its current response as the last one.
     last_announced: &'a AtomicBool,
     tx: mpsc::Sender<QueuedResponse>,
-    in_progress: Arc<AtomicUsize>,
+    activity: Arc<Activity>,
 }
 
 impl<'a, R, S> RequestLoop<'a, R, S>
@@ -91,8 +120,8 @@
         last_announced: &'a AtomicBool,
         tx: mpsc::Sender<QueuedResponse>,
     ) -> Self {
-        let in_progress = Arc::default();
-        Self { reader: Reader::new(io), service, cx, closing, last_announced, tx, in_progress }
+        let activity = Arc::new(Activity::new());
+        Self { reader: Reader::new(io), service, cx, closing, last_announced, tx, activity }
     }
 
     /// Reads requests until the connection is to be closed, then waits until the caller closes
@@ -123,16 +152,16 @@
     /// Reads one request and starts to serve it; returns whether to read more requests.
     async fn serve_next(&mut self) -> Result<bool, ReadFailure> {
         let Ok(permit) = self.tx.clone().reserve_owned().await else { return Ok(false) };
-        let limits = (self.cx.limits)();
         tokio::select! {
             // A request that has arrived before the connection closes is answered.
             biased;
-            wait = wait_for_request(&mut self.reader, &self.in_progress, &limits) => match wait? {
+            wait = wait_for_request(&mut self.reader, &self.activity, self.cx) => match wait? {
                 WaitOutcome::Request => {}
                 WaitOutcome::Idle => return Ok(false),
             },
             () = self.closing.cancelled() => return Ok(false),
         }
+        let limits = (self.cx.limits)();
         let head = timeout(limits.head_timeout, self.reader.read_head(limits.head_bytes)).await;
         let head = head.unwrap_or(Err(ReadError::HeadTimeout.into()))?;
         let framing = framing::from_headers(&head.parts.headers)?;
@@ -165,7 +194,7 @@
 
     /// Starts a task that serves a request.
     fn start(&mut self, head: Head, body: RelayBody) -> PendingResponse {
-        self.in_progress.fetch_add(1, Ordering::Relaxed);
+        let in_progress = self.activity.begin();
         let is_head_method = head.parts.method == Method::HEAD;
         let supports_chunked = head.parts.version == http::Version::HTTP_11;
         let req = Request::from_parts(head.parts, body);
@@ -176,7 +205,6 @@
                 Err(never) => match never {},
             }
         });
-        let in_progress = InProgressGuard(Arc::clone(&self.in_progress));
         PendingResponse {
             task: AbortOnDropHandle::new(task),
             is_head_method,
@@ -195,17 +223,24 @@
 }
 
 /// Waits for the first byte of the next request.
+///
+/// Of the idle timeouts in force during the wait, the longest applies, because callers may
+/// already use a new one or still use an old one.
 async fn wait_for_request<R: AsyncRead + Unpin>(
     reader: &mut Reader<R>,
-    in_progress: &AtomicUsize,
-    limits: &ConnectionLimits,
+    activity: &Activity,
+    cx: &ConnectionCx,
 ) -> Result<WaitOutcome, ReadFailure> {
-    let idle_timeout: Duration = limits.idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR);
+    let mut idle_timeout = Duration::ZERO;
     loop {
-        match timeout(idle_timeout, reader.wait_for_request()).await {
-            Ok(arrived) => return arrived.map(|()| WaitOutcome::Request),
-            Err(_) if in_progress.load(Ordering::Relaxed) > 0 => {}
-            Err(_) => return Ok(WaitOutcome::Idle),
+        let in_force = (cx.limits)().idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR);
+        idle_timeout = idle_timeout.max(in_force);
+        let idle_end = activity.idle_since() + idle_timeout;
+        if idle_end <= Instant::now() {
+            return Ok(WaitOutcome::Idle);
+        }
+        if let Ok(arrived) = timeout_at(idle_end, reader.wait_for_request()).await {
+            return arrived.map(|()| WaitOutcome::Request);
         }
     }
 }
