catalog: believe entries that lapsed in an outage for a while

Callers saw 503 for up to two seconds right after an outage of the platform's store. The leases of sound instances had lapsed in it, and daemons dropped the entries with the first answer, though instances write them again within about two seconds. The daemon beside such an instance refused as well, since its own entry was unlisted; it uses the same list, so both are mended by the roster.

The roster notes failed calls and answers as its daemon saw them. After 2 s or more without an answer, live entries that are missing or removed stay for 2 s from the first answer, with a bound from the sending of the last failed call: 3 s, or 5 s if more than half have lapsed, so that a removal that binds is kept to. Readers do not tell followers of an outage: one that alone was cut off would make followers that are in touch believe removed entries. 429 and failed polls are no outage. docs/design/membership.md has what was weighed and what remains.

Not tested: followers by HTTP. A follower whose call is never answered ends the belief sooner.

--- a/lib/src/process/catalog/follower/vms.rs
+++ b/lib/src/process/catalog/follower/vms.rs
@@ -70,7 +70,7 @@
     pub(super) async fn run(mut self) {
         let mut before = Revision::default();
         loop {
-            let after = self.read().await;
+            let after = self.read(before).await;
             self.source.calls.record_era(Topic::Vms, before, after);
             before = self.watch(after).await;
         }
@@ -79,25 +79,33 @@
     /// Reads all entries, with retries until a read succeeds.
     ///
     /// Meanwhile uses the list of another daemon if there is none yet.
-    async fn read(&mut self) -> Revision {
+    async fn read(&mut self, complete: Revision) -> Revision {
         loop {
             let has_no_list = self.vms_tx.borrow().is_none();
+            let expiry = self.time_to_expiry();
+            let sent_at = self.clock.now();
             let attempt = async {
                 let read = read_pages(&mut self.source.calls).await;
+                let ended_at = self.clock.now();
                 if read.is_err() {
                     self.source.calls.back_off().await;
                 }
-                read
+                (read, ended_at)
             };
             tokio::select! {
-                read = attempt => {
-                    if let Ok((pages, revision)) = read {
+                (read, ended_at) = attempt => match read {
+                    Ok((pages, revision)) => {
+                        let now = self.clock.now();
                         self.source.state.record_entries(&pages, revision);
-                        self.roster.replace(self.clock.now(), pages);
+                        self.roster.record_answer(now);
+                        self.roster.replace(now, pages);
+                        self.roster.expire(now);
                         self.publish(revision);
                         return revision;
                     }
-                }
+                    Err(err) => self.roster.record_failure(sent_at, ended_at, &err),
+                },
+                () = sleep(expiry.unwrap_or_default()), if expiry.is_some() => self.expire(complete),
                 snapshot = handover::next(&mut self.offers, has_no_list) => self.apply_received(&snapshot),
             }
         }
@@ -113,7 +121,8 @@
     /// they are complete.
     async fn watch(&mut self, mut after: Revision) -> Revision {
         loop {
-            let expiry = self.roster.next_expiry().map(|at| at.saturating_sub(self.clock.now()));
+            let expiry = self.time_to_expiry();
+            let sent_at = self.clock.now();
             let update = tokio::select! {
                 watched = self.source.watch(Topic::Vms, after) => Update::Watched(watched),
                 Some(changes) = self.local_changes.recv() => Update::Local(changes),
@@ -121,6 +130,7 @@
             };
             match update {
                 Update::Watched(Ok(watched)) => {
+                    self.roster.record_answer(self.clock.now());
                     let before = std::mem::replace(&mut after, watched.batch.revision);
                     let gathers = watched.is_change_of_catalog();
                     match before.era < after.era {
@@ -129,27 +139,55 @@
                     }
                     self.roster.forget_removals(after);
                     if gathers {
-                        sleep(GATHER_TIME).await;
+                        let expiry = self.time_to_expiry().unwrap_or(GATHER_TIME);
+                        sleep(GATHER_TIME.min(expiry)).await;
                     }
                 }
-                Update::Watched(Err(err)) if err.requires_read() => return after,
-                Update::Watched(Err(_)) => self.source.calls.back_off().await,
-                Update::Local(changes) => self.apply(changes, after),
-                Update::Expiry => {
-                    if self.roster.expire(self.clock.now()) {
-                        self.publish(after);
-                    }
+                Update::Watched(Err(err)) if err.requires_read() => {
+                    self.roster.record_answer(self.clock.now());
+                    return after;
+                }
+                Update::Watched(Err(err)) => {
+                    self.roster.record_failure(sent_at, self.clock.now(), &err);
+                    self.back_off(after).await;
+                }
+                Update::Local(changes) => {
+                    self.roster.record_answer(self.clock.now());
+                    self.apply(changes, after);
                 }
+                Update::Expiry => self.expire(after),
             }
         }
     }
 
+    /// Waits after a failure, and ends the beliefs that are over meanwhile.
+    async fn back_off(&mut self, complete: Revision) {
+        let expiry = self.time_to_expiry();
+        tokio::select! {
+            () = self.source.calls.back_off() => return,
+            () = sleep(expiry.unwrap_or_default()), if expiry.is_some() => {}
+        }
+        self.expire(complete);
+        self.source.calls.back_off().await;
+    }
+
+    fn time_to_expiry(&self) -> Option<Duration> {
+        self.roster.next_expiry().map(|at| at.saturating_sub(self.clock.now()))
+    }
+
+    fn expire(&mut self, complete: Revision) {
+        if self.roster.expire(self.clock.now()) {
+            self.publish(complete);
+        }
+    }
+
     /// Applies changes to a list that is otherwise complete up to a revision.
     fn apply(&mut self, changes: Vec<Change>, complete: Revision) {
         let mut differs = false;
         for change in changes {
             differs |= self.roster.apply(self.clock.now(), change);
         }
+        differs |= self.roster.expire(self.clock.now());
         if differs {
             self.publish(complete);
         }
@@ -158,7 +196,8 @@
     /// Applies all that a reader has of a later era.
     fn begin_era(&mut self, changes: Vec<Change>, before: Revision, complete: Revision) {
         self.source.calls.record_era(Topic::Vms, before, complete);
-        if self.roster.begin_era(self.clock.now(), complete.era, changes) {
+        let differs = self.roster.begin_era(self.clock.now(), complete.era, changes);
+        if self.roster.expire(self.clock.now()) || differs {
             self.publish(complete);
         }
     }
--- a/lib/src/process/catalog/mod.rs
+++ b/lib/src/process/catalog/mod.rs
@@ -7,6 +7,7 @@
 mod error;
 mod follower;
 mod handover;
+mod outage;
 mod relay;
 mod roster;
 
--- a/lib/src/process/catalog/roster.rs
+++ b/lib/src/process/catalog/roster.rs
@@ -5,12 +5,16 @@
 
 use indexmap::IndexMap;
 use rustc_hash::FxBuildHasher;
+use rustc_hash::FxHashSet;
 
+use super::CatalogError;
 use super::Change;
 use super::Entry;
 use super::EntryKey;
 use super::Page;
 use super::Revision;
+use super::outage::Belief;
+use super::outage::Outage;
 use crate::process::membership::Vm;
 use crate::process::membership::VmList;
 use crate::process::membership::VmState;
@@ -33,6 +37,9 @@
 /// live again because the copy says so; a removed one does not return with the copy; one
 /// that the copy lacks is kept until it had time to write its entry again. See
 /// `docs/design/eras.md`.
+///
+/// Live entries that lapsed in an outage of the catalog are kept for the same reason. See
+/// `docs/design/membership.md`.
 #[derive(Debug, Default)]
 pub struct Roster {
     entries: IndexMap<EntryKey, Known, FxBuildHasher>,
@@ -43,6 +50,10 @@
     departed: IndexMap<EntryKey, DepartedInstance, FxBuildHasher>,
     /// Newest era of which entries are known.
     era: u64,
+    /// The outage of the catalog that is not over.
+    outage: Option<Outage>,
+    /// What is believed after the last outage.
+    belief: Option<Belief>,
     /// Version of the last list built.
     version: u64,
 }
@@ -52,8 +63,25 @@
 struct Known {
     revision: Revision,
     entry: Entry,
+    /// When this daemon was told that the entry was written.
+    told_at: Duration,
     /// When the entry is removed, unless it is written before.
     expires_at: Option<Duration>,
+    /// The catalog's return from the outage in which the entry lapsed, if it has.
+    lapsed_by: Option<Duration>,
+}
+
+impl Known {
+    fn is_live(&self) -> bool {
+        matches!(&self.entry, Entry::Listed(vm) if vm.state == VmState::Live)
+    }
+
+    fn upstream(&self) -> Option<SocketAddr> {
+        match &self.entry {
+            Entry::Listed(vm) => vm.upstream.map(|facts| facts.address),
+            Entry::Unusable(_) => None,
+        }
+    }
 }
 
 /// An instance whose entry was removed.
@@ -97,11 +125,34 @@
             return;
         }
         self.era = era;
-        self.entries.clear();
+        let before = std::mem::take(&mut self.entries);
         self.removed.clear();
         for (key, revision, entry) in pages.into_iter().flat_map(|page| page.entries) {
             self.write(now, key, revision, entry, Origin::Writer);
         }
+        for (key, known) in before {
+            if self.entries.contains_key(&key) {
+                continue;
+            }
+            self.entries.insert(key.clone(), known);
+            if !self.lapse(now, &key) {
+                self.entries.pop();
+            }
+        }
+    }
+
+    /// Records that a call that was sent to the catalog at a time has failed now.
+    pub fn record_failure(&mut self, sent_at: Duration, now: Duration, err: &CatalogError) {
+        self.outage = Outage::with_failure(self.outage, sent_at, now, err);
+    }
+
+    /// Records that the catalog has answered, before its answer is applied.
+    pub fn record_answer(&mut self, now: Duration) {
+        let Some(outage) = self.outage.take() else { return };
+        let known = self.entries.values().filter(|known| known.is_live()).count();
+        if let Some(belief) = outage.end(now, known) {
+            self.belief = Some(belief);
+        }
     }
 
     /// Applies the changes that make up all that a later era has, and returns whether the
@@ -118,9 +169,10 @@
                 change => self.apply(now, change),
             };
         }
+        let expires_at = self.unconfirmed_until(now);
         for known in self.entries.values_mut() {
-            if known.revision.era < era && known.expires_at.is_none() {
-                known.expires_at = Some(now + UNCONFIRMED_LIFETIME);
+            if known.revision.era < era {
+                known.expires_at.get_or_insert(expires_at);
             }
         }
         differs
@@ -151,7 +203,12 @@
 
     /// Ends the beliefs whose time is over; returns whether the list may differ.
     pub fn expire(&mut self, now: Duration) -> bool {
-        let is_over = |known: &Known| known.expires_at.is_some_and(|at| at <= now);
+        let taken = self.addresses_taken_from_lapsed();
+        let is_over = |known: &Known| {
+            let is_replaced = || known.upstream().is_some_and(|address| taken.contains(&address));
+            known.expires_at.is_some_and(|at| at <= now)
+                || known.lapsed_by.is_some() && is_replaced()
+        };
         let unconfirmed = self.entries.iter().filter(|(_, known)| is_over(known));
         let unconfirmed: Vec<EntryKey> = unconfirmed.map(|(key, _)| key.clone()).collect();
         let mut differs = !unconfirmed.is_empty();
@@ -250,11 +307,13 @@
             Some(_) | None => entry,
         };
         let differs = current.is_none_or(|current| current.entry != entry);
-        self.entries.insert(key, Known { revision, entry, expires_at: None });
+        let known = Known { revision, entry, told_at: now, expires_at: None, lapsed_by: None };
+        self.entries.insert(key, known);
         differs
     }
 
     fn remove(&mut self, now: Duration, key: &EntryKey, revision: Revision) -> bool {
+        let expires_at = self.unconfirmed_until(now);
         let current = self.entries.get_mut(key);
         if current.as_ref().is_some_and(|current| current.revision >= revision) {
             return false;
@@ -266,13 +325,57 @@
         let Some(current) = current else { return false };
         // The copy may lack an instance that has not written its entry again.
         if current.revision.era < revision.era {
-            current.expires_at.get_or_insert(now + UNCONFIRMED_LIFETIME);
+            current.expires_at.get_or_insert(expires_at);
+            return false;
+        }
+        if self.lapse(now, key) {
             return false;
         }
         self.depart(now, key);
         true
     }
 
+    /// Returns until when an entry is believed that a new era lacks.
+    fn unconfirmed_until(&self, now: Duration) -> Duration {
+        let belief = self.belief.filter(|belief| belief.holds(now));
+        let bound = now + UNCONFIRMED_LIFETIME;
+        belief.map_or(bound, |belief| bound.min(belief.drill_until()))
+    }
+
+    /// Keeps a missing entry for a while if it may have lapsed in an outage of the catalog;
+    /// returns whether it did.
+    fn lapse(&mut self, now: Duration, key: &EntryKey) -> bool {
+        let Some(known) = self.entries.get_mut(key) else { return false };
+        if known.lapsed_by.is_some() {
+            return true;
+        }
+        let Some(belief) = self.belief.as_mut().filter(|belief| belief.holds(now)) else {
+            return false;
+        };
+        if !known.is_live() || known.told_at >= belief.back_at {
+            return false;
+        }
+        let is_longer = belief.count_lapse();
+        known.lapsed_by = Some(belief.back_at);
+        known.expires_at = Some(belief.until());
+        if is_longer {
+            let lapsed = self.entries.values_mut();
+            for known in lapsed.filter(|known| known.lapsed_by == Some(belief.back_at)) {
+                known.expires_at = Some(belief.until());
+            }
+        }
+        true
+    }
+
+    /// Returns the addresses of the other entries; empty if no entry has lapsed.
+    fn addresses_taken_from_lapsed(&self) -> FxHashSet<SocketAddr> {
+        if self.entries.values().all(|known| known.lapsed_by.is_none()) {
+            return FxHashSet::default();
+        }
+        let others = self.entries.values().filter(|known| known.lapsed_by.is_none());
+        others.filter_map(Known::upstream).collect()
+    }
+
     /// Removes an entry and remembers its instance as departed.
     fn depart(&mut self, now: Duration, key: &EntryKey) {
         self.departed.retain(|_, departed| departed.forget_at > now || departed.in_copy.is_some());
