log: say when a response to a caller breaks off, and how many requests it takes along

The error of the writer was dropped without a line, so the logs could not tell why a connection was closed under requests in progress. `response-cut` names the reason and the number of requests behind; its lines are bounded like those of other decisions.

--- a/lib/src/connection/pipeline/mod.rs
+++ b/lib/src/connection/pipeline/mod.rs
@@ -32,6 +32,8 @@
 use tower::Service;
 
 use self::requests::RequestLoop;
+pub use self::writer::CutReason;
+use self::writer::WriteError;
 use super::body::RelayBody;
 use super::listener::OnMalformed;
 
@@ -64,6 +66,10 @@
     };
 }
 
+/// Called with the reason why a response broke off and the number of requests behind it
+/// that get no response either.
+pub type OnCut = Arc<dyn Fn(CutReason, usize) + Send + Sync>;
+
 /// Context that all connections of a listener share.
 #[derive(Clone)]
 pub struct ConnectionCx {
@@ -71,6 +77,8 @@
     pub limits: Arc<dyn Fn() -> ConnectionLimits + Send + Sync>,
     /// Called when received bytes cannot be parsed as a request.
     pub on_malformed: OnMalformed,
+    /// Called when a connection ends because a response to a caller broke off.
+    pub on_cut: OnCut,
     /// When cancelled, connections close once the requests already read are answered.
     pub stop: CancellationToken,
 }
@@ -92,11 +100,14 @@
     let last_announced = AtomicBool::new(false);
     let requests =
         RequestLoop::new(&mut from_caller, service, &cx, closing.clone(), &last_announced, tx);
-    let is_done = tokio::select! {
-        () = requests.run() => false,
-        written = writer::run(&mut to_caller, &mut rx, &closing, &last_announced) => written.is_ok(),
+    let written = tokio::select! {
+        () = requests.run() => return,
+        written = writer::run(&mut to_caller, &mut rx, &closing, &last_announced) => written,
     };
-    if is_done && to_caller.shutdown().await.is_ok() {
+    if let Some(reason) = written.as_ref().err().and_then(WriteError::cut_reason) {
+        (cx.on_cut)(reason, rx.len());
+    }
+    if written.is_ok() && to_caller.shutdown().await.is_ok() {
         linger(&mut from_caller).await;
     }
 }
--- a/lib/src/connection/pipeline/writer.rs
+++ b/lib/src/connection/pipeline/writer.rs
@@ -46,6 +46,44 @@
     Unserved { source: tokio::task::JoinError },
 }
 
+/// Why a response broke off although its caller still waited for it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CutReason {
+    /// Its deadline passed while it was relayed.
+    Deadline,
+    /// Its sender failed.
+    Sender,
+    /// It was not as long as its head states.
+    Length,
+    /// The task that served the request panicked.
+    Task,
+}
+
+impl CutReason {
+    /// Returns the reason as it is written to the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline",
+            Self::Sender => "sender",
+            Self::Length => "length",
+            Self::Task => "task",
+        }
+    }
+}
+
+impl WriteError {
+    /// Returns why the response broke off; `None` if its caller closed the connection.
+    pub(super) fn cut_reason(&self) -> Option<CutReason> {
+        match self {
+            Self::Connection { .. } => None,
+            Self::Answer { source: RelayError::DeadlineExceeded } => Some(CutReason::Deadline),
+            Self::Answer { .. } => Some(CutReason::Sender),
+            Self::Length { .. } => Some(CutReason::Length),
+            Self::Unserved { .. } => Some(CutReason::Task),
+        }
+    }
+}
+
 /// Writes responses up to the last one, after which the connection can be closed cleanly.
 pub(super) async fn run<W: AsyncWrite + Unpin>(
     io: &mut W,
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -28,6 +28,7 @@
 use crate::connection::listener::OnMalformed;
 use crate::connection::listener::Protocol;
 use crate::connection::pipeline::ConnectionCx;
+use crate::connection::pipeline::OnCut;
 use crate::connection::strip::OnStripped;
 use crate::connection::strip::StripLayer;
 use crate::process::catalog;
@@ -38,6 +39,7 @@
 use crate::process::config::ConfigHandle;
 use crate::process::config::ConfigOptions;
 use crate::process::log;
+use crate::process::log::Decision;
 use crate::process::log::StateChange;
 use crate::process::metrics::Counter;
 use crate::process::metrics::Metrics;
@@ -237,7 +239,7 @@
         if self.node.settings.adapter.is_some() {
             let node = Arc::clone(&self.node);
             let limits = Arc::new(move || node.connection_limits());
-            let cx = ConnectionCx { limits, on_malformed, stop };
+            let cx = ConnectionCx { limits, on_malformed, on_cut: self.log_cut_responses(), stop };
             self.callers.spawn(listener::serve_pipelined(listener, service, cx));
             return;
         }
@@ -294,6 +296,14 @@
         Arc::new(move || node.metrics.count(Counter::MalformedInput))
     }
 
+    fn log_cut_responses(&self) -> OnCut {
+        let node = Arc::clone(&self.node);
+        Arc::new(move |reason, behind| {
+            let decision = Decision::ResponseCut { reason, behind };
+            node.decisions.write(node.clock.now(), None, &decision);
+        })
+    }
+
     fn count_stripped(&self) -> OnStripped {
         let node = Arc::clone(&self.node);
         Arc::new(move || node.metrics.count(Counter::StrippedHeaders))
--- a/lib/src/process/log/decision.rs
+++ b/lib/src/process/log/decision.rs
@@ -7,6 +7,7 @@
 
 use super::bound::LineAction;
 use super::bound::LineRateLimit;
+use crate::connection::pipeline::CutReason;
 use crate::process::InstanceId;
 use crate::process::RequestName;
 use crate::process::ServiceName;
@@ -115,6 +116,13 @@
         /// Time since the request arrived.
         after: Duration,
     },
+    /// A response to a caller broke off, and its connection with it.
+    ResponseCut {
+        /// Why the response broke off.
+        reason: CutReason,
+        /// Number of requests behind it on the connection, which get no response.
+        behind: usize,
+    },
     /// A new list of VMs offers an instance for requests, or no longer does.
     Listed {
         /// The instance.
@@ -127,8 +135,15 @@
 }
 
 /// Kinds of decisions, by event name. Each kind has a rate limit of its own.
-const KINDS: [&str; 6] =
-    ["refused", "sent-elsewhere", "not-repeated", "resent", "cancelled", "instance-listed"];
+const KINDS: [&str; 7] = [
+    "refused",
+    "sent-elsewhere",
+    "not-repeated",
+    "resent",
+    "cancelled",
+    "instance-listed",
+    "response-cut",
+];
 
 impl Decision<'_> {
     /// Returns the index of the decision's kind in [`KINDS`].
@@ -140,6 +155,7 @@
             Self::Resent { .. } => 3,
             Self::Cancelled { .. } => 4,
             Self::Listed { .. } => 5,
+            Self::ResponseCut { .. } => 6,
         }
     }
 }
@@ -169,6 +185,9 @@
             Self::Cancelled { role, after } => {
                 write!(f, "role={} after_ms={}", role.as_str(), after.as_millis())
             }
+            Self::ResponseCut { reason, behind } => {
+                write!(f, "reason={} behind={behind}", reason.as_str())
+            }
             Self::Listed { instance, listing, list } => {
                 write!(f, "instance={instance} as={listing} list={list}")
             }
