serve: read short answers whole before their heads are passed on

Cause: the body of an answer failed at the request's deadline, also where it had already arrived. Instances end their work at the deadline that they are told, so answers come within a millisecond of it; and answers wait behind slower ones. The entry had then written a head that it could not finish, closed the connection, and with it every request behind.

Evidence: answer_that_waits_behind_a_slow_one_is_delivered failed before ("connection closed before a response") and passes now.

Why this works: what fails while an answer is read now fails that request alone, and an answer that is whole has no deadline any more. The memory is that of a stream's window at most.

Left: longer answers are streamed and may still break off.

--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -10,6 +10,7 @@
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt as _;
+use hyper::body::Body as _;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -21,6 +22,7 @@
 use crate::connection::body::GuardedBody;
 use crate::connection::body::OnEnd;
 use crate::connection::body::RelayBody;
+use crate::connection::body::RelayError;
 use crate::connection::peers::PeerError;
 use crate::connection::strip::strip;
 use crate::process::InstanceId;
@@ -48,6 +50,9 @@
 use crate::request::message::Inbound;
 use crate::request::retries::Grant;
 
+/// How long the rest of a response whose head has arrived is awaited after the deadline.
+const RESPONSE_END_GRACE: Duration = Duration::from_millis(100);
+
 /// Marks a response as an error that the upstream itself has caused.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct UpstreamError;
@@ -153,9 +158,33 @@
         rsp.extensions_mut().insert(UpstreamError);
     }
     strip(rsp.headers_mut(), node.dialect.answer_headers());
+    let len = rsp.body().size_hint().exact();
+    if len.is_some_and(|len| len <= owner::BUFFERING_THRESHOLD_BYTES) {
+        return buffer_response(rsp, wait_deadline + RESPONSE_END_GRACE, outstanding).await;
+    }
     Ok(rsp.map(|body| GuardedBody::new(body, wait_deadline, outstanding).boxed_unsync()))
 }
 
+/// Reads a short response to its end.
+///
+/// A response that breaks off once its head was passed on ends the caller's connection, and
+/// with it the pipelined requests behind it. It may also have to wait there for others, past
+/// its own deadline.
+async fn buffer_response(
+    rsp: Response<RelayBody>,
+    deadline: Instant,
+    outstanding: OutstandingCall,
+) -> Result<Response<RelayBody>, Refusal> {
+    let (parts, body) = rsp.into_parts();
+    let body = GuardedBody::new(body, deadline, outstanding).boxed_unsync();
+    let limit = owner::BUFFERING_THRESHOLD_BYTES as usize;
+    match body::collect(body, limit).await {
+        Ok(bytes) => Ok(Response::from_parts(parts, body::full(bytes))),
+        Err(RelayError::DeadlineExceeded) => Err(Refusal::ran(Reason::DeadlineExceeded)),
+        Err(_) => Err(Refusal::ran(Reason::PeerFailed)),
+    }
+}
+
 /// Why no response was received from a peer.
 #[derive(Debug)]
 enum SendFailure {
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -65,9 +65,9 @@
 /// The same if only the upstream leaves. No request may reach it later than 2 s after the
 /// platform has listed it as leaving, which this daemon learns with a delay.
 const INSTANCE_LEAVING_QUEUE_GRACE: Duration = Duration::from_secs(1);
-/// Longest response of known length to an idempotent request that is buffered
-/// before it is relayed. Buffering a longer one would delay its first byte.
-const BUFFERING_THRESHOLD_BYTES: u64 = 64 * 1024;
+/// Longest response of known length that is buffered before it is relayed. Buffering a
+/// longer one would delay its first byte.
+pub(super) const BUFFERING_THRESHOLD_BYTES: u64 = 64 * 1024;
 /// Longest response that is buffered at all; a longer one fails.
 pub(super) const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
