catalog: believe entries that a full read only tells of again

Callers could still get 503s for up to two seconds after an outage: a daemon that has to read all entries anew took those written before the outage for written since, and dropped them at once when their leases ran out. Found by review.

An entry whose revision is unchanged keeps the time at which the daemon was told of it.

--- a/lib/src/process/catalog/roster.rs
+++ b/lib/src/process/catalog/roster.rs
@@ -134,7 +134,9 @@
         let before = std::mem::take(&mut self.entries);
         self.removed.clear();
         for (key, revision, entry) in pages.into_iter().flat_map(|page| page.entries) {
-            self.write(now, key, revision, entry, Origin::Writer);
+            let unchanged = before.get(&key).filter(|known| known.revision == revision);
+            let told_at = unchanged.map_or(now, |known| known.told_at);
+            self.write(told_at, key, revision, entry, Origin::Writer);
         }
         for (key, known) in before {
             if self.entries.contains_key(&key) {
--- a/lib/tests/test_roster.rs
+++ b/lib/tests/test_roster.rs
@@ -333,6 +333,18 @@
     assert!(names(&roster).is_empty());
 }
 
+/// A full read tells again of entries that were written before the outage; their leases may
+/// still lapse before they are written again.
+#[test]
+fn entry_that_a_full_read_has_unchanged_is_believed_when_it_lapses() {
+    let mut roster = fleet_after_outage();
+    let at_revision_9 = [("a-x1-1", 3), ("a-x1-2", 4)];
+    let entries = at_revision_9.map(|(name, port)| (name, at_port(name, port, VmState::Live)));
+    roster.replace(ms(BACK), page(0, 9, entries.to_vec()));
+    remove(&mut roster, BACK + 200, "a-x1-1", 10);
+    assert_eq!(names(&roster), ["a-x1-1", "a-x1-2"]);
+}
+
 #[test]
 fn entries_that_a_full_read_lacks_without_an_outage_are_dropped_at_once() {
     let mut roster = fleet();
