connection: count the end of a long request as activity

What callers saw: a connection closed as idle 0.1 s after the end of a body that was longer to send than the idle timeout, where the answer had come before the end of the body. The idle time ran from that answer.

Evidence: connection_is_not_closed_as_idle_directly_after_a_long_request fails without the change ("closed within the idle timeout") and passes with it.

--- a/lib/src/connection/pipeline/requests.rs
+++ b/lib/src/connection/pipeline/requests.rs
@@ -61,7 +61,7 @@
 
 impl Drop for InProgressGuard {
     fn drop(&mut self) {
-        *self.0.last_end.lock() = Instant::now();
+        self.0.record_end();
         self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
     }
 }
@@ -69,7 +69,8 @@
 /// Requests in progress on a connection, and how long it has been idle.
 struct Activity {
     in_progress: AtomicUsize,
-    /// When the last response had been written; the start of the connection before the first.
+    /// When the last response had been written or the last request read to its end, whichever
+    /// was later; the start of the connection before the first request.
     last_end: Mutex<Instant>,
 }
 
@@ -78,6 +79,10 @@
         Self { in_progress: AtomicUsize::new(0), last_end: Mutex::new(Instant::now()) }
     }
 
+    fn record_end(&self) {
+        *self.last_end.lock() = Instant::now();
+    }
+
     fn begin(self: &Arc<Self>) -> InProgressGuard {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
         InProgressGuard(Arc::clone(self))
@@ -185,6 +190,7 @@
         permit.send(QueuedResponse::Pending(self.start(head, body)));
         if let Some(remainder) = remainder {
             remainder.relay(&mut self.reader, limits.body_bytes).await?;
+            self.activity.record_end();
         }
         if close_after {
             self.closing.cancel();
