body: deliver what has arrived also after the deadline

What callers saw: an answer of more than 64 KiB that was there in time, and had to wait behind a slower one on its connection, broke off, and the requests behind it with it.

The deadline now bounds the wait for the sender. After it, up to 128 KiB that have arrived are delivered, so that a body without end still ends.

Evidence: long_answer_that_waits_behind_a_slow_one_is_delivered fails without the change ("connection closed before a response") and passes with it; the endless bodies of test_answers still end in time.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -78,10 +78,18 @@
     fn on_end(&mut self, end: BodyEnd);
 }
 
+/// Most bytes that a body may still deliver after its deadline: what the buffers of a
+/// connection may have received before it.
+const LATE_BYTES_MAX: usize = 128 * 1024;
+
 /// A body that fails at a deadline and reports its end to an [`OnEnd`] callback.
+///
+/// The deadline bounds the wait for the sender. What has arrived is delivered also later, as
+/// far as [`LATE_BYTES_MAX`], because the reader may have been busy.
 pub(crate) struct GuardedBody<B, G: OnEnd> {
     inner: B,
     deadline: Pin<Box<tokio::time::Sleep>>,
+    late_bytes: usize,
     guard: Option<G>,
 }
 
@@ -89,7 +97,7 @@
     /// Wraps `inner` in a body that fails at `deadline` unless it has ended by then.
     pub(crate) fn new(inner: B, deadline: tokio::time::Instant, guard: G) -> Self {
         let deadline = Box::pin(tokio::time::sleep_until(deadline));
-        let mut body = Self { inner, deadline, guard: Some(guard) };
+        let mut body = Self { inner, deadline, late_bytes: 0, guard: Some(guard) };
         // The reader of an empty body may never poll it.
         if body.inner.is_end_stream() {
             body.report_end(BodyEnd::Whole);
@@ -119,11 +127,16 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
         let this = &mut *self;
-        if this.deadline.as_mut().poll(cx).is_ready() {
+        let is_late = this.deadline.as_mut().poll(cx).is_ready();
+        let polled = Pin::new(&mut this.inner).poll_frame(cx);
+        if let (true, Poll::Ready(Some(Ok(frame)))) = (is_late, &polled) {
+            this.late_bytes += frame.data_ref().map_or(0, Bytes::len);
+        }
+        if is_late && (polled.is_pending() || this.late_bytes > LATE_BYTES_MAX) {
             this.report_end(BodyEnd::Failed);
             return Poll::Ready(Some(Err(RelayError::DeadlineExceeded)));
         }
-        let frame = ready!(Pin::new(&mut this.inner).poll_frame(cx));
+        let frame = ready!(polled);
         match &frame {
             None => this.report_end(BodyEnd::Whole),
             Some(Err(_)) => this.report_end(BodyEnd::Failed),
