stop: leave the time for writing the last responses alone

The rest of a short answer was awaited 100 ms past the time at which a stop gives up, which is all that the stop keeps for writing. Found by review, read off the code; no test shows it.

--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -50,9 +50,6 @@
 use crate::request::message::Inbound;
 use crate::request::retries::Grant;
 
-/// How long the rest of a response whose head has arrived is awaited after the deadline.
-const RESPONSE_END_GRACE: Duration = Duration::from_millis(100);
-
 /// Marks a response as an error that the upstream itself has caused.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct UpstreamError;
@@ -160,7 +157,7 @@
     strip(rsp.headers_mut(), node.dialect.answer_headers());
     let len = rsp.body().size_hint().exact();
     if len.is_some_and(|len| len <= owner::BUFFERING_THRESHOLD_BYTES) {
-        return buffer_response(rsp, wait_deadline + RESPONSE_END_GRACE, outstanding).await;
+        return buffer_response(rsp, call.response_end_deadline(node), outstanding).await;
     }
     Ok(rsp.map(|body| GuardedBody::new(body, wait_deadline, outstanding).boxed_unsync()))
 }
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -48,6 +48,9 @@
 /// Retry delay for requests that arrive late in the stop of this daemon: callers find
 /// another one at once, or this one after its restart.
 pub(super) const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// How long the rest of a short response is awaited after the deadline. A stop leaves no time
+/// for it.
+const RESPONSE_END_GRACE: Duration = Duration::from_millis(100);
 /// Retry delay returned to a caller when every instance refuses requests of this
 /// criticality and hash.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -95,6 +98,15 @@
         }
     }
 
+    /// Returns the time at which the daemon stops waiting for the rest of a short response
+    /// whose head has arrived.
+    pub(super) fn response_end_deadline(&self, node: &Node) -> Instant {
+        match self.stop_wait_deadline {
+            Some(wait_deadline) => wait_deadline,
+            None => self.wait_deadline(node) + RESPONSE_END_GRACE,
+        }
+    }
+
     /// Shortens the deadline so that the request ends before this daemon's stop does, if
     /// one is in progress.
     ///
