--- a/lib/src/process/admission/load.rs
+++ b/lib/src/process/admission/load.rs
@@ -85,8 +85,8 @@
     }
 }
 
-/// Returns 0 for calls made on behalf of accepted requests and 1 for new requests;
-/// calls start before new requests of the same criticality.
+/// Returns 0 for calls made on behalf of accepted requests and 1 for new requests; calls
+/// start before new requests of the same criticality, unless these wait too long.
 fn priority_class(depth: u8) -> usize {
     usize::from(depth == 0)
 }
