--- a/lib/src/process/admission/state/dispatch.rs
+++ b/lib/src/process/admission/state/dispatch.rs
@@ -48,7 +48,7 @@
     /// Returns the queued request of one criticality that starts next.
     ///
     /// Load pattern: each request makes many calls here, others come directly, and only part
-    /// of both fits. The requests that are served are chosen by the same hash at every hop,
+    /// of both fits. Every hop serves the requests with the same hashes,
     /// so that they end whole. Any order by age would serve some calls of every request, and
     /// calls before direct requests would leave no slot to these.
     fn next_of(&self, now: Duration, criticality: Criticality) -> Option<Ticket> {
