dialect: read the limit and the leaving that upstreams state, and log the limit

Nothing in the logs told whether a daemon had heard of a limit. Answers of the local upstream are now read for what it says about itself; a limit that comes, changes by more than a quarter, or goes is logged (rate-limit) and counted. Nothing acts on it yet.

A limit is taken for withdrawn once answers have lacked it for 2 s: an upstream may state it in some of its answers only. An answer that names another request may be a late one and can only lower it. A restarted daemon adopts what another one knows, if it is more recent than anything heard here.

--- a/lib/src/process/admission/state/mod.rs
+++ b/lib/src/process/admission/state/mod.rs
@@ -13,7 +13,10 @@
 use crate::process::admission::Completion;
 use crate::process::admission::Decision;
 use crate::process::admission::Fault;
+use crate::process::admission::KnownLimit;
 use crate::process::admission::Level;
+use crate::process::admission::LimitChange;
+use crate::process::admission::LimitNotice;
 use crate::process::admission::LimitPolicy;
 use crate::process::admission::Policy;
 use crate::process::admission::Shed;
@@ -31,6 +34,7 @@
 use crate::process::admission::queue::QueuedRequest;
 use crate::process::admission::queue::WaitQueue;
 use crate::process::admission::queue::shed_key;
+use crate::process::admission::rate_limit::LimitRecord;
 use crate::version::Criticality;
 use crate::version::PlanKey;
 
@@ -78,6 +82,8 @@
     /// Moving average of the share of attempts that the upstream answered.
     success_ratio: f64,
     pacing: RetryPacing,
+    /// Limit on the rate of requests that the upstream states.
+    rate_limit: LimitRecord,
     decisions: Vec<Decision>,
     window_start: Duration,
     /// Time at which a non-deferrable request was last queued.
@@ -110,6 +116,7 @@
             missed_class: None,
             success_ratio: 1.0,
             pacing: RetryPacing::default(),
+            rate_limit: LimitRecord::default(),
             decisions: Vec::new(),
             window_start: Duration::ZERO,
             others_waited_at: None,
@@ -228,6 +235,38 @@
         }
     }
 
+    /// Records what an answer says about the limit on the rate of requests. Returns a change
+    /// that operators are told of.
+    ///
+    /// `is_late` marks an answer to another request than the one that it was received for.
+    pub fn record_limit_notice(
+        &mut self,
+        now: Duration,
+        notice: LimitNotice,
+        is_late: bool,
+    ) -> Option<LimitChange> {
+        match is_late {
+            true => self.rate_limit.record_late_answer(now, notice),
+            false => self.rate_limit.record_answer(now, notice),
+        }
+    }
+
+    /// Adopts a limit on the rate of requests that another daemon knows of, unless this one
+    /// has heard from the upstream since.
+    pub fn adopt_rate_limit(&mut self, now: Duration, known: KnownLimit) -> Option<LimitChange> {
+        self.rate_limit.adopt(now, known)
+    }
+
+    /// Forgets the limit on the rate of requests, because another upstream uses the address.
+    pub fn clear_rate_limit(&mut self) -> Option<LimitChange> {
+        self.rate_limit.clear()
+    }
+
+    /// Returns the limit on the rate of requests that the upstream states.
+    pub fn rate_limit(&self, now: Duration) -> Option<KnownLimit> {
+        self.rate_limit.known(now)
+    }
+
     /// Returns the current concurrency limit.
     pub fn limit(&self) -> usize {
         match self.cfg.policy {
--- a/lib/src/process/log/decision.rs
+++ b/lib/src/process/log/decision.rs
@@ -11,6 +11,7 @@
 use crate::process::InstanceId;
 use crate::process::RequestName;
 use crate::process::ServiceName;
+use crate::process::admission::LimitChange;
 use crate::process::burn::Role;
 use crate::process::membership::Listing;
 use crate::request::Context;
@@ -132,10 +133,49 @@
         /// Version of the new list, which this daemon counts by itself.
         list: u64,
     },
+    /// The limit on the rate of requests to the local upstream has changed.
+    RateLimit {
+        /// The limit now in force.
+        change: LimitChange,
+        /// How this daemon heard of the change.
+        source: LimitSource,
+    },
+    /// An answer of the local upstream states a limit that cannot be parsed, and that is
+    /// ignored.
+    RateLimitMalformed {
+        /// The instance that the request was for.
+        instance: &'a InstanceId,
+    },
+    /// The local upstream has said in an answer that it is leaving.
+    UpstreamLeaving {
+        /// The instance.
+        instance: &'a InstanceId,
+    },
+}
+
+/// How this daemon heard of a limit on the rate of requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LimitSource {
+    /// The upstream's answers.
+    Upstream,
+    /// Another daemon, which had it from an earlier run of this one.
+    Peer,
+    /// The list of VMs, by which another upstream uses the address.
+    List,
+}
+
+impl fmt::Display for LimitSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Upstream => "upstream",
+            Self::Peer => "peer",
+            Self::List => "list",
+        })
+    }
 }
 
 /// Kinds of decisions, by event name. Each kind has a rate limit of its own.
-const KINDS: [&str; 7] = [
+const KINDS: [&str; 10] = [
     "refused",
     "sent-elsewhere",
     "not-repeated",
@@ -143,6 +183,9 @@
     "cancelled",
     "instance-listed",
     "response-cut",
+    "rate-limit",
+    "rate-limit-malformed",
+    "upstream-leaving",
 ];
 
 impl Decision<'_> {
@@ -156,6 +199,9 @@
             Self::Cancelled { .. } => 4,
             Self::Listed { .. } => 5,
             Self::ResponseCut { .. } => 6,
+            Self::RateLimit { .. } => 7,
+            Self::RateLimitMalformed { .. } => 8,
+            Self::UpstreamLeaving { .. } => 9,
         }
     }
 }
@@ -191,6 +237,15 @@
             Self::Listed { instance, listing, list } => {
                 write!(f, "instance={instance} as={listing} list={list}")
             }
+            Self::RateLimit { change: LimitChange::To(rate), source } => {
+                write!(f, "per_second={rate} from={source}")
+            }
+            Self::RateLimit { change: LimitChange::Withdrawn, source } => {
+                write!(f, "per_second=none from={source}")
+            }
+            Self::RateLimitMalformed { instance } | Self::UpstreamLeaving { instance } => {
+                write!(f, "instance={instance}")
+            }
         }
     }
 }
--- a/lib/src/process/log/mod.rs
+++ b/lib/src/process/log/mod.rs
@@ -25,6 +25,7 @@
 pub use self::bound::LineRateLimit;
 pub use self::decision::Decision;
 pub use self::decision::DecisionLog;
+pub use self::decision::LimitSource;
 pub use self::decision::LoggedRequest;
 pub use self::decision::NoRetryReason;
 pub use self::state_change::DrainCause;
--- a/lib/src/process/metrics/counter.rs
+++ b/lib/src/process/metrics/counter.rs
@@ -70,6 +70,8 @@
     PeersLost = "peers.lost";
     /// Times that a lost peer responded again.
     PeersRecovered = "peers.back";
+    /// Changes of the limit that the local upstream states for the rate of requests.
+    RateLimitChanges = "rate-limit.changes";
     /// Detected pauses of this process.
     Pauses = "pauses";
 }
--- a/lib/src/process/node/gate.rs
+++ b/lib/src/process/node/gate.rs
@@ -13,7 +13,10 @@
 use crate::process::admission::Arrival;
 use crate::process::admission::Completion;
 use crate::process::admission::Decision;
+use crate::process::admission::KnownLimit;
 use crate::process::admission::Level;
+use crate::process::admission::LimitChange;
+use crate::process::admission::LimitNotice;
 use crate::process::admission::Shed;
 use crate::process::admission::Ticket;
 use crate::process::admission::Verdict;
@@ -167,16 +170,37 @@
         self.update(|admission, _| admission.record_resend());
     }
 
+    /// Records what an answer says about the limit on the rate of requests.
+    pub fn record_limit_notice(&self, notice: LimitNotice, is_late: bool) -> Option<LimitChange> {
+        self.update(|admission, now| admission.record_limit_notice(now, notice, is_late))
+    }
+
+    /// Adopts a limit on the rate of requests that another daemon knows of.
+    pub fn adopt_rate_limit(&self, known: KnownLimit) -> Option<LimitChange> {
+        self.update(|admission, now| admission.adopt_rate_limit(now, known))
+    }
+
+    /// Forgets the limit on the rate of requests.
+    pub fn clear_rate_limit(&self) -> Option<LimitChange> {
+        self.update(|admission, _| admission.clear_rate_limit())
+    }
+
+    /// Returns the limit on the rate of requests that the upstream states.
+    pub fn rate_limit(&self) -> Option<KnownLimit> {
+        self.table.lock().admission.rate_limit(self.clock.now())
+    }
+
     /// Reads from the state machine through `f`, for status reports and decisions.
     pub fn with_admission<T>(&self, f: impl FnOnce(&Admission) -> T) -> T {
         f(&self.table.lock().admission)
     }
 
-    fn update(&self, f: impl FnOnce(&mut Admission, Duration)) {
+    fn update<T>(&self, f: impl FnOnce(&mut Admission, Duration) -> T) -> T {
         let mut table = self.table.lock();
         let now = self.clock.now();
-        f(&mut table.admission, now);
+        let result = f(&mut table.admission, now);
         table.poll(now);
+        result
     }
 }
 
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -33,6 +33,9 @@
 use super::ServiceName;
 use super::admission::AdmissionConfig;
 use super::admission::CalledPaths;
+use super::admission::KnownLimit;
+use super::admission::LimitChange;
+use super::admission::LimitNotice;
 use super::admission::LimitPolicy;
 use super::admission::PathLevels;
 use super::burn::BurnTracker;
@@ -43,11 +46,13 @@
 use super::log::Decision;
 use super::log::DecisionLog;
 use super::log::DrainCause;
+use super::log::LimitSource;
 use super::membership::LocalInstances;
 use super::membership::LocalStanding;
 use super::membership::VmList;
 use super::membership::VmState;
 use super::membership::listing_changes;
+use super::metrics::Counter;
 use super::metrics::Metrics;
 use super::repeats::RepeatAccount;
 use super::repeats::RepeatBound;
@@ -61,6 +66,7 @@
 use crate::connection::pipeline::ConnectionLimits;
 use crate::connection::upstream::UpstreamPool;
 use crate::request::dialect::Dialect;
+use crate::request::dialect::UpstreamNotice;
 use crate::request::idempotency::IssuerConfig;
 use crate::request::parent::Parents;
 use crate::version::PlanKey;
@@ -246,6 +252,38 @@
         self.local_instances.lock().standing(instance)
     }
 
+    /// Records what the local upstream says about itself in an answer to a request for
+    /// `instance`.
+    ///
+    /// `is_late` marks an answer to another request than the one that it was received for.
+    pub fn record_upstream_notice(
+        &self,
+        instance: &InstanceId,
+        notice: &UpstreamNotice,
+        is_late: bool,
+    ) {
+        if notice.limit == LimitNotice::Malformed {
+            self.metrics.count(Counter::MalformedInput);
+            let decision = Decision::RateLimitMalformed { instance };
+            self.decisions.write(self.clock.now(), None, &decision);
+        }
+        let change = self.gate.record_limit_notice(notice.limit, is_late);
+        self.log_limit_change(change, LimitSource::Upstream);
+    }
+
+    /// Adopts a limit on the rate of requests to the local upstream that another daemon
+    /// knows of.
+    pub fn adopt_rate_limit(&self, known: KnownLimit) {
+        let change = self.gate.adopt_rate_limit(known);
+        self.log_limit_change(change, LimitSource::Peer);
+    }
+
+    fn log_limit_change(&self, change: Option<LimitChange>, source: LimitSource) {
+        let Some(change) = change else { return };
+        self.metrics.count(Counter::RateLimitChanges);
+        self.decisions.write(self.clock.now(), None, &Decision::RateLimit { change, source });
+    }
+
     /// Waits until the local upstream must no longer run requests for an instance.
     pub async fn wait_instance_leaves(&self, instance: &InstanceId) {
         loop {
--- a/lib/src/request/dialect/mod.rs
+++ b/lib/src/request/dialect/mod.rs
@@ -23,6 +23,8 @@
 use crate::process::InstanceId;
 use crate::process::RequestName;
 use crate::process::ServiceName;
+use crate::process::admission::LimitNotice;
+use crate::process::admission::RequestRate;
 
 /// Information about a request from headers that its sender set.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -53,6 +55,15 @@
     pub handle: Handle,
 }
 
+/// What an upstream says about itself in an answer, whichever request it answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UpstreamNotice {
+    /// Limit on the requests that the upstream takes from all daemons together.
+    pub limit: LimitNotice,
+    /// Whether the upstream says that it is leaving.
+    pub is_leaving: bool,
+}
+
 /// What the answer of an upstream says about the request it was sent for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ResponseClass {
@@ -92,6 +103,20 @@
     }
 }
 
+/// Returns the limit that the headers `name` state.
+///
+/// Of several valid values the lowest counts.
+pub fn limit_notice(headers: &HeaderMap, name: &HeaderName) -> LimitNotice {
+    let values = headers.get_all(name).iter();
+    let rates = values.filter_map(|value| value.to_str().ok()?.parse::<RequestRate>().ok());
+    let lowest = rates.min_by(|a, b| a.per_second().total_cmp(&b.per_second()));
+    match lowest {
+        Some(rate) => LimitNotice::Stated(rate),
+        None if headers.contains_key(name) => LimitNotice::Malformed,
+        None => LimitNotice::Absent,
+    }
+}
+
 /// HTTP conventions of callers and of the local upstream.
 pub trait Dialect: fmt::Debug + Send + Sync + 'static {
     /// Returns the headers with special meaning to the daemon that callers may set.
@@ -128,6 +153,9 @@
     /// request that it names.
     fn classify_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseClass;
 
+    /// Returns what an upstream says about itself in the headers of an answer.
+    fn upstream_notice(&self, headers: &HeaderMap) -> UpstreamNotice;
+
     /// Determines whether an upstream's answer names the request called `name`.
     fn echo(&self, headers: &HeaderMap, name: Option<&RequestName>) -> Echo;
 
--- a/lib/src/request/dialect/own.rs
+++ b/lib/src/request/dialect/own.rs
@@ -14,12 +14,16 @@
 use super::ResponseClass;
 use super::SenderInfo;
 use super::UpstreamInfo;
+use super::UpstreamNotice;
+use super::limit_notice;
 use crate::connection::body::RelayBody;
 use crate::process::RequestName;
 use crate::request::CONTEXT;
 use crate::request::DEADLINE_MS;
+use crate::request::LEAVING;
 use crate::request::OUTCOME;
 use crate::request::Outcome;
+use crate::request::RATE_LIMIT;
 use crate::request::REASON;
 use crate::request::Reason;
 use crate::request::Refusal;
@@ -82,6 +86,13 @@
         }
     }
 
+    fn upstream_notice(&self, headers: &HeaderMap) -> UpstreamNotice {
+        UpstreamNotice {
+            limit: limit_notice(headers, &RATE_LIMIT),
+            is_leaving: headers.contains_key(LEAVING),
+        }
+    }
+
     fn echo(&self, _headers: &HeaderMap, _name: Option<&RequestName>) -> Echo {
         Echo::Unused
     }
--- a/lib/src/request/headers.rs
+++ b/lib/src/request/headers.rs
@@ -43,6 +43,11 @@
 /// calls; omitted if the level admits everything.
 pub const PATH_LEVEL: HeaderName = HeaderName::from_static("endivescale-path-level");
 
+/// Limit on the rate of requests that an upstream states in its answers, in requests per
+/// second. Between daemons, the limit that the sender knows of; see
+/// [`crate::process::admission::KnownLimit`].
+pub const RATE_LIMIT: HeaderName = HeaderName::from_static("endivescale-rate-limit");
+
 /// Name that the caller gave this attempt; sent between daemons.
 pub const NAME: HeaderName = HeaderName::from_static("endivescale-name");
 
@@ -57,7 +62,7 @@
 pub const INSTANCE: HeaderName = HeaderName::from_static("endivescale-instance");
 
 /// Set on the answers of a daemon that is leaving, so that peers send it no new
-/// requests.
+/// requests, and on the answers of an upstream that is leaving.
 pub const LEAVING: HeaderName = HeaderName::from_static("endivescale-leaving");
 
 /// Set between daemons on an upstream's error that none of its calls has caused, so that
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -158,6 +158,7 @@
     match timeout_at(wait_deadline, node.upstream.send(req, name)).await {
         Ok(Ok((rsp, lease))) => {
             let class = classify_response(node, &rsp, exchange);
+            record_notice(node, &rsp, exchange, class);
             Ok((rsp, lease, class))
         }
         Ok(Err(err)) if err.is_unsent() => {
@@ -198,6 +199,23 @@
     }
 }
 
+/// Records what the upstream says about itself in a response.
+fn record_notice(
+    node: &Node,
+    rsp: &Response<Incoming>,
+    exchange: &Exchange,
+    class: ResponseClass,
+) {
+    let is_late = match class {
+        ResponseClass::Answered | ResponseClass::Shed => false,
+        ResponseClass::Foreign => true,
+        // Another instance has answered.
+        ResponseClass::Misdirected => return,
+    };
+    let notice = node.dialect.upstream_notice(rsp.headers());
+    node.record_upstream_notice(&exchange.instance, &notice, is_late);
+}
+
 /// Whether a complete response body can be distinguished from a truncated one; see
 /// `docs/design/answers.md`.
 pub(super) fn is_delimited(rsp: &Response<Incoming>) -> bool {
