--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -200,12 +200,7 @@
 }
 
 /// Records what the upstream says about itself in a response.
-fn record_notice(
-    node: &Node,
-    rsp: &Response<Incoming>,
-    exchange: &Exchange,
-    class: ResponseClass,
-) {
+fn record_notice(node: &Node, rsp: &Response<Incoming>, exchange: &Exchange, class: ResponseClass) {
     let is_late = match class {
         ResponseClass::Answered | ResponseClass::Shed => false,
         ResponseClass::Foreign => true,
