admission: keep the limit on the rate of requests that an upstream states

Cause: no code read the limit. Ruled out: repeats (no refusals, one error in fifty) and a limit that only some daemons know.

The daemon beside the upstream is the only way to it, so it counts for all senders: a token bucket of half a second, part of it left to more critical requests, a level by hash for a lasting excess. Refusals are not-run, cost no repeat and no health, and the load report counts the rate, so that senders go elsewhere. Senders hand the limit back to an owner that was restarted.

--- a/lib/src/process/admission/load.rs
+++ b/lib/src/process/admission/load.rs
@@ -49,6 +49,11 @@
         sum_of_higher_priority(&self.slots, criticality, depth)
     }
 
+    /// Returns the slots that all requests keep busy.
+    pub(super) fn total(&self) -> f64 {
+        self.slots.as_flattened().iter().sum()
+    }
+
     /// Returns the slots that all requests of a criticality keep busy.
     pub(super) fn slots_of(&self, criticality: Criticality) -> f64 {
         self.slots[usize::from(criticality.rank())].iter().sum()
--- a/lib/src/process/admission/mod.rs
+++ b/lib/src/process/admission/mod.rs
@@ -16,6 +16,7 @@
 mod path_levels;
 mod queue;
 mod rate_limit;
+mod rate_limiter;
 mod state;
 mod work;
 
--- a/lib/src/process/admission/rate_limit.rs
+++ b/lib/src/process/admission/rate_limit.rs
@@ -114,6 +114,11 @@
 }
 
 impl LimitRecord {
+    /// Returns the limit in force.
+    pub(super) fn rate(&self) -> Option<RequestRate> {
+        self.limit.map(|limit| limit.rate)
+    }
+
     /// Returns the limit in force, for other daemons.
     pub(super) fn known(&self, now: Duration) -> Option<KnownLimit> {
         let limit = self.limit?;
--- a/lib/src/process/admission/state/dispatch.rs
+++ b/lib/src/process/admission/state/dispatch.rs
@@ -26,6 +26,11 @@
                 self.decisions.push(Decision { ticket, verdict: Verdict::Shed(shed) });
                 continue;
             }
+            if !self.rate.try_send(now, &request.work) {
+                let shed = self.refuse(now, &request.work, ShedReason::RateLimit);
+                self.decisions.push(Decision { ticket, verdict: Verdict::Shed(shed) });
+                continue;
+            }
             self.start(now, ticket, &request.work);
             self.decisions.push(Decision { ticket, verdict: Verdict::Admitted });
         }
--- a/lib/src/process/admission/state/mod.rs
+++ b/lib/src/process/admission/state/mod.rs
@@ -34,7 +34,7 @@
 use crate::process::admission::queue::QueuedRequest;
 use crate::process::admission::queue::WaitQueue;
 use crate::process::admission::queue::shed_key;
-use crate::process::admission::rate_limit::LimitRecord;
+use crate::process::admission::rate_limiter::RateLimiter;
 use crate::version::Criticality;
 use crate::version::PlanKey;
 
@@ -82,8 +82,8 @@
     /// Moving average of the share of attempts that the upstream answered.
     success_ratio: f64,
     pacing: RetryPacing,
-    /// Limit on the rate of requests that the upstream states.
-    rate_limit: LimitRecord,
+    /// Keeps the rate of requests at the limit that the upstream states.
+    rate: RateLimiter,
     decisions: Vec<Decision>,
     window_start: Duration,
     /// Time at which a non-deferrable request was last queued.
@@ -116,7 +116,7 @@
             missed_class: None,
             success_ratio: 1.0,
             pacing: RetryPacing::default(),
-            rate_limit: LimitRecord::default(),
+            rate: RateLimiter::new(),
             decisions: Vec::new(),
             window_start: Duration::ZERO,
             others_waited_at: None,
@@ -127,14 +127,20 @@
     pub fn arrive(&mut self, now: Duration, work: Work) -> Arrival {
         self.advance(now);
         self.dispatch(now);
-        if self.level().admits(work.criticality, work.hash) {
+        if self.slot_level().admits(work.criticality, work.hash) {
             let hold_seconds = self.latencies.kind_hold_seconds(work.kind);
             self.load.record_arrival(work.criticality, work.depth, hold_seconds);
         }
         if self.cannot_meet_deadline(now, &work) {
             return Arrival::Shed(self.refuse(now, &work, ShedReason::Deadline));
         }
+        if !self.rate.offer(now, &work) {
+            return Arrival::Shed(self.refuse(now, &work, ShedReason::RateLimit));
+        }
         if self.has_slot(now, work.criticality) {
+            if !self.rate.try_send(now, &work) {
+                return Arrival::Shed(self.refuse(now, &work, ShedReason::RateLimit));
+            }
             let ticket = self.issue_ticket();
             self.start(now, ticket, &work);
             return Arrival::Admitted(ticket);
@@ -207,7 +213,7 @@
         if !self.decisions.is_empty() {
             return Some(Duration::ZERO);
         }
-        let is_adapting = self.queue.len() > 0 || !self.level.is_open();
+        let is_adapting = self.queue.len() > 0 || !self.level.is_open() || !self.rate.is_open();
         let window_end = is_adapting.then(|| self.window_start + self.cfg.window);
         window_end.into_iter().chain(self.queue.next_expiry()).min()
     }
@@ -229,6 +235,11 @@
 
     /// Returns the admission level that callers should apply on behalf of this daemon.
     pub fn level(&self) -> Level {
+        self.slot_level().min(self.rate.level())
+    }
+
+    /// Returns the admission level for the upstream's slots.
+    fn slot_level(&self) -> Level {
         match self.cfg.policy {
             Policy::None | Policy::FixedLimit => Level::OPEN,
             Policy::Adaptive => self.level.level(),
@@ -245,26 +256,23 @@
         notice: LimitNotice,
         is_late: bool,
     ) -> Option<LimitChange> {
-        match is_late {
-            true => self.rate_limit.record_late_answer(now, notice),
-            false => self.rate_limit.record_answer(now, notice),
-        }
+        self.rate.record_notice(now, notice, is_late)
     }
 
     /// Adopts a limit on the rate of requests that another daemon knows of, unless this one
     /// has heard from the upstream since.
     pub fn adopt_rate_limit(&mut self, now: Duration, known: KnownLimit) -> Option<LimitChange> {
-        self.rate_limit.adopt(now, known)
+        self.rate.adopt(now, known)
     }
 
     /// Forgets the limit on the rate of requests, because another upstream uses the address.
-    pub fn clear_rate_limit(&mut self) -> Option<LimitChange> {
-        self.rate_limit.clear()
+    pub fn clear_rate_limit(&mut self, now: Duration) -> Option<LimitChange> {
+        self.rate.clear(now)
     }
 
     /// Returns the limit on the rate of requests that the upstream states.
     pub fn rate_limit(&self, now: Duration) -> Option<KnownLimit> {
-        self.rate_limit.known(now)
+        self.rate.known(now)
     }
 
     /// Returns the current concurrency limit.
@@ -293,6 +301,24 @@
         has_fixed_limit || (self.running.len() as f64) < self.limit() as f64 * SPARE_UTILIZATION
     }
 
+    /// Takes the place of a request that the upstream refused and that is sent to it again.
+    /// Returns whether the limit on the rate of requests allows it.
+    pub fn try_resend(&mut self, now: Duration) -> bool {
+        self.rate.try_resend(now)
+    }
+
+    /// Returns whether the upstream gets about as many requests as it takes, by the limit that
+    /// it states. It may then refuse some and is sound all the same.
+    pub fn is_at_rate_limit(&mut self, now: Duration) -> bool {
+        self.rate.is_at_limit(now)
+    }
+
+    /// Returns the offered rate of requests as a share of the limit that the upstream states;
+    /// 0 without a limit.
+    pub fn rate_utilization(&self) -> f64 {
+        self.rate.utilization()
+    }
+
     /// Returns the number of queued requests.
     pub fn queued(&self) -> usize {
         self.queue.len()
@@ -409,12 +435,16 @@
     }
 
     fn refuse(&mut self, now: Duration, work: &Work, reason: ShedReason) -> Shed {
+        let drain_rate = match (reason, self.rate.rate()) {
+            (ShedReason::RateLimit, Some(rate)) => rate,
+            _ => self.drain.per_second(),
+        };
         let remaining = work.objective.map(|objective| objective.saturating_sub(now));
         let retry_after = self.pacing.schedule_retry(
             work.criticality,
             work.hash,
             self.queue.len(),
-            self.drain.per_second(),
+            drain_rate,
             remaining.map_or(self.cfg.retry_after, retry_after_range),
         );
         Shed { retry_after, reason }
@@ -457,7 +487,7 @@
             Completion::Failed | Completion::Overloaded | Completion::TimedOut => {
                 self.add_success_sample(0.0);
             }
-            Completion::Cancelled => {}
+            Completion::AtRateLimit | Completion::Cancelled => {}
         }
     }
 
--- a/lib/src/process/admission/state/overload.rs
+++ b/lib/src/process/admission/state/overload.rs
@@ -24,6 +24,7 @@
         let capacity = self.completions_per_second() * elapsed.as_secs_f64();
         self.pacing.close_window(capacity);
         self.load.close_window(elapsed);
+        self.rate.close_window(elapsed);
         let late_class = self.late_class();
         if late_class.is_some() && self.cfg.policy == Policy::Adaptive {
             self.shed_excess(now);
--- a/lib/src/process/admission/work.rs
+++ b/lib/src/process/admission/work.rs
@@ -66,6 +66,8 @@
     /// The request is not expected to finish by its objective, the time until which
     /// the answer has its full value.
     Objective,
+    /// The upstream would get more requests than the limit that it states.
+    RateLimit,
 }
 
 impl ShedReason {
@@ -77,6 +79,7 @@
             Self::Deadline => "deadline",
             Self::NoWait => "no-wait",
             Self::Objective => "objective",
+            Self::RateLimit => "rate-limit",
         }
     }
 
@@ -102,6 +105,8 @@
     Failed,
     /// The upstream refused the request because it is overloaded.
     Overloaded,
+    /// The upstream refused the request while it got about as many as it takes.
+    AtRateLimit,
     /// The deadline passed before the upstream answered.
     TimedOut,
     /// The caller cancelled the request.
--- a/lib/src/process/membership/health_record.rs
+++ b/lib/src/process/membership/health_record.rs
@@ -6,6 +6,7 @@
 use rand::RngExt as _;
 
 use super::UpstreamFacts;
+use crate::process::admission::KnownLimit;
 use crate::process::admission::Level;
 
 /// Delay before the first probe of a suspected instance.
@@ -22,6 +23,8 @@
 const TIMEOUTS_TO_SUSPECT: u32 = 3;
 /// Time for which a reported admission level is used.
 const LEVEL_LIFETIME: Duration = Duration::from_secs(1);
+/// Time for which an owner that was restarted is told the limit that it has reported before.
+const RATE_LIMIT_LIFETIME: Duration = Duration::from_secs(60);
 /// Warm-up of an instance whose upstream states none; slow, so that a cold
 /// instance is not overloaded.
 const DEFAULT_WARMUP: Warmup = Warmup { initial_share: 0.1, duration: Duration::from_secs(10) };
@@ -89,6 +92,8 @@
     warmup: Warmup,
     /// The last reported admission level, and when the report arrived.
     level: Option<(Level, Duration)>,
+    /// The last reported limit on the rate of requests, and when the report arrived.
+    rate_limit: Option<(KnownLimit, Duration)>,
 }
 
 impl HealthRecord {
@@ -103,9 +108,23 @@
             warming_since,
             warmup: Warmup::from_facts(facts),
             level: None,
+            rate_limit: None,
         }
     }
 
+    /// Records the limit on the rate of requests that the owner reported, if any.
+    pub(crate) fn record_rate_limit(&mut self, now: Duration, limit: Option<KnownLimit>) {
+        self.rate_limit = limit.map(|limit| (limit, now));
+    }
+
+    /// Returns the limit that the owner reported last, unless it is too old to be of use to a
+    /// restarted owner.
+    pub(crate) fn rate_limit(&self, now: Duration) -> Option<KnownLimit> {
+        let (limit, reported_at) = self.rate_limit?;
+        let age = limit.age + now.saturating_sub(reported_at);
+        (age <= RATE_LIMIT_LIFETIME).then_some(KnownLimit { age, ..limit })
+    }
+
     /// Updates the record with an observation.
     pub(crate) fn observe(&mut self, now: Duration, observation: Observation, rng: &mut impl Rng) {
         match observation {
--- a/lib/src/process/membership/local_instances.rs
+++ b/lib/src/process/membership/local_instances.rs
@@ -45,6 +45,9 @@
     local: IndexMap<InstanceId, VmState>,
     /// Instances that an earlier list named at the address and the last one does not name.
     unlisted: IndexMap<InstanceId, ()>,
+    /// The instance that a list named last at the address, with the start time of its
+    /// upstream.
+    latest: Option<(InstanceId, Option<u64>)>,
 }
 
 impl LocalInstances {
@@ -56,6 +59,7 @@
             listed: IndexMap::new(),
             local: IndexMap::new(),
             unlisted: IndexMap::new(),
+            latest: None,
         }
     }
 
@@ -79,26 +83,35 @@
         }
     }
 
-    /// Applies a new list.
+    /// Applies a new list; returns whether it names another upstream at the address, or
+    /// another start of it, than the lists before.
     ///
     /// Removes the departed instances that the list no longer names, and those whose
     /// upstream has another start time in it, since they may be back.
-    pub fn apply(&mut self, list: &VmList) {
+    pub fn apply(&mut self, list: &VmList) -> bool {
         self.listed = list.vms.iter().map(|vm| (vm.instance.clone(), start_ms(vm))).collect();
         let listed = &self.listed;
         self.departed.retain(|instance, start_ms| listed.get(instance) == Some(start_ms));
-        let local = self.local_instances(list);
+        let local: IndexMap<_, _> =
+            self.local_vms(list).map(|vm| (vm.instance.clone(), vm.state)).collect();
         let before = std::mem::replace(&mut self.local, local);
         self.unlisted.extend(before.into_keys().map(|instance| (instance, ())));
         let listed = &self.listed;
         self.unlisted.retain(|instance, ()| !listed.contains_key(instance));
         let excess = self.unlisted.len().saturating_sub(UNLISTED_MAX);
         self.unlisted.drain(..excess);
+        let latest = self.local_vms(list).max_by_key(|vm| start_ms(vm));
+        let Some(latest) = latest.map(|vm| (vm.instance.clone(), start_ms(vm))) else {
+            return false;
+        };
+        self.latest.replace(latest.clone()).is_some_and(|before| before != latest)
     }
 
-    fn local_instances(&self, list: &VmList) -> IndexMap<InstanceId, VmState> {
-        let is_local = |vm: &&Vm| vm.upstream.is_some_and(|facts| facts.address == self.upstream);
-        list.vms.iter().filter(is_local).map(|vm| (vm.instance.clone(), vm.state)).collect()
+    /// Returns the VMs of a list whose upstream has the local upstream's address.
+    fn local_vms<'a>(&self, list: &'a VmList) -> impl Iterator<Item = &'a Vm> {
+        let address = self.upstream;
+        let is_local = move |vm: &&Vm| vm.upstream.is_some_and(|facts| facts.address == address);
+        list.vms.iter().filter(is_local)
     }
 }
 
--- a/lib/src/process/membership/members.rs
+++ b/lib/src/process/membership/members.rs
@@ -14,6 +14,7 @@
 use super::health_record::HealthRecord;
 use crate::process::InstanceId;
 use crate::process::ServiceName;
+use crate::process::admission::KnownLimit;
 use crate::process::admission::Level;
 
 /// Whether an instance may receive requests.
@@ -135,6 +136,24 @@
         self.records.get(instance)?.level(now)
     }
 
+    /// Records the limit on the rate of requests that an instance's owner reported, if any.
+    pub fn record_rate_limit(
+        &mut self,
+        now: Duration,
+        instance: &InstanceId,
+        limit: Option<KnownLimit>,
+    ) {
+        let is_listed = self.by_name.contains_key(instance);
+        if is_listed && (limit.is_some() || self.records.contains_key(instance)) {
+            self.record_mut(instance).record_rate_limit(now, limit);
+        }
+    }
+
+    /// Returns the limit on the rate of requests that an instance's owner reported last.
+    pub fn rate_limit(&self, now: Duration, instance: &InstanceId) -> Option<KnownLimit> {
+        self.records.get(instance)?.rate_limit(now)
+    }
+
     /// Returns the admission level of the instance of a service that admits the
     /// most; `None` if no instance has a current report.
     pub fn service_level(&self, now: Duration, service: &ServiceName) -> Option<Level> {
--- a/lib/src/process/node/gate.rs
+++ b/lib/src/process/node/gate.rs
@@ -152,10 +152,13 @@
     pub fn load(&self) -> LoadReport {
         let table = self.table.lock();
         let admission = &table.admission;
+        let requests = u32::try_from(admission.in_progress() + admission.queued());
+        let slots = u32::try_from(admission.limit()).unwrap_or(u32::MAX);
+        // An upstream at its rate limit has free slots, but is as good as full.
+        let requests_by_rate = (admission.rate_utilization() * f64::from(slots)).ceil() as u32;
         LoadReport {
-            requests: u32::try_from(admission.in_progress() + admission.queued())
-                .unwrap_or(u32::MAX),
-            slots: u32::try_from(admission.limit()).unwrap_or(u32::MAX),
+            requests: requests.unwrap_or(u32::MAX).max(requests_by_rate),
+            slots,
             success_ratio: admission.success_ratio(),
         }
     }
@@ -165,6 +168,17 @@
         self.update(|admission, now| admission.set_slots(now, slots));
     }
 
+    /// Takes the place of a request that the upstream refused and that is sent to it again.
+    /// Returns whether the limit on the rate of requests allows it.
+    pub fn try_resend(&self) -> bool {
+        self.update(Admission::try_resend)
+    }
+
+    /// Returns whether the upstream gets about as many requests as it takes.
+    pub fn is_at_rate_limit(&self) -> bool {
+        self.update(Admission::is_at_rate_limit)
+    }
+
     /// Records that the upstream refused a request that is sent to it again.
     pub fn record_resend(&self) {
         self.update(|admission, _| admission.record_resend());
@@ -182,7 +196,7 @@
 
     /// Forgets the limit on the rate of requests.
     pub fn clear_rate_limit(&self) -> Option<LimitChange> {
-        self.update(|admission, _| admission.clear_rate_limit())
+        self.update(|admission, now| admission.clear_rate_limit(now))
     }
 
     /// Returns the limit on the rate of requests that the upstream states.
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -271,9 +271,11 @@
         self.log_limit_change(change, LimitSource::Upstream);
     }
 
-    /// Adopts a limit on the rate of requests to the local upstream that another daemon
-    /// knows of.
-    pub fn adopt_rate_limit(&self, known: KnownLimit) {
+    /// Adopts a limit on the rate of requests to `instance` that another daemon knows of.
+    pub fn adopt_rate_limit(&self, instance: &InstanceId, known: KnownLimit) {
+        if self.local_standing(instance) != LocalStanding::Current {
+            return;
+        }
         let change = self.gate.adopt_rate_limit(known);
         self.log_limit_change(change, LimitSource::Peer);
     }
@@ -308,7 +310,11 @@
         if let Some(own) = own.max_by_key(|facts| facts.start_ms) {
             self.gate.set_slots(own.slots as usize);
         }
-        self.local_instances.lock().apply(list);
+        let is_another_upstream = self.local_instances.lock().apply(list);
+        if is_another_upstream {
+            let change = self.gate.clear_rate_limit();
+            self.log_limit_change(change, LimitSource::List);
+        }
         self.local_instances_changed.notify_waiters();
         if let Some(repeats) = &self.repeats {
             let service = &self.settings.daemon.service;
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -19,6 +19,7 @@
 use crate::process::Region;
 use crate::process::ServiceName;
 use crate::process::Zone;
+use crate::process::admission::KnownLimit;
 use crate::process::admission::Level;
 use crate::process::membership::Health;
 use crate::process::membership::Membership;
@@ -135,6 +136,16 @@
             .insert(instance.clone(), ReceivedReport { report, received_at: now, outstanding });
     }
 
+    /// Records the limit on the rate of requests that an instance's owner reported, if any.
+    pub fn record_rate_limit(
+        &mut self,
+        now: Duration,
+        instance: &InstanceId,
+        limit: Option<KnownLimit>,
+    ) {
+        self.members.record_rate_limit(now, instance, limit);
+    }
+
     /// Records that the connection to the daemon at an address ended.
     pub fn disconnected(&mut self, now: Duration, peer: SocketAddr) {
         for instance in self.members.at_peer(peer) {
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -69,6 +69,8 @@
     NoInstance = "no-instance", SERVICE_UNAVAILABLE;
     /// Capacity is short, and other requests took precedence over the request.
     Overloaded = "overloaded", SERVICE_UNAVAILABLE;
+    /// The upstream would get more requests than the limit that it states.
+    RateLimited = "rate-limited", SERVICE_UNAVAILABLE;
     /// The request cannot be answered within its deadline.
     Expired = "expired", GATEWAY_TIMEOUT;
     /// The deadline passed while the request was in progress.
@@ -136,7 +138,7 @@
 impl Reason {
     /// Returns whether the reason is a lack of capacity at an instance.
     pub fn is_overload(self) -> bool {
-        matches!(self, Self::Overloaded | Self::UpstreamShed)
+        matches!(self, Self::Overloaded | Self::RateLimited | Self::UpstreamShed)
     }
 
     /// Returns whether another instance of the service might give another answer.
@@ -144,6 +146,7 @@
         match self {
             Self::NoConfiguration
             | Self::Overloaded
+            | Self::RateLimited
             | Self::Leaving
             | Self::NoInstance
             | Self::UnknownService
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -42,6 +42,7 @@
 use crate::request::LOAD;
 use crate::request::Outcome;
 use crate::request::PATH_LEVEL;
+use crate::request::RATE_LIMIT;
 use crate::request::RETRIES_LEFT;
 use crate::request::RULES_VERSION;
 use crate::request::Reason;
@@ -217,6 +218,12 @@
     if let Ok(value) = HeaderValue::try_from(instance.as_str()) {
         headers.insert(INSTANCE, value);
     }
+    let known_limit = node.router.lock().members().rate_limit(node.clock.now(), instance);
+    if let Some(known) = known_limit
+        && let Ok(value) = HeaderValue::try_from(known.to_string())
+    {
+        headers.insert(RATE_LIMIT, value);
+    }
     if let Some(rules) = node.rules() {
         headers.insert(RULES_VERSION, rules.version().into());
     }
@@ -249,6 +256,8 @@
         router.observe(now, &vm.instance, observation_in(headers));
         if let Some(load) = read_header(headers, &LOAD) {
             router.record_load(now, &vm.instance, load);
+            // Only the owner's own answers report the load and the limit.
+            router.record_rate_limit(now, &vm.instance, read_header(headers, &RATE_LIMIT));
         }
         if let Some(level) = read_header(headers, &LEVEL) {
             router.observe(now, &vm.instance, Observation::Level(level));
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -82,6 +82,8 @@
             && node.local_standing(&self.instance) == LocalStanding::Current
             && self.payload.has_body_left()
             && node.repeats.is_some()
+            && !node.gate.is_at_rate_limit()
+            && node.gate.try_resend()
             && count_upstream_attempt(node, &self.parent.parent().cx, true)
     }
 }
@@ -129,7 +131,10 @@
             ResponseClass::Shed => {
                 lease.discard_refusal(rsp, exchange.inbound.name.as_ref());
                 let retries = exchange.parent.parent().take_retries();
-                exchange.complete(Completion::Overloaded);
+                exchange.complete(match node.gate.is_at_rate_limit() {
+                    true => Completion::AtRateLimit,
+                    false => Completion::Overloaded,
+                });
                 return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
             }
             ResponseClass::Misdirected => {
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -43,6 +43,7 @@
 use crate::request::LOAD;
 use crate::request::Outcome;
 use crate::request::PATH_LEVEL;
+use crate::request::RATE_LIMIT;
 use crate::request::RETRIES_LEFT;
 use crate::request::Reason;
 use crate::request::Refusal;
@@ -102,6 +103,11 @@
         load.set_sensitive(true);
         rsp.headers_mut().insert(LOAD, load);
     }
+    if let Some(known) = node.gate.rate_limit()
+        && let Ok(known) = HeaderValue::try_from(known.to_string())
+    {
+        rsp.headers_mut().insert(RATE_LIMIT, known);
+    }
     let instance_leaves = node.local_standing(instance) == LocalStanding::Leaving;
     if node.lifecycle.is_leaving() || instance_leaves {
         rsp.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
@@ -384,6 +390,7 @@
     let reason = match shed.reason {
         ShedReason::Level | ShedReason::QueueFull | ShedReason::NoWait => Reason::Overloaded,
         ShedReason::Objective => Reason::Overloaded,
+        ShedReason::RateLimit => Reason::RateLimited,
         ShedReason::Deadline => Reason::Expired,
     };
     Refusal::not_run(reason).retry_after(shed.retry_after)
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -21,6 +21,7 @@
 use crate::request::Context;
 use crate::request::HELD;
 use crate::request::INSTANCE;
+use crate::request::RATE_LIMIT;
 use crate::request::RULES_VERSION;
 use crate::request::Reason;
 use crate::request::Refusal;
@@ -62,6 +63,7 @@
     let cx = cx.ok_or(Refusal::not_run(Reason::Malformed))?;
     let instance = req.headers().get(INSTANCE).and_then(|value| value.to_str().ok());
     let instance = instance.map_or(node.settings.daemon.instance.clone(), InstanceId::from);
+    let known_limit = read_header(req.headers(), &RATE_LIMIT);
     let (mut inbound, incoming) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
     inbound.take_peer_headers();
     // Without rules, this daemon would refuse every call that the upstream makes on
@@ -73,6 +75,9 @@
     if inbound.service != node.settings.daemon.service {
         return Err(Refusal::not_run(Reason::UnknownService));
     }
+    if let Some(known) = known_limit {
+        node.adopt_rate_limit(&instance, known);
+    }
     Ok(owner::serve(node, cx, &inbound, &instance, incoming).await)
 }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -28,6 +28,7 @@
 mod test_parent;
 mod test_path;
 mod test_placing;
+mod test_rate_limits;
 mod test_relays;
 mod test_repeats;
 mod test_retries;
