membership: send nothing to an upstream that has said it is leaving

What callers saw: requests for an upstream that had said in its answers that it leaves went on reaching it until the list said so too.

--- a/lib/src/process/membership/health_record.rs
+++ b/lib/src/process/membership/health_record.rs
@@ -41,8 +41,10 @@
     ConnectFailed,
     /// No answer arrived in time.
     TimedOut,
-    /// The instance reported that it accepts no new requests.
+    /// The instance's daemon reported that it accepts no new requests.
     Leaving,
+    /// The instance's upstream has said in an answer that it is leaving.
+    UpstreamLeaving,
     /// Another upstream uses the instance's address.
     Gone,
     /// The connection to the instance's daemon was closed.
@@ -131,7 +133,7 @@
             Observation::Answered => self.record_answer(now),
             Observation::ConnectFailed => self.suspect(now, rng),
             Observation::TimedOut => self.record_timeout(now, rng),
-            Observation::Leaving => self.record_leaving(now),
+            Observation::Leaving | Observation::UpstreamLeaving => self.record_leaving(now),
             Observation::Gone => self.condition = Condition::Gone,
             Observation::Disconnected => self.record_disconnect(now),
             Observation::Level(level) => self.level = Some((level, now)),
--- a/lib/src/process/membership/local_instances.rs
+++ b/lib/src/process/membership/local_instances.rs
@@ -7,6 +7,7 @@
 use super::Vm;
 use super::VmList;
 use super::VmState;
+use super::leaving_notices::LeavingNotices;
 use crate::process::InstanceId;
 
 /// Most instances that are remembered as gone from the list. Others of this address
@@ -18,7 +19,7 @@
 pub enum LocalStanding {
     /// Nothing speaks against it.
     Current,
-    /// The instance is listed as leaving.
+    /// The instance is listed as leaving, or its upstream has said that it leaves.
     Leaving,
     /// The instance was listed and no longer is. The list may have lost it by mistake.
     Unlisted,
@@ -45,6 +46,8 @@
     local: IndexMap<InstanceId, VmState>,
     /// Instances that an earlier list named at the address and the last one does not name.
     unlisted: IndexMap<InstanceId, ()>,
+    /// Instances whose upstream has said that it is leaving.
+    notices: LeavingNotices,
     /// The instance that a list named last at the address, with the start time of its
     /// upstream.
     latest: Option<(InstanceId, Option<u64>)>,
@@ -59,6 +62,7 @@
             listed: IndexMap::new(),
             local: IndexMap::new(),
             unlisted: IndexMap::new(),
+            notices: LeavingNotices::default(),
             latest: None,
         }
     }
@@ -69,6 +73,18 @@
         self.departed.insert(instance.clone(), start_ms);
     }
 
+    /// Records that an instance's upstream has said that it is leaving; returns whether that
+    /// is news.
+    pub fn record_leaving(&mut self, instance: &InstanceId) -> bool {
+        let start_ms = self.listed.get(instance).copied().flatten();
+        self.notices.record(instance, start_ms)
+    }
+
+    /// Returns whether an instance's upstream has said that it is leaving.
+    pub fn has_said_leaving(&self, instance: &InstanceId) -> bool {
+        self.notices.contains(instance)
+    }
+
     /// Returns whether the local upstream may run requests for an instance.
     ///
     /// An instance that no list has named yet may have started just now.
@@ -76,6 +92,9 @@
         if self.departed.contains_key(instance) {
             return LocalStanding::Departed;
         }
+        if self.has_said_leaving(instance) {
+            return LocalStanding::Leaving;
+        }
         match self.local.get(instance) {
             Some(VmState::Leaving) => LocalStanding::Leaving,
             None if self.unlisted.contains_key(instance) => LocalStanding::Unlisted,
@@ -92,6 +111,7 @@
         self.listed = list.vms.iter().map(|vm| (vm.instance.clone(), start_ms(vm))).collect();
         let listed = &self.listed;
         self.departed.retain(|instance, start_ms| listed.get(instance) == Some(start_ms));
+        self.notices.apply_starts(|instance| listed.get(instance).copied().flatten());
         let local: IndexMap<_, _> =
             self.local_vms(list).map(|vm| (vm.instance.clone(), vm.state)).collect();
         let before = std::mem::replace(&mut self.local, local);
--- a/lib/src/process/membership/members.rs
+++ b/lib/src/process/membership/members.rs
@@ -12,6 +12,7 @@
 use super::VmList;
 use super::VmState;
 use super::health_record::HealthRecord;
+use super::leaving_notices::LeavingNotices;
 use crate::process::InstanceId;
 use crate::process::ServiceName;
 use crate::process::admission::KnownLimit;
@@ -31,14 +32,18 @@
         /// When the next probe may be sent.
         at: Duration,
     },
-    /// The platform is removing the instance or no longer lists it, or another
-    /// upstream uses its address.
+    /// The platform is removing the instance or no longer lists it, its upstream has said
+    /// that it leaves, or another upstream uses its address.
     Gone,
 }
 
 /// Whether two entries of one instance describe the same start of its upstream.
 fn is_same_start(left: &Vm, right: &Vm) -> bool {
-    left.upstream.map(|facts| facts.start_ms) == right.upstream.map(|facts| facts.start_ms)
+    start_ms(left) == start_ms(right)
+}
+
+fn start_ms(vm: &Vm) -> Option<u64> {
+    vm.upstream.map(|facts| facts.start_ms)
 }
 
 /// The listed instances, and the health of those that this daemon calls.
@@ -52,6 +57,7 @@
     services: IndexMap<ServiceName, Vec<Arc<Vm>>>,
     by_name: IndexMap<InstanceId, Arc<Vm>>,
     records: IndexMap<InstanceId, HealthRecord>,
+    notices: LeavingNotices,
 }
 
 impl Membership {
@@ -81,6 +87,7 @@
             self.by_name.insert(vm.instance.clone(), vm);
         }
         let listed = &self.by_name;
+        self.notices.apply_starts(|instance| listed.get(instance).and_then(|vm| start_ms(vm)));
         self.records.retain(|instance, _| listed.contains_key(instance));
         true
     }
@@ -93,9 +100,11 @@
         observation: Observation,
         rng: &mut impl Rng,
     ) {
-        if self.by_name.contains_key(instance) {
-            self.record_mut(instance).observe(now, observation, rng);
+        let Some(vm) = self.by_name.get(instance) else { return };
+        if observation == Observation::UpstreamLeaving {
+            self.notices.record(instance, start_ms(vm));
         }
+        self.record_mut(instance).observe(now, observation, rng);
     }
 
     /// Records that a request was sent to an instance as a probe.
@@ -118,6 +127,9 @@
             Some(vm) if vm.state == VmState::Live => {}
             _ => return Health::Gone,
         }
+        if self.notices.contains(instance) {
+            return Health::Gone;
+        }
         let Some(record) = self.records.get(instance) else {
             return Health::Working { share: 1.0 };
         };
--- a/lib/src/process/membership/mod.rs
+++ b/lib/src/process/membership/mod.rs
@@ -1,6 +1,7 @@
 //! The list of instances and their observed health; see `docs/design/membership.md`.
 
 mod health_record;
+mod leaving_notices;
 mod list_change;
 mod local_instances;
 mod members;
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -267,6 +267,11 @@
             let decision = Decision::RateLimitMalformed { instance };
             self.decisions.write(self.clock.now(), None, &decision);
         }
+        if notice.is_leaving && self.local_instances.lock().record_leaving(instance) {
+            let decision = Decision::UpstreamLeaving { instance };
+            self.decisions.write(self.clock.now(), None, &decision);
+            self.local_instances_changed.notify_waiters();
+        }
         let change = self.gate.record_limit_notice(notice.limit, is_late);
         self.log_limit_change(change, LimitSource::Upstream);
     }
--- a/lib/src/request/dialect/own.rs
+++ b/lib/src/request/dialect/own.rs
@@ -20,7 +20,6 @@
 use crate::process::RequestName;
 use crate::request::CONTEXT;
 use crate::request::DEADLINE_MS;
-use crate::request::LEAVING;
 use crate::request::OUTCOME;
 use crate::request::Outcome;
 use crate::request::RATE_LIMIT;
@@ -89,7 +88,8 @@
     fn upstream_notice(&self, headers: &HeaderMap) -> UpstreamNotice {
         UpstreamNotice {
             limit: limit_notice(headers, &RATE_LIMIT),
-            is_leaving: headers.contains_key(LEAVING),
+            // An upstream of the own interface leaves through its daemon.
+            is_leaving: false,
         }
     }
 
--- a/lib/src/request/headers.rs
+++ b/lib/src/request/headers.rs
@@ -61,10 +61,14 @@
 /// The only instance that may run the request; sent between daemons.
 pub const INSTANCE: HeaderName = HeaderName::from_static("endivescale-instance");
 
-/// Set on the answers of a daemon that is leaving, so that peers send it no new
-/// requests, and on the answers of an upstream that is leaving.
+/// Set on the answers of a daemon that is leaving, or whose upstream is, so that peers
+/// send it no new requests.
 pub const LEAVING: HeaderName = HeaderName::from_static("endivescale-leaving");
 
+/// Value of [`LEAVING`] if the upstream itself has said that it is leaving, so that requests
+/// can only be sent to a later start of it. Any other value concerns its daemon.
+pub const UPSTREAM_LEAVING: &str = "upstream";
+
 /// Set between daemons on an upstream's error that none of its calls has caused, so that
 /// an idempotent request may be tried elsewhere.
 pub const UPSTREAM_ERROR: HeaderName = HeaderName::from_static("endivescale-upstream-error");
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -48,6 +48,7 @@
 use crate::request::Reason;
 use crate::request::Refusal;
 use crate::request::UPSTREAM_ERROR;
+use crate::request::UPSTREAM_LEAVING;
 use crate::request::message::Inbound;
 use crate::request::retries::Grant;
 
@@ -262,8 +263,12 @@
         if let Some(level) = read_header(headers, &LEVEL) {
             router.observe(now, &vm.instance, Observation::Level(level));
         }
-        if headers.contains_key(LEAVING) {
-            router.observe(now, &vm.instance, Observation::Leaving);
+        match headers.get(LEAVING) {
+            Some(value) if value == UPSTREAM_LEAVING => {
+                router.observe(now, &vm.instance, Observation::UpstreamLeaving);
+            }
+            Some(_) => router.observe(now, &vm.instance, Observation::Leaving),
+            None => {}
         }
     });
 }
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -48,6 +48,7 @@
 use crate::request::Reason;
 use crate::request::Refusal;
 use crate::request::UPSTREAM_ERROR;
+use crate::request::UPSTREAM_LEAVING;
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
 use crate::request::parent::Parent;
@@ -108,14 +109,24 @@
     {
         rsp.headers_mut().insert(RATE_LIMIT, known);
     }
-    let instance_leaves = node.local_standing(instance) == LocalStanding::Leaving;
-    if node.lifecycle.is_leaving() || instance_leaves {
-        rsp.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
+    if let Some(leaving) = leaving_notice(node, instance) {
+        rsp.headers_mut().insert(LEAVING, HeaderValue::from_static(leaving));
     }
     let body_deadline = Instant::now() + node.settings.limits.max_deadline + LATE_FINISH_GRACE;
     rsp.map(|body| GuardedBody::new(body, body_deadline, tracker).boxed_unsync())
 }
 
+/// Returns the value of the leaving header; `None` if neither this daemon nor the instance is
+/// leaving.
+fn leaving_notice(node: &Node, instance: &InstanceId) -> Option<&'static str> {
+    let local_instances = node.local_instances.lock();
+    if local_instances.has_said_leaving(instance) {
+        return Some(UPSTREAM_LEAVING);
+    }
+    let instance_leaves = local_instances.standing(instance) == LocalStanding::Leaving;
+    (node.lifecycle.is_leaving() || instance_leaves).then_some("1")
+}
+
 /// Inserts an admission level; a level that admits everything is left out.
 fn insert_level(headers: &mut HeaderMap, name: HeaderName, level: Level) {
     if level == Level::OPEN {
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -256,6 +256,49 @@
     }
 }
 
+/// A list that lacks an instance for a while, or names an earlier start of it, is no new start.
+#[test]
+fn upstream_that_said_it_leaves_gets_nothing_before_it_starts_anew() {
+    let list = |version, vms| VmList { version, vms };
+    let lists = [
+        (vec![started("a-x1-1", 100)], false),
+        (vec![], false),
+        (vec![started("a-x1-1", 100)], false),
+        (vec![started("a-x1-1", 50)], false),
+        (vec![started("a-x1-1", 200)], true),
+    ];
+    let mut s = Setup::new();
+    let mut local = local_instances();
+    s.members.apply(ms(0), &list(2, vec![started("a-x1-1", 100)]));
+    local.apply(&list(2, vec![started("a-x1-1", 100)]));
+    s.see(1, Observation::UpstreamLeaving);
+    assert!(local.record_leaving(&"a-x1-1".into()));
+    assert!(!local.record_leaving(&"a-x1-1".into()));
+    for (version, (vms, is_back)) in (3..).zip(lists) {
+        s.members.apply(ms(version), &list(version, vms.clone()));
+        local.apply(&list(version, vms));
+        s.see(version, Observation::Answered);
+        let is_gone = s.health(version) == Health::Gone;
+        assert_eq!(!is_gone, is_back, "in list {version}");
+        let standing = local.standing(&"a-x1-1".into());
+        let expected = if is_back { LocalStanding::Current } else { LocalStanding::Leaving };
+        assert_eq!(standing, expected, "in list {version}");
+    }
+}
+
+/// A request may arrive before the list that names its instance.
+#[test]
+fn start_of_an_upstream_that_said_it_leaves_may_be_listed_later() {
+    let mut local = local_instances();
+    assert!(local.record_leaving(&"a-x1-1".into()));
+    for (version, start_ms, expected) in
+        [(1, 100, LocalStanding::Leaving), (2, 200, LocalStanding::Current)]
+    {
+        local.apply(&VmList { version, vms: vec![started("a-x1-1", start_ms)] });
+        assert_eq!(local.standing(&"a-x1-1".into()), expected);
+    }
+}
+
 /// Instances of other VMs are not this daemon's to judge.
 #[test]
 fn entries_at_other_addresses_do_not_matter() {
