platform: bear times that are too long for the clock

Looked for after the users' report that one malformed message took a whole process down.

Ruled out by reading: slots of 0 or 2^32-1, deadlines of 2^64-1 ms, contexts and levels from peers; panics end one request's task and poison no lock.

--- a/lib/src/connection/upstream.rs
+++ b/lib/src/connection/upstream.rs
@@ -245,9 +245,10 @@
             if self.connection.sender.ready().await.is_err() {
                 return;
             }
-            let reuse_until = self
-                .keep_alive
-                .map(|timeout| Instant::now() + timeout.mul_f64(KEEP_ALIVE_FRACTION));
+            // A timeout that is too long for the clock never ends.
+            let reuse_until = self.keep_alive.and_then(|timeout| {
+                Instant::now().checked_add(timeout.mul_f64(KEEP_ALIVE_FRACTION))
+            });
             let mut idle = self.pool.idle.lock();
             idle.retain(IdleConnection::is_usable);
             if idle.len() < self.pool.capacity {
--- a/lib/src/process/membership/health_record.rs
+++ b/lib/src/process/membership/health_record.rs
@@ -123,7 +123,7 @@
     /// restarted owner.
     pub(crate) fn rate_limit(&self, now: Duration) -> Option<KnownLimit> {
         let (limit, reported_at) = self.rate_limit?;
-        let age = limit.age + now.saturating_sub(reported_at);
+        let age = limit.age.saturating_add(now.saturating_sub(reported_at));
         (age <= RATE_LIMIT_LIFETIME).then_some(KnownLimit { age, ..limit })
     }
 
