--- a/cli/tests/fake_daemon.rs
+++ b/cli/tests/fake_daemon.rs
@@ -90,6 +90,9 @@
     }
 }
 
+/// Name of the instance whose upstream states a limit on the rate of requests.
+pub(crate) const LIMITED_INSTANCE: &str = "submission-limited";
+
 impl OperatorApi for FakeDaemon {
     fn status(&self) -> StatusReport {
         let queue = |criticality, waiting| QueueStatus { criticality, waiting };
@@ -118,6 +121,7 @@
                 in_progress: 31,
                 queues: vec![queue(Criticality::Critical, 2), queue(Criticality::Normal, 0)],
                 level: "normal 50%".to_owned(),
+                rate_limit: (self.instance == LIMITED_INSTANCE).then_some(33.2),
             },
             tokens: TokenStatus { used: 57, kept_answers: 50, bytes: 40_000 },
             peers: vec![
--- a/cli/tests/test_status_command.rs
+++ b/cli/tests/test_status_command.rs
@@ -3,6 +3,7 @@
 use crate::command_line::endivescale;
 use crate::fake_daemon::ClosedPort;
 use crate::fake_daemon::FakeDaemon;
+use crate::fake_daemon::LIMITED_INSTANCE;
 
 #[test]
 fn one_daemon_with_its_peers() {
@@ -50,6 +51,14 @@
     "#);
 }
 
+#[test]
+fn daemon_whose_upstream_states_a_limit() {
+    let address = FakeDaemon::start(LIMITED_INSTANCE, 7);
+    let output = endivescale(&["status", &address.to_string()]).text(&[(address, "ADDRESS")]);
+    let row = output.lines().find(|line| line.starts_with(LIMITED_INSTANCE)).unwrap();
+    assert!(row.contains(" 31/40, 33.2/s "), "{row}");
+}
+
 #[test]
 fn status_as_json() {
     let address = FakeDaemon::start("submission-a", 7);
--- a/lib/src/operators/status.rs
+++ b/lib/src/operators/status.rs
@@ -8,6 +8,7 @@
 use super::DaemonResult;
 use super::Table;
 use crate::process::DurationText;
+use crate::process::status::AdmissionStatus;
 use crate::process::status::PeerStanding;
 use crate::process::status::QueueStatus;
 use crate::process::status::StatusReport;
@@ -122,7 +123,7 @@
         uptime(daemon),
         or_dash(daemon.rules.as_ref().map(|rules| rules.version)),
         or_dash(daemon.vms.as_ref().map(|vms| vms.version)),
-        format!("{}/{}", admission.limit, admission.slots),
+        limit(admission),
         admission.in_progress.to_string(),
         waiting(&admission.queues),
         admission.level.clone(),
@@ -131,6 +132,15 @@
     ]
 }
 
+/// Returns the limit on concurrent requests, and that on their rate if there is one.
+fn limit(admission: &AdmissionStatus) -> String {
+    let concurrent = format!("{}/{}", admission.limit, admission.slots);
+    match admission.rate_limit {
+        Some(rate) => format!("{concurrent}, {rate:.1}/s"),
+        None => concurrent,
+    }
+}
+
 fn uptime(daemon: &StatusReport) -> String {
     let seconds = daemon.uptime.as_secs();
     let rounded = match seconds {
--- a/lib/src/process/node/operated.rs
+++ b/lib/src/process/node/operated.rs
@@ -97,6 +97,7 @@
     }
 
     fn admission_status(&self) -> AdmissionStatus {
+        let rate_limit = self.gate.rate_limit().map(|known| known.rate.per_second());
         self.gate.with_admission(|admission| {
             let queue = |criticality| QueueStatus {
                 criticality,
@@ -108,6 +109,7 @@
                 in_progress: admission.in_progress(),
                 queues: Criticality::ALL.into_iter().map(queue).collect(),
                 level: format_level(admission.level()),
+                rate_limit,
             }
         })
     }
--- a/lib/src/process/status/report.rs
+++ b/lib/src/process/status/report.rs
@@ -103,7 +103,7 @@
 }
 
 /// State of the admission control in front of the local upstream.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AdmissionStatus {
     /// Current limit on concurrent requests at the upstream, adapted at run time.
     pub limit: usize,
@@ -117,6 +117,9 @@
     /// percentage. Requests of higher criticality are admitted, and that percentage
     /// of those of the criticality itself.
     pub level: String,
+    /// Limit that the upstream states, in requests per second; `None` if it states none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate_limit: Option<f64>,
 }
 
 /// Number of waiting requests of one criticality.
