test: limits over restarts of owners and senders, by virtual time

60 seeds of restarts at random while two of three instances state limits and answers take 1.5 s: what told senders send stays within the platform's rule. Without the handing back of limits it does not, which is kept as a case.

--- a/lib/tests/test_rate_limits.rs
+++ b/lib/tests/test_rate_limits.rs
@@ -391,6 +391,8 @@
     admission: Admission,
     limit: Option<&'static str>,
     sent: Vec<Duration>,
+    /// When requests were sent for senders that had passed an answer with the limit on.
+    sent_for_told: Vec<Duration>,
 }
 
 /// A request that runs.
@@ -408,40 +410,54 @@
     owners: Vec<Owner>,
     names: Vec<InstanceId>,
     senders: Vec<Router>,
+    /// When each sender has passed an answer with a limit on, by instance; restarts of the
+    /// sender excuse it.
+    told: Vec<IndexMap<usize, Duration>>,
+    /// Whether senders tell a restarted owner of the limit that they know.
+    hands_back: bool,
+    service_time: Duration,
     running: BinaryHeap<Running>,
     rng: ChaCha8Rng,
 }
 
 const SERVICE_TIME: Duration = Duration::from_millis(90);
+/// Time after which a sender that has passed an answer with a limit on is bound by it.
+const TOLD_TIME: Duration = Duration::from_millis(500);
 const NAMES: [&str; 3] = ["a-x1-1", "a-x2-1", "a-x3-1"];
 const MAX_REROUTES: usize = 3;
 
 impl Fleet {
     fn new(senders: usize) -> Self {
-        let senders = (0..senders)
-            .map(|n| {
-                let zone = format!("x{}", n % 3 + 1);
-                let instance = format!("b-{zone}-{n}").as_str().into();
-                let here = Place { instance, zone: zone.as_str().into(), region: "x".into() };
-                let mut router = Router::new(here, SEED + n as u64);
-                router.apply(ms(0), &list(1, &NAMES));
-                router
-            })
-            .collect();
         let owner = |_: &&str| Owner {
             admission: Admission::new(&AdmissionConfig::new(158)),
             limit: None,
             sent: Vec::new(),
+            sent_for_told: Vec::new(),
         };
         Self {
             owners: NAMES.iter().map(owner).collect(),
             names: NAMES.map(InstanceId::from).to_vec(),
-            senders,
+            senders: (0..senders).map(|n| new_sender(n, SEED)).collect(),
+            told: vec![IndexMap::new(); senders],
+            hands_back: true,
+            service_time: SERVICE_TIME,
             running: BinaryHeap::new(),
             rng: ChaCha8Rng::seed_from_u64(SEED),
         }
     }
 
+    /// Restarts an owner, which forgets its limit. The requests that run there go on.
+    fn restart_owner(&mut self, instance: usize) {
+        self.owners[instance].admission = Admission::new(&AdmissionConfig::new(158));
+    }
+
+    /// Restarts a sender, which forgets all that it has heard.
+    fn restart_sender(&mut self, sender: usize) {
+        let seed = self.rng.random();
+        self.senders[sender] = new_sender(sender, seed);
+        self.told[sender].clear();
+    }
+
     /// Sends requests at random times until `until`; returns how many were served and refused.
     fn run(&mut self, from: Duration, until: Duration, per_second: f64) -> (usize, usize) {
         let (mut now, mut served, mut refused) = (from, 0, 0);
@@ -468,12 +484,20 @@
             };
             let instance = self.names.iter().position(|name| *name == vm.instance).unwrap();
             let owner = &mut self.owners[instance];
+            let known = self.senders[sender].members().rate_limit(now, &vm.instance);
+            if let Some(known) = known.filter(|_| self.hands_back) {
+                owner.admission.adopt_rate_limit(now, known);
+            }
             let arrival = owner.admission.arrive(now, work(Criticality::Normal, hash, now));
             match arrival {
                 Arrival::Admitted(ticket) => {
                     owner.sent.push(now);
+                    let told = self.told[sender].get(&instance);
+                    if told.is_some_and(|at| *at + TOLD_TIME <= now) {
+                        owner.sent_for_told.push(now);
+                    }
                     self.senders[sender].started(&vm.instance);
-                    let ends = std::cmp::Reverse(now + SERVICE_TIME);
+                    let ends = std::cmp::Reverse(now + self.service_time);
                     self.running.push(Running { ends, sender, instance, ticket });
                     return true;
                 }
@@ -492,6 +516,9 @@
             let notice = owner.limit.map_or(LimitNotice::Absent, stated);
             owner.admission.record_limit_notice(ends.0, notice, false);
             owner.admission.complete(ends.0, ticket, Completion::Answered);
+            if owner.limit.is_some() {
+                self.told[sender].entry(instance).or_insert(ends.0);
+            }
             self.senders[sender].finished(&self.names[instance]);
             self.report(ends.0, sender, instance);
         }
@@ -507,9 +534,19 @@
         let (router, name) = (&mut self.senders[sender], &self.names[instance]);
         router.record_load(now, name, LoadReport { requests, slots, success_ratio: 1.0 });
         router.observe(now, name, Observation::Level(level));
+        router.record_rate_limit(now, name, admission.rate_limit(now));
     }
 }
 
+fn new_sender(number: usize, seed: u64) -> Router {
+    let zone = format!("x{}", number % 3 + 1);
+    let instance = format!("b-{zone}-{number}").as_str().into();
+    let here = Place { instance, zone: zone.as_str().into(), region: "x".into() };
+    let mut router = Router::new(here, seed + number as u64);
+    router.apply(ms(0), &list(1, &NAMES));
+    router
+}
+
 /// Load pattern of the incident: 200 requests a second, three instances, two of which state
 /// limits of 33.2 and 22.4, while the third has room for all.
 #[test]
@@ -545,3 +582,51 @@
     let capacity = (33.2 + 22.4 + 12.0) * 20.0;
     assert!(served as f64 >= capacity * 0.85, "{served} served, {capacity} fit");
 }
+
+/// Plays restarts of owners and senders at random while two of three instances state limits.
+/// Returns whether an instance got more for told senders than its limit allows.
+fn breaks_limit_in_restarts(seed: u64, hands_back: bool) -> bool {
+    let mut fleet = Fleet::new(12);
+    fleet.rng = ChaCha8Rng::seed_from_u64(seed);
+    fleet.hands_back = hands_back;
+    // Answers are slow, so that a restarted owner hears late of the limit by itself.
+    fleet.service_time = ms(1_500);
+    let mut now = ms(4_000);
+    fleet.run(ms(0), now, 80.0);
+    (fleet.owners[0].limit, fleet.owners[1].limit) = (Some("12"), Some("2.5"));
+    for _ in 0..12 {
+        let until = now + ms(fleet.rng.random_range(300..3_000));
+        fleet.run(now, until, 80.0);
+        now = until;
+        match fleet.rng.random_range(0..2) {
+            0 => {
+                let owner = fleet.rng.random_range(0..2);
+                fleet.restart_owner(owner);
+            }
+            _ => {
+                let sender = fleet.rng.random_range(0..fleet.senders.len());
+                fleet.restart_sender(sender);
+            }
+        }
+    }
+    let owners = fleet.owners.iter().zip([12.0, 2.5]);
+    let mut most = owners.map(|(owner, limit)| {
+        (most_in_a_window(&owner.sent_for_told, ms(4_000) + CONTACT), allowed(limit))
+    });
+    most.any(|(most, allowed)| most > allowed)
+}
+
+const RESTART_SEEDS: u64 = 60;
+
+#[test]
+fn holds_rate_limit_over_restarts() {
+    let broken: Vec<_> =
+        (0..RESTART_SEEDS).filter(|seed| breaks_limit_in_restarts(*seed, true)).collect();
+    assert!(broken.is_empty(), "seeds {broken:?}");
+}
+
+/// A restarted owner that nobody tells of the limit sends too much.
+#[test]
+fn holds_rate_limit_over_restarts_sees_limits_that_are_not_handed_back() {
+    assert!((0..RESTART_SEEDS).any(|seed| breaks_limit_in_restarts(seed, false)));
+}
