listener: answer requests that arrived before the listener closes

Looked for after the users' report that requests which had just been accepted were cut off in a planned stop under load. It can happen here: the accept loop ended with connections waiting, which the close of the listener resets, and a connection accepted just before was closed before its first request was noticed (a new socket counts as not readable until the event loop has seen it).

16 callers whose requests had arrived when the stop came: all were reset before, all are answered now (test_listener, for both kinds of listener). Listener and connections wait 50 ms more; new requests are refused as not run by then. Ruled out as a remedy: polling the listener once, for the same reason.

--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -19,6 +19,8 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tower::Service;
@@ -39,6 +41,8 @@
 const MAX_HEAD_BYTES: u32 = 2 * 1024 * 1024;
 /// Pause after a failed accept, to avoid a busy loop when file descriptors run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+/// Time for which a listener that is told to close still accepts connections.
+const LAST_ACCEPT_TIME: Duration = Duration::from_millis(50);
 
 /// The address of a listener cannot be bound.
 #[derive(Debug, Snafu)]
@@ -82,24 +86,20 @@
     S::Future: Send,
 {
     let graceful = GracefulShutdown::new();
+    let spawn = |stream| {
+        spawn_connection(stream, protocol, service.clone(), &graceful, on_malformed.clone());
+    };
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                spawn_connection(
-                    stream,
-                    protocol,
-                    service.clone(),
-                    &graceful,
-                    on_malformed.clone(),
-                );
-            }
+            Ok((stream, _)) => spawn(stream),
             Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
         }
     }
+    accept_waiting(&listener, spawn).await;
     drop(listener);
     graceful.shutdown().await;
 }
@@ -113,23 +113,34 @@
     S::Future: Send,
 {
     let connections = TaskTracker::new();
+    let spawn = |stream| {
+        connections.spawn(pipeline::serve(stream, service.clone(), cx.clone()));
+    };
     loop {
         let accepted = tokio::select! {
             () = cx.stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                connections.spawn(pipeline::serve(stream, service.clone(), cx.clone()));
-            }
+            Ok((stream, _)) => spawn(stream),
             Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
         }
     }
+    accept_waiting(&listener, spawn).await;
     drop(listener);
     connections.close();
     connections.wait().await;
 }
 
+/// Accepts the connections that wait for it. Their requests may have been sent already, and
+/// closing the listener would reset them.
+async fn accept_waiting(listener: &TcpListener, spawn: impl Fn(TcpStream)) {
+    let end = Instant::now() + LAST_ACCEPT_TIME;
+    while let Ok(Ok((stream, _))) = timeout_at(end, listener.accept()).await {
+        spawn(stream);
+    }
+}
+
 fn spawn_connection<S>(
     stream: TcpStream,
     protocol: Protocol,
--- a/lib/src/connection/pipeline/requests.rs
+++ b/lib/src/connection/pipeline/requests.rs
@@ -35,6 +35,8 @@
 /// Factor by which an idle connection stays open longer than callers are told, so that it is
 /// not closed while a request is in transit.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.25;
+/// Time for which a connection that is told to close still takes a request.
+const ARRIVAL_TIME: Duration = Duration::from_millis(50);
 
 /// An entry in the queue of responses that the writer writes in order.
 pub(super) enum QueuedResponse {
@@ -164,7 +166,11 @@
                 WaitOutcome::Request => {}
                 WaitOutcome::Idle => return Ok(false),
             },
-            () = self.closing.cancelled() => return Ok(false),
+            () = self.closing.cancelled() => {
+                if !self.is_request_arriving().await {
+                    return Ok(false);
+                }
+            }
         }
         let limits = (self.cx.limits)();
         let head = timeout(limits.head_timeout, self.reader.read_head(limits.head_bytes)).await;
@@ -198,6 +204,18 @@
         Ok(!close_after)
     }
 
+    /// Returns whether a request arrives although the connection is told to close.
+    ///
+    /// A request that was sent before the listener closed may not have been noticed yet, most
+    /// of all on a connection that was just accepted.
+    async fn is_request_arriving(&mut self) -> bool {
+        if !self.cx.stop.is_cancelled() || self.last_announced.load(Ordering::Relaxed) {
+            return false;
+        }
+        let arriving = timeout(ARRIVAL_TIME, self.reader.wait_for_request()).await;
+        matches!(arriving, Ok(Ok(())))
+    }
+
     /// Starts a task that serves a request.
     fn start(&mut self, head: Head, body: RelayBody) -> PendingResponse {
         let in_progress = self.activity.begin();
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -18,6 +18,7 @@
 mod test_examples;
 mod test_idempotency;
 mod test_leaving;
+mod test_listener;
 mod test_log;
 mod test_membership;
 mod test_metrics;
--- /dev/null
+++ b/lib/tests/test_listener.rs
@@ -0,0 +1,86 @@
+//! Connections of callers at the moment when their listener closes.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use endivescale::connection::body;
+use endivescale::connection::body::RelayBody;
+use endivescale::connection::listener;
+use endivescale::connection::listener::Protocol;
+use endivescale::connection::pipeline::ConnectionCx;
+use endivescale::connection::pipeline::ConnectionLimits;
+use http::Request;
+use http::Response;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tower::service_fn;
+
+const CALLERS: usize = 16;
+const CAP: Duration = Duration::from_secs(10);
+
+fn context(stop: CancellationToken) -> ConnectionCx {
+    ConnectionCx {
+        limits: Arc::new(|| ConnectionLimits::UNTIL_CONFIGURED),
+        on_malformed: Arc::new(|| ()),
+        on_cut: Arc::new(|_, _| ()),
+        stop,
+    }
+}
+
+async fn answer(_: Request<RelayBody>) -> Result<Response<RelayBody>, Infallible> {
+    Ok(Response::new(body::full("answer")))
+}
+
+/// Lets a listener close when connections wait for it with requests that nobody has read yet,
+/// as in a stop under load. `serve` runs the listener. Returns the responses.
+async fn check_waiting_requests<F>(
+    serve: impl FnOnce(TcpListener, CancellationToken) -> F,
+) -> Vec<String>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let listener = listener::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        let mut caller = TcpStream::connect(address).await.unwrap();
+        caller.write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        callers.push(caller);
+    }
+    let stop = CancellationToken::new();
+    stop.cancel();
+    let serving = tokio::spawn(serve(listener, stop));
+    let mut responses = Vec::new();
+    for mut caller in callers {
+        let mut response = String::new();
+        let read = timeout(CAP, caller.read_to_string(&mut response)).await.unwrap();
+        assert!(read.is_ok() && response.ends_with("answer"), "{read:?} {response:?}");
+        responses.push(response.to_lowercase());
+    }
+    timeout(CAP, serving).await.unwrap().unwrap();
+    responses
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_that_arrived_before_the_listener_closes_are_answered() {
+    let responses = check_waiting_requests(|listener, stop| {
+        listener::serve_pipelined(listener, service_fn(answer), context(stop))
+    });
+    for response in responses.await {
+        assert!(response.contains("connection: close"), "{response}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_that_arrived_before_a_listener_of_the_own_interface_closes_are_answered() {
+    check_waiting_requests(|listener, stop| {
+        let on_malformed = Arc::new(|| ());
+        listener::serve(listener, Protocol::Http1, service_fn(answer), stop, on_malformed)
+    })
+    .await;
+}
