--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -2,6 +2,7 @@
 //! connection pools for requests to peers and to the local upstream.
 
 pub mod body;
+mod cutoff;
 pub mod listener;
 pub mod peers;
 pub mod pipeline;
--- a/lib/src/connection/upstream.rs
+++ b/lib/src/connection/upstream.rs
@@ -27,6 +27,8 @@
 use tokio::time::Instant;
 
 use super::body::RelayBody;
+use super::cutoff::Cutoff;
+use super::cutoff::CutoffStream;
 use super::tcp;
 use super::tcp::ConnectError;
 use crate::process::RequestName;
@@ -94,6 +96,8 @@
 struct Connection {
     sender: Sender,
     refused: Vec<RequestName>,
+    /// Stops the reading from the connection.
+    cutoff: Cutoff,
 }
 
 impl Connection {
@@ -158,10 +162,12 @@
         let stream = tcp::connect(self.address).await.context(ConnectSnafu)?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
+        let cutoff = Cutoff::default();
+        let stream = CutoffStream::new(stream, cutoff.clone());
         let (sender, connection) =
             builder.handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
         tokio::spawn(connection);
-        Ok(Connection { sender, refused: Vec::new() })
+        Ok(Connection { sender, refused: Vec::new(), cutoff })
     }
 
     /// Sends the request `name` and returns the response with the lease of its connection.
@@ -195,7 +201,7 @@
         mut connection: Connection,
         mut req: Request<RelayBody>,
     ) -> Result<(Response<Incoming>, Lease), (UpstreamError, Option<Box<Request<RelayBody>>>)> {
-        let flooded = limit_interim_responses(&mut req);
+        let flooded = limit_interim_responses(&mut req, connection.cutoff.clone());
         let sent = tokio::select! {
             biased;
             sent = connection.sender.try_send_request(req) => sent,
@@ -258,13 +264,17 @@
     }
 }
 
-/// Counts the interim responses to a request. The returned event occurs when there are too
-/// many.
-fn limit_interim_responses(req: &mut Request<RelayBody>) -> Arc<Notify> {
+/// Counts the interim responses to a request. When there are too many, reading stops and the
+/// returned event occurs.
+///
+/// The event alone would come late: the task of the connection reads on until it yields, which
+/// can be megabytes later.
+fn limit_interim_responses(req: &mut Request<RelayBody>, cutoff: Cutoff) -> Arc<Notify> {
     let flooded = Arc::new(Notify::new());
     let (count, event) = (AtomicU32::new(0), Arc::clone(&flooded));
     on_informational(req, move |_| {
         if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+            cutoff.stop_reading();
             event.notify_one();
         }
     });
