gate: read what answers report under one lock

Each answer took the gate's lock twice before the limit on the rate of requests and four times after it. Now it is once, and what answers say about the limit no longer polls the queue. No change of behaviour.

--- a/lib/src/process/node/gate.rs
+++ b/lib/src/process/node/gate.rs
@@ -53,6 +53,17 @@
     Shedding { last_active: Duration },
 }
 
+/// What callers are told of the local upstream on each answer.
+#[derive(Clone, Copy, Debug)]
+pub struct GateReport {
+    /// Admission level that they should apply.
+    pub level: Level,
+    /// Load of the upstream.
+    pub load: LoadReport,
+    /// Limit on the rate of requests that the upstream states.
+    pub rate_limit: Option<KnownLimit>,
+}
+
 /// A slot at the upstream, freed when the permit is dropped.
 #[derive(Debug)]
 pub struct Permit {
@@ -143,23 +154,14 @@
         }
     }
 
-    /// Returns the admission level that callers should apply to this instance.
-    pub fn level(&self) -> Level {
-        self.table.lock().admission.level()
-    }
-
-    /// Returns the load of the upstream.
-    pub fn load(&self) -> LoadReport {
+    /// Returns what callers are told on each answer.
+    pub fn report(&self) -> GateReport {
         let table = self.table.lock();
         let admission = &table.admission;
-        let requests = u32::try_from(admission.in_progress() + admission.queued());
-        let slots = u32::try_from(admission.limit()).unwrap_or(u32::MAX);
-        // An upstream at its rate limit has free slots, but is as good as full.
-        let requests_by_rate = (admission.rate_utilization() * f64::from(slots)).ceil() as u32;
-        LoadReport {
-            requests: requests.unwrap_or(u32::MAX).max(requests_by_rate),
-            slots,
-            success_ratio: admission.success_ratio(),
+        GateReport {
+            level: admission.level(),
+            load: load_of(admission),
+            rate_limit: admission.rate_limit(self.clock.now()),
         }
     }
 
@@ -186,7 +188,9 @@
 
     /// Records what an answer says about the limit on the rate of requests.
     pub fn record_limit_notice(&self, notice: LimitNotice, is_late: bool) -> Option<LimitChange> {
-        self.update(|admission, now| admission.record_limit_notice(now, notice, is_late))
+        let mut table = self.table.lock();
+        let now = self.clock.now();
+        table.admission.record_limit_notice(now, notice, is_late)
     }
 
     /// Adopts a limit on the rate of requests that another daemon knows of.
@@ -218,6 +222,19 @@
     }
 }
 
+/// Returns the load that an upstream reports to callers.
+fn load_of(admission: &Admission) -> LoadReport {
+    let requests = u32::try_from(admission.in_progress() + admission.queued());
+    let slots = u32::try_from(admission.limit()).unwrap_or(u32::MAX);
+    // An upstream at its rate limit has free slots, but is as good as full.
+    let requests_by_rate = (admission.rate_utilization() * f64::from(slots)).ceil() as u32;
+    LoadReport {
+        requests: requests.unwrap_or(u32::MAX).max(requests_by_rate),
+        slots,
+        success_ratio: admission.success_ratio(),
+    }
+}
+
 impl Table {
     fn poll(&mut self, now: Duration) {
         self.admission.poll(now, &mut self.decisions);
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 pub use self::gate::Gate;
+pub use self::gate::GateReport;
 pub use self::gate::Permit;
 pub use self::lifecycle::InProgress;
 pub use self::lifecycle::Lifecycle;
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -36,6 +36,7 @@
 use crate::process::burn::Role;
 use crate::process::config::ActiveRules;
 use crate::process::membership::LocalStanding;
+use crate::process::node::GateReport;
 use crate::process::node::Node;
 use crate::request::Context;
 use crate::request::LEAVING;
@@ -96,15 +97,15 @@
         tracker.refuse(refusal.with_retries(retries_left))
     });
     tracker.record_upstream_error(&mut rsp);
-    let level = node.gate.level();
+    let GateReport { level, load, rate_limit } = node.gate.report();
     let path_level = level.min(*path_level.lock());
     insert_level(rsp.headers_mut(), LEVEL, level);
     insert_level(rsp.headers_mut(), PATH_LEVEL, path_level);
-    if let Ok(mut load) = HeaderValue::try_from(node.gate.load().to_string()) {
+    if let Ok(mut load) = HeaderValue::try_from(load.to_string()) {
         load.set_sensitive(true);
         rsp.headers_mut().insert(LOAD, load);
     }
-    if let Some(known) = node.gate.rate_limit()
+    if let Some(known) = rate_limit
         && let Ok(known) = HeaderValue::try_from(known.to_string())
     {
         rsp.headers_mut().insert(RATE_LIMIT, known);
