test: levels at the root in the virtual-time replay of limits

Guess: a root that hears of the limited instances only, for the 200 ms that a level counts, refuses what another instance has room for.

--- a/lib/tests/test_rate_limits.rs
+++ b/lib/tests/test_rate_limits.rs
@@ -12,6 +12,7 @@
 use endivescale::process::admission::Level;
 use endivescale::process::admission::LimitChange;
 use endivescale::process::admission::LimitNotice;
+use endivescale::process::admission::PathLevels;
 use endivescale::process::admission::RequestRate;
 use endivescale::process::admission::ShedReason;
 use endivescale::process::admission::Work;
@@ -413,6 +414,8 @@
     /// When each sender has passed an answer with a limit on, by instance; restarts of the
     /// sender excuse it.
     told: Vec<IndexMap<usize, Duration>>,
+    /// What each sender knows of the levels below.
+    path_levels: Vec<PathLevels<()>>,
     /// Whether senders tell a restarted owner of the limit that they know.
     hands_back: bool,
     service_time: Duration,
@@ -439,6 +442,7 @@
             names: NAMES.map(InstanceId::from).to_vec(),
             senders: (0..senders).map(|n| new_sender(n, SEED)).collect(),
             told: vec![IndexMap::new(); senders],
+            path_levels: vec![PathLevels::default(); senders],
             hands_back: true,
             service_time: SERVICE_TIME,
             running: BinaryHeap::new(),
@@ -476,6 +480,10 @@
 
     fn send(&mut self, now: Duration, sender: usize) -> bool {
         let hash = self.rng.random();
+        let levels = &mut self.path_levels[sender];
+        if levels.check(now, &(), Criticality::Normal, hash, None).is_err() {
+            return false;
+        }
         let routed = RoutedWork { criticality: Criticality::Normal, hash, is_call: false };
         let mut tried = Vec::new();
         while tried.len() <= MAX_REROUTES {
@@ -502,7 +510,11 @@
                     return true;
                 }
                 Arrival::Queued(_) => panic!("slots are free"),
-                Arrival::Shed(_) => self.report(now, sender, instance),
+                Arrival::Shed(_) => {
+                    let level = owner.admission.level();
+                    self.path_levels[sender].record_level(now, &(), level);
+                    self.report(now, sender, instance);
+                }
             }
             tried.push(vm.instance.clone());
         }
@@ -520,6 +532,8 @@
                 self.told[sender].entry(instance).or_insert(ends.0);
             }
             self.senders[sender].finished(&self.names[instance]);
+            let level = self.owners[instance].admission.level();
+            self.path_levels[sender].record_answer(ends.0, &(), Some(level));
             self.report(ends.0, sender, instance);
         }
     }
