crashes: tell the end of an upstream from a reset connection, and log what it was running

Now upstream-crashed names the instance, and crash-suspect each content that it was running, by a digest of method, host, path, query, caller and body. Contents that the upstream has answered in the last minute are left out, so that what many ask for is not taken for the cause.

A connection that fails alone is a reset: idle connections are still open then, or a new one is accepted. The new one costs a connection for each failure without an idle connection beside it.

No request is treated otherwise yet.

--- a/lib/src/connection/upstream.rs
+++ b/lib/src/connection/upstream.rs
@@ -81,6 +81,8 @@
 const MAX_INTERIM_RESPONSES: u32 = 16;
 /// Number of refused requests whose names a connection holds; after more it is closed.
 const MAX_REFUSED_NAMES: usize = 32;
+/// Time within which all connections to an upstream that has ended are closed.
+const CONNECTIONS_CLOSE_TIME: Duration = Duration::from_millis(10);
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Fraction of the keep-alive timeout stated by the upstream for which an idle connection is
 /// reused, so that the upstream does not close it while a request is in transit.
@@ -219,6 +221,23 @@
         }
     }
 
+    /// Returns whether the upstream has ended, after a connection to it failed.
+    ///
+    /// If other connections are still open, only that one was reset. Otherwise a new one
+    /// shows whether anything listens.
+    pub(crate) async fn has_ended(&self) -> bool {
+        tokio::time::sleep(CONNECTIONS_CLOSE_TIME).await;
+        if self.idle.lock().iter().any(IdleConnection::is_usable) {
+            return false;
+        }
+        match tcp::connect(self.address).await {
+            Ok(_) | Err(ConnectError::TimedOut { .. }) => false,
+            Err(ConnectError::Failed { source, .. }) => {
+                source.kind() == std::io::ErrorKind::ConnectionRefused
+            }
+        }
+    }
+
     /// Returns the number of idle connections.
     pub fn idle_count(&self) -> usize {
         self.idle.lock().len()
--- /dev/null
+++ b/lib/src/process/crashes/mod.rs
@@ -0,0 +1,12 @@
+//! Requests that crash the upstreams that run them; see `docs/design/crashes.md`.
+//!
+//! Load pattern: a request ends every instance that begins to run it. It comes again under new
+//! names, at any daemon, and is sent to another instance each time it fails.
+
+mod answered;
+mod running;
+
+pub use self::running::CrashScene;
+pub use self::running::RunId;
+pub use self::running::RunningRequests;
+pub use self::running::Suspect;
--- a/lib/src/process/log/decision.rs
+++ b/lib/src/process/log/decision.rs
@@ -13,6 +13,7 @@
 use crate::process::ServiceName;
 use crate::process::admission::LimitChange;
 use crate::process::burn::Role;
+use crate::process::crashes::Suspect;
 use crate::process::membership::Listing;
 use crate::request::Context;
 use crate::request::Outcome;
@@ -146,6 +147,24 @@
         /// The instance that the request was for.
         instance: &'a InstanceId,
     },
+    /// The local upstream has crashed while it was running requests.
+    UpstreamCrashed {
+        /// The instance.
+        instance: &'a InstanceId,
+        /// Number of different requests that may have caused the crash.
+        suspects: usize,
+        /// Number of requests that it was running and has answered lately.
+        trusted: usize,
+    },
+    /// A request that may have caused a crash of the local upstream.
+    CrashSuspect {
+        /// The instance that crashed.
+        instance: &'a InstanceId,
+        /// The request's content.
+        suspect: &'a Suspect,
+        /// Name that the caller gave one request with that content.
+        name: Option<&'a RequestName>,
+    },
     /// The local upstream has said in an answer that it is leaving.
     UpstreamLeaving {
         /// The instance.
@@ -175,7 +194,7 @@
 }
 
 /// Kinds of decisions, by event name. Each kind has a rate limit of its own.
-const KINDS: [&str; 10] = [
+const KINDS: [&str; 12] = [
     "refused",
     "sent-elsewhere",
     "not-repeated",
@@ -186,6 +205,8 @@
     "rate-limit",
     "rate-limit-malformed",
     "upstream-leaving",
+    "upstream-crashed",
+    "crash-suspect",
 ];
 
 impl Decision<'_> {
@@ -202,6 +223,8 @@
             Self::RateLimit { .. } => 7,
             Self::RateLimitMalformed { .. } => 8,
             Self::UpstreamLeaving { .. } => 9,
+            Self::UpstreamCrashed { .. } => 10,
+            Self::CrashSuspect { .. } => 11,
         }
     }
 }
@@ -243,6 +266,19 @@
             Self::RateLimit { change: LimitChange::Withdrawn, source } => {
                 write!(f, "per_second=none from={source}")
             }
+            Self::UpstreamCrashed { instance, suspects, trusted } => {
+                write!(f, "instance={instance} suspects={suspects} trusted={trusted}")
+            }
+            Self::CrashSuspect { instance, suspect, name } => {
+                if let Some(name) = name {
+                    write!(f, "request={name} ")?;
+                }
+                write!(f, "instance={instance} content=")?;
+                match suspect.content {
+                    Some(content) => content.fmt(f),
+                    None => f.write_str("unknown"),
+                }
+            }
             Self::RateLimitMalformed { instance } | Self::UpstreamLeaving { instance } => {
                 write!(f, "instance={instance}")
             }
--- a/lib/src/process/metrics/counter.rs
+++ b/lib/src/process/metrics/counter.rs
@@ -72,6 +72,8 @@
     PeersRecovered = "peers.back";
     /// Changes of the limit that the local upstream states for the rate of requests.
     RateLimitChanges = "rate-limit.changes";
+    /// Crashes of the local upstream while it was running requests.
+    UpstreamCrashes = "upstream.crashes";
     /// Detected pauses of this process.
     Pauses = "pauses";
 }
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -5,6 +5,7 @@
 pub mod catalog;
 pub mod clock;
 pub mod config;
+pub mod crashes;
 pub mod daemon;
 mod ids;
 pub mod log;
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -5,6 +5,7 @@
 //! issuer of idempotency tokens, the called paths, the path levels, the router, the gate, the
 //! connection pools, the burn. Most code holds one lock at a time.
 
+mod crash_watch;
 mod gate;
 mod lifecycle;
 mod operated;
@@ -19,6 +20,8 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 
+pub(crate) use self::crash_watch::CrashWatch;
+pub(crate) use self::crash_watch::RunGuard;
 pub use self::gate::Gate;
 pub use self::gate::GateReport;
 pub use self::gate::Permit;
@@ -120,6 +123,8 @@
     pub config_sent: Mutex<ConfigSendTimes>,
     /// Connections to the local upstream.
     pub upstream: Arc<UpstreamPool>,
+    /// Requests at the local upstream, by which a crash of it is explained.
+    pub(crate) crash_watch: CrashWatch,
     /// Memory for the upstream's responses that are buffered.
     pub(crate) response_memory: BodyMemory,
     /// Whether new requests are accepted, and how many are in progress.
@@ -177,6 +182,7 @@
             config_sent: Mutex::default(),
             ended_peers: Mutex::new(Some(ended_peers)),
             upstream,
+            crash_watch: CrashWatch::new(clock),
             response_memory: BodyMemory::new(RESPONSE_MEMORY_BYTES),
             lifecycle: Arc::default(),
             metrics,
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! Requests: their context, headers and tokens, their retries, and how they are
 //! served.
 
+pub(crate) mod content;
 mod context;
 pub mod dialect;
 mod headers;
@@ -12,6 +13,10 @@
 pub mod retries;
 pub mod serve;
 
+pub use content::CallerDigest;
+pub use content::ContentDigest;
+pub use content::HeadDigest;
+pub use content::RequestContent;
 pub use context::Context;
 pub use context::ContextError;
 pub use context::RequestId;
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -5,6 +5,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
@@ -24,7 +25,9 @@
 use crate::process::node::InProgress;
 use crate::process::node::Node;
 use crate::process::node::Permit;
+use crate::process::node::RunGuard;
 use crate::request::Context;
+use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
 use crate::request::dialect::ResponseClass;
@@ -49,6 +52,10 @@
     pub(super) deadline: Instant,
     /// The one instance that may run the request.
     pub(super) instance: InstanceId,
+    /// Keeps the request among those that the upstream is running.
+    pub(super) run: RunGuard,
+    /// Status of the upstream's answer, once its head has arrived.
+    pub(super) status: Option<StatusCode>,
 }
 
 impl Exchange {
@@ -58,6 +65,10 @@
     }
 
     pub(super) fn complete(self, completion: Completion) {
+        let has_succeeded = self.status.is_some_and(|status| !status.is_server_error());
+        if completion == Completion::Answered && has_succeeded {
+            self.run.answered();
+        }
         self.permit.complete(completion);
     }
 
@@ -114,6 +125,9 @@
         let (rsp, lease, class) = match send_once(node, &mut exchange, wait_deadline).await {
             Ok(received) => received,
             Err((refusal, completion)) => {
+                if refusal.outcome == Outcome::NotRun {
+                    exchange.run.not_run();
+                }
                 exchange.complete(completion);
                 return Err(refusal);
             }
@@ -131,6 +145,7 @@
             ResponseClass::Shed => {
                 lease.discard_refusal(rsp, exchange.inbound.name.as_ref());
                 let retries = exchange.parent.parent().take_retries();
+                exchange.run.not_run();
                 exchange.complete(match node.gate.is_at_rate_limit() {
                     true => Completion::AtRateLimit,
                     false => Completion::Overloaded,
@@ -139,6 +154,7 @@
             }
             ResponseClass::Misdirected => {
                 node.local_instances.lock().record_departure(&exchange.instance);
+                exchange.run.not_run();
                 exchange.complete(Completion::Failed);
                 return Err(Refusal::not_run(Reason::UpstreamMoved));
             }
@@ -169,7 +185,10 @@
         Ok(Err(err)) if err.is_unsent() => {
             Err((Refusal::not_run(Reason::UpstreamUnreachable), Completion::Failed))
         }
-        Ok(Err(_)) => Err((Refusal::unknown(Reason::UpstreamFailed), Completion::Failed)),
+        Ok(Err(_)) => {
+            node.check_for_crash(&exchange.instance);
+            Err((Refusal::unknown(Reason::UpstreamFailed), Completion::Failed))
+        }
         Err(_) => Err((Refusal::unknown(Reason::DeadlineExceeded), Completion::TimedOut)),
     }
 }
@@ -178,8 +197,9 @@
     node: &Node,
     mut rsp: Response<Incoming>,
     lease: Lease,
-    exchange: Exchange,
+    mut exchange: Exchange,
 ) -> Result<(Response<Incoming>, Lease, Exchange), Refusal> {
+    exchange.status = Some(rsp.status());
     if !is_delimited(&rsp) && !node.dialect.allows_close_delimited() {
         exchange.complete(Completion::Failed);
         return Err(Refusal::ran(Reason::AnswerUndelimited));
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -48,6 +48,7 @@
 use crate::request::RETRIES_LEFT;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::RequestContent;
 use crate::request::UPSTREAM_ERROR;
 use crate::request::UPSTREAM_LEAVING;
 use crate::request::message::Inbound;
@@ -171,7 +172,8 @@
         admitted = node.gate.enter(work) => admitted.map_err(refusal_from_shed)?,
         () = wait_until_queue_closes(node, instance) => return Err(Refusal::not_run(Reason::Leaving)),
     };
-    let payload = Payload::read(body, deadline).await?;
+    let mut payload = Payload::read(body, deadline).await?;
+    let content = RequestContent::of(inbound, &mut payload);
     // The deadline may have passed while the request waited, for example because the
     // process was paused.
     if Instant::now() >= deadline {
@@ -183,6 +185,7 @@
     let non_idempotent = cx.non_idempotent;
     let name = inbound.name.clone();
     node.called_paths.lock().record_request(&kind);
+    let run = node.crash_watch.begin(content, name.clone());
     let parent = node.parents.open(cx, kind, name, deadline, Arc::clone(path_level));
     let exchange = Exchange {
         inbound: inbound.clone(),
@@ -192,6 +195,8 @@
         _in_progress: in_progress,
         deadline,
         instance: instance.clone(),
+        run,
+        status: None,
     };
     match non_idempotent {
         true => run_detached(node, exchange).await,
@@ -265,7 +270,8 @@
         return Ok(rsp);
     }
     let retries = exchange.parent.parent().take_retries();
-    let guard = ExchangeGuard { exchange: Some(exchange), lease: Some(lease) };
+    let guard =
+        ExchangeGuard { node: Arc::clone(node), exchange: Some(exchange), lease: Some(lease) };
     let body = |body| GuardedBody::new(body::relay(body), wait_deadline, guard).boxed_unsync();
     let mut rsp = rsp.map(body);
     rsp.headers_mut().insert(RETRIES_LEFT, retries.into());
@@ -328,7 +334,7 @@
 
 /// Reads a complete response body into memory before it is relayed.
 async fn buffer_response(
-    node: &Node,
+    node: &Arc<Node>,
     rsp: Response<Incoming>,
     lease: Lease,
     exchange: Exchange,
@@ -339,11 +345,12 @@
         false => Completion::Answered,
     };
     let (parts, incoming) = rsp.into_parts();
-    let guard = ExchangeGuard { exchange: None, lease: Some(lease) };
+    let guard = ExchangeGuard { node: Arc::clone(node), exchange: None, lease: Some(lease) };
     let guarded = GuardedBody::new(body::relay(incoming), wait_deadline, guard).boxed_unsync();
     let buffered = node.response_memory.collect(guarded, MAX_BUFFERED_RESPONSE_BYTES).await;
     let retries = exchange.parent.parent().take_retries();
     let Ok(buffered) = buffered else {
+        node.check_for_crash(&exchange.instance);
         exchange.complete(Completion::Failed);
         return Err(Refusal::ran(Reason::UpstreamFailed));
     };
@@ -355,6 +362,7 @@
 
 /// Completes the exchange and releases the connection when the response body ends.
 struct ExchangeGuard {
+    node: Arc<Node>,
     exchange: Option<Exchange>,
     lease: Option<Lease>,
 }
@@ -366,6 +374,9 @@
             lease.release();
         }
         let Some(exchange) = self.exchange.take() else { return };
+        if end == BodyEnd::Failed {
+            self.node.check_for_crash(&exchange.instance);
+        }
         exchange.complete(match end {
             BodyEnd::Whole => Completion::Answered,
             BodyEnd::Failed => Completion::Failed,
