crashes: send no more of a request that has crashed several upstreams

Cause: nothing connected the end of an instance with what it was running. Each failure was handled as one request's, and each request got a second instance. Ruled out: the account of repeats and the bound for each request, which were kept, since each send is a new request; and ends for another reason, since an instance ends within 120 ms of the request, also the first time after its start, and those of the other services do not.

Now the owner of an upstream that has crashed tells the others of its service what it was running. What two crashes have in common alone, or three in any case, is refused by all owners as crash-suspect, not run, for 10 min. What the upstream has answered in the last minute is not suspect. A request that broke off is sent to the one instance that its content chooses, so that its copies end one instance more and not several. All daemons compare what they know while there is anything to know, so restarted ones have it again.

--- a/cli/tests/fake_daemon.rs
+++ b/cli/tests/fake_daemon.rs
@@ -21,6 +21,7 @@
 use endivescale::process::burn::Role;
 use endivescale::process::status;
 use endivescale::process::status::AdmissionStatus;
+use endivescale::process::status::BannedContent;
 use endivescale::process::status::CauseOfRefusal;
 use endivescale::process::status::DrainReport;
 use endivescale::process::status::OperatorApi;
@@ -139,6 +140,13 @@
                     count: 812,
                 },
             }],
+            banned: match self.instance == LIMITED_INSTANCE {
+                true => vec![BannedContent {
+                    content: "5d41402abc4b2a76".to_owned(),
+                    left: Duration::from_secs(540),
+                }],
+                false => Vec::new(),
+            },
         }
     }
 
--- a/lib/src/operators/status.rs
+++ b/lib/src/operators/status.rs
@@ -97,6 +97,21 @@
         table
     }
 
+    fn banned_table(&self) -> Table {
+        let mut table = Table::new(&["INSTANCE", "CONTENT", "FOR"]);
+        for daemon in self.reports() {
+            for banned in &daemon.banned {
+                let seconds = std::time::Duration::from_secs(banned.left.as_secs());
+                table.push(vec![
+                    daemon.instance.to_string(),
+                    banned.content.clone(),
+                    DurationText(seconds).to_string(),
+                ]);
+            }
+        }
+        table
+    }
+
     /// Returns the list of rules versions in force, if daemons differ.
     fn versions(&self) -> Option<String> {
         let version = |daemon: &StatusReport| daemon.rules.as_ref().map(|rules| rules.version);
@@ -171,6 +186,10 @@
         if !refusals.is_empty() {
             write!(f, "\nRefused or failed in the last 5m:\n{refusals}")?;
         }
+        let banned = self.banned_table();
+        if !banned.is_empty() {
+            write!(f, "\nRequests that have crashed upstreams and are not run:\n{banned}")?;
+        }
         let peers = self.peers_table();
         if self.with_peers && !peers.is_empty() {
             write!(f, "\nPeers:\n{peers}")?;
--- a/lib/src/process/crashes/mod.rs
+++ b/lib/src/process/crashes/mod.rs
@@ -4,8 +4,14 @@
 //! names, at any daemon, and is sent to another instance each time it fails.
 
 mod answered;
+mod history;
+mod report;
 mod running;
 
+pub use self::history::CrashHistory;
+pub use self::report::BanNotice;
+pub use self::report::CrashId;
+pub use self::report::CrashReport;
 pub use self::running::CrashScene;
 pub use self::running::RunId;
 pub use self::running::RunningRequests;
--- a/lib/src/process/log/decision.rs
+++ b/lib/src/process/log/decision.rs
@@ -13,6 +13,7 @@
 use crate::process::ServiceName;
 use crate::process::admission::LimitChange;
 use crate::process::burn::Role;
+use crate::process::crashes::BanNotice;
 use crate::process::crashes::Suspect;
 use crate::process::membership::Listing;
 use crate::request::Context;
@@ -165,6 +166,13 @@
         /// Name that the caller gave one request with that content.
         name: Option<&'a RequestName>,
     },
+    /// Requests with a content no longer run, because they have crashed several upstreams.
+    ContentBanned {
+        /// The ban.
+        ban: &'a BanNotice,
+        /// Whether another daemon has told of it.
+        is_told: bool,
+    },
     /// The local upstream has said in an answer that it is leaving.
     UpstreamLeaving {
         /// The instance.
@@ -194,7 +202,7 @@
 }
 
 /// Kinds of decisions, by event name. Each kind has a rate limit of its own.
-const KINDS: [&str; 12] = [
+const KINDS: [&str; 13] = [
     "refused",
     "sent-elsewhere",
     "not-repeated",
@@ -207,6 +215,7 @@
     "upstream-leaving",
     "upstream-crashed",
     "crash-suspect",
+    "content-banned",
 ];
 
 impl Decision<'_> {
@@ -225,6 +234,7 @@
             Self::UpstreamLeaving { .. } => 9,
             Self::UpstreamCrashed { .. } => 10,
             Self::CrashSuspect { .. } => 11,
+            Self::ContentBanned { .. } => 12,
         }
     }
 }
@@ -279,6 +289,10 @@
                     None => f.write_str("unknown"),
                 }
             }
+            Self::ContentBanned { ban, is_told } => {
+                let from = if *is_told { "peer" } else { "here" };
+                write!(f, "content={} times={} from={from}", ban.content, ban.level)
+            }
             Self::RateLimitMalformed { instance } | Self::UpstreamLeaving { instance } => {
                 write!(f, "instance={instance}")
             }
--- a/lib/src/process/metrics/counter.rs
+++ b/lib/src/process/metrics/counter.rs
@@ -74,6 +74,8 @@
     RateLimitChanges = "rate-limit.changes";
     /// Crashes of the local upstream while it was running requests.
     UpstreamCrashes = "upstream.crashes";
+    /// Contents that were banned because requests with them crash upstreams.
+    ContentsBanned = "contents.banned";
     /// Detected pauses of this process.
     Pauses = "pauses";
 }
--- a/lib/src/process/node/crash_watch.rs
+++ b/lib/src/process/node/crash_watch.rs
@@ -4,17 +4,26 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::unbounded_channel;
 
 use super::Node;
 use crate::process::InstanceId;
 use crate::process::RequestName;
 use crate::process::clock::Clock;
+use crate::process::crashes::BanNotice;
+use crate::process::crashes::CrashHistory;
+use crate::process::crashes::CrashId;
+use crate::process::crashes::CrashReport;
 use crate::process::crashes::CrashScene;
 use crate::process::crashes::RunId;
 use crate::process::crashes::RunningRequests;
 use crate::process::log::Decision;
 use crate::process::membership::LocalStanding;
 use crate::process::metrics::Counter;
+use crate::request::ContentDigest;
+use crate::request::HeadDigest;
 use crate::request::RequestContent;
 
 /// Time after a crash in which failures of connections belong to the same crash.
@@ -26,6 +35,10 @@
     clock: Clock,
     running: Arc<Mutex<RunningRequests>>,
     check: Mutex<CheckState>,
+    history: Mutex<CrashHistory>,
+    /// Crashes of the local upstream that the other daemons are to be told of.
+    reports_tx: UnboundedSender<CrashReport>,
+    reports_rx: tokio::sync::Mutex<UnboundedReceiver<CrashReport>>,
 }
 
 /// Whether the failure of a connection starts a check of the upstream.
@@ -64,7 +77,15 @@
 
 impl CrashWatch {
     pub(super) fn new(clock: Clock) -> Self {
-        Self { clock, running: Arc::default(), check: Mutex::new(CheckState::Idle) }
+        let (reports_tx, reports_rx) = unbounded_channel();
+        Self {
+            clock,
+            running: Arc::default(),
+            check: Mutex::new(CheckState::Idle),
+            history: Mutex::default(),
+            reports_tx,
+            reports_rx: tokio::sync::Mutex::new(reports_rx),
+        }
     }
 
     /// Adds a request that is about to be sent to the upstream.
@@ -73,6 +94,50 @@
         RunGuard { clock: self.clock, running: Arc::clone(&self.running), id }
     }
 
+    /// Returns the time until requests with a content may run again; `None` if they may now.
+    pub(crate) fn ban_left(&self, content: ContentDigest) -> Option<Duration> {
+        let answered_at = self.running.lock().answered_at(content);
+        self.history.lock().ban_left(self.clock.now(), content, answered_at)
+    }
+
+    /// Whether the body of a request with this head must be known before it is sent.
+    pub(crate) fn needs_body(&self, head: HeadDigest) -> bool {
+        self.history.lock().needs_body(head)
+    }
+
+    /// Waits for a crash that the other daemons are to be told of.
+    pub(crate) async fn next_report(&self) -> CrashReport {
+        let report = self.reports_rx.lock().await.recv().await;
+        report.expect("the sender lives as long as the receiver")
+    }
+
+    pub(crate) fn is_history_empty(&self) -> bool {
+        let mut history = self.history.lock();
+        history.expire(self.clock.now());
+        history.is_empty()
+    }
+
+    pub(crate) fn checksum(&self) -> u64 {
+        self.history.lock().checksum()
+    }
+
+    pub(crate) fn crash_ids(&self) -> Vec<CrashId> {
+        self.history.lock().crash_ids()
+    }
+
+    pub(crate) fn reports(&self, wanted: &[CrashId]) -> Vec<CrashReport> {
+        self.history.lock().reports(self.clock.now(), wanted)
+    }
+
+    pub(crate) fn bans(&self) -> Vec<BanNotice> {
+        self.history.lock().bans(self.clock.now())
+    }
+
+    /// Returns the contents that may not run now, with the time until they may.
+    pub(crate) fn active_bans(&self) -> Vec<(ContentDigest, Duration)> {
+        self.history.lock().active_bans(self.clock.now())
+    }
+
     fn try_begin_check(&self, now: Duration) -> bool {
         let mut check = self.check.lock();
         match *check {
@@ -115,6 +180,42 @@
         });
     }
 
+    /// Records crashes that another daemon tells of.
+    pub(crate) fn adopt_crashes(&self, reports: Vec<CrashReport>) {
+        for report in reports {
+            self.record_report(report);
+        }
+    }
+
+    /// Adopts bans that another daemon tells of.
+    pub(crate) fn adopt_bans(&self, bans: &[BanNotice]) {
+        let now = self.clock.now();
+        for ban in bans {
+            let is_news = self.crash_watch.history.lock().adopt_ban(now, ban);
+            if is_news {
+                self.report_ban(ban, true);
+            }
+        }
+    }
+
+    fn record_report(&self, report: CrashReport) {
+        let now = self.clock.now();
+        let bans = {
+            let running = self.crash_watch.running.lock();
+            let answered_at = |content| running.answered_at(content);
+            self.crash_watch.history.lock().record(now, report, answered_at)
+        };
+        for ban in &bans {
+            self.report_ban(ban, false);
+        }
+    }
+
+    fn report_ban(&self, ban: &BanNotice, is_told: bool) {
+        self.metrics.count(Counter::ContentsBanned);
+        let decision = Decision::ContentBanned { ban, is_told };
+        self.decisions.write(self.clock.now(), None, &decision);
+    }
+
     fn record_crash(&self, instance: &InstanceId, scene: &CrashScene) {
         let now = self.clock.now();
         self.crash_watch.running.lock().crashed(scene);
@@ -127,5 +228,14 @@
             let decision = Decision::CrashSuspect { instance, suspect, name: name.as_ref() };
             self.decisions.write(now, None, &decision);
         }
+        let report = CrashReport {
+            id: CrashId(rand::random()),
+            instance: instance.clone(),
+            age: Duration::ZERO,
+            suspects: scene.suspects().map(|(suspect, _)| *suspect).collect(),
+        };
+        self.record_report(report.clone());
+        // The receiver lives as long as the node.
+        let _ = self.crash_watch.reports_tx.send(report);
     }
 }
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -3,7 +3,8 @@
 //! Locks are acquired in this order, and none is held across an await:
 //! requests in progress, a request's own account, call ledger and tokens, the
 //! issuer of idempotency tokens, the called paths, the path levels, the router, the gate, the
-//! connection pools, the burn. Most code holds one lock at a time.
+//! connection pools, the running requests, the crash history, the burn. Most code holds one
+//! lock at a time.
 
 mod crash_watch;
 mod gate;
--- a/lib/src/process/node/operated.rs
+++ b/lib/src/process/node/operated.rs
@@ -15,6 +15,7 @@
 use crate::process::membership::VmState;
 use crate::process::routing::Router;
 use crate::process::status::AdmissionStatus;
+use crate::process::status::BannedContent;
 use crate::process::status::CauseOfRefusal;
 use crate::process::status::DrainReport;
 use crate::process::status::OperatorApi;
@@ -56,6 +57,7 @@
             tokens: self.token_status(),
             peers: self.peer_statuses(),
             refusals: refusal_causes(&self.burn()),
+            banned: self.banned_contents(),
         }
     }
 
@@ -114,6 +116,11 @@
         })
     }
 
+    fn banned_contents(&self) -> Vec<BannedContent> {
+        let bans = self.crash_watch.active_bans().into_iter();
+        bans.map(|(content, left)| BannedContent { content: content.to_string(), left }).collect()
+    }
+
     fn token_status(&self) -> TokenStatus {
         self.tokens.usage()
     }
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -56,6 +56,10 @@
     /// Whether an admitted request waits for this one. Admission levels do not exclude such a
     /// call: work was spent on the admitted request, which would fail with the call.
     pub is_call: bool,
+    /// Set if the last attempt broke off, as when its instance has crashed: attempts with the
+    /// same value go to the same instance, so that a request which crashes instances ends one
+    /// more of them and not several.
+    pub gather_by: Option<u64>,
 }
 
 impl Work {
@@ -274,6 +278,13 @@
     /// less loaded of two instances of the nearest tier, where a tier with few working
     /// instances passes a share of its calls on to the next tier.
     fn choose(&mut self, now: Duration, survey: &Survey, work: &Work) -> Option<Choice> {
+        if let Some(key) = work.gather_by {
+            let candidates = survey.tiers.iter().flat_map(|tier| &tier.candidates);
+            let chosen = candidates.max_by_key(|candidate| rendezvous(key, &candidate.instance));
+            if let Some(chosen) = chosen {
+                return Some(Choice::Working(chosen.instance.clone()));
+            }
+        }
         let probe = survey.probes.first().cloned().map(Choice::Probe);
         if probe.is_some() && work.criticality != Criticality::Critical {
             return probe;
@@ -345,6 +356,14 @@
     }
 }
 
+/// Returns the rank of an instance for a key, which is the same at all daemons.
+fn rendezvous(key: u64, instance: &InstanceId) -> u64 {
+    use std::hash::Hasher as _;
+    let mut hasher = siphasher::sip::SipHasher13::new_with_keys(key, 0);
+    hasher.write(instance.as_str().as_bytes());
+    hasher.finish()
+}
+
 #[derive(Debug)]
 enum Choice {
     Working(InstanceId),
--- a/lib/src/process/status/mod.rs
+++ b/lib/src/process/status/mod.rs
@@ -14,6 +14,7 @@
 mod service;
 
 pub use self::report::AdmissionStatus;
+pub use self::report::BannedContent;
 pub use self::report::CauseOfRefusal;
 pub use self::report::DrainReport;
 pub use self::report::ErrorReport;
--- a/lib/src/process/status/report.rs
+++ b/lib/src/process/status/report.rs
@@ -57,6 +57,21 @@
     pub peers: Vec<PeerStatus>,
     /// Causes for which requests were refused or failed in the last five minutes.
     pub refusals: Vec<CauseOfRefusal>,
+    /// Contents of requests that no upstream runs, because they have crashed several.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub banned: Vec<BannedContent>,
+}
+
+/// A content of requests that no upstream runs for now.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BannedContent {
+    /// Digest of the content, as in the log.
+    pub content: String,
+    /// Time until upstreams may run it again, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "left_ms")]
+    pub left: Duration,
 }
 
 /// Whether a daemon accepts new requests.
--- a/lib/src/request/headers.rs
+++ b/lib/src/request/headers.rs
@@ -77,6 +77,10 @@
 /// instead of a request for a service.
 pub const HELD: HeaderName = HeaderName::from_static("endivescale-held");
 
+/// Marks a message to another daemon about crashes of upstreams instead of a request for a
+/// service.
+pub const CRASHES: HeaderName = HeaderName::from_static("endivescale-crashes");
+
 /// Checksum of the head of a message between daemons; see
 /// [`crate::connection::seal`].
 pub const SEAL: HeaderName = HeaderName::from_static("endivescale-seal");
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -19,6 +19,7 @@
 use super::idempotency::Fingerprint;
 use super::idempotency::FingerprintInput;
 use crate::connection::body;
+use crate::connection::body::BodyStart;
 use crate::connection::body::RelayBody;
 use crate::process::RequestName;
 use crate::process::ServiceName;
@@ -223,6 +224,23 @@
         }
     }
 
+    /// Waits for the first `len` bytes of a streamed body. A body that ends within them is
+    /// buffered.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off or these bytes have not arrived by `deadline`. In that case
+    /// nothing of the request was forwarded.
+    pub async fn read_start(self, len: usize, deadline: Instant) -> Result<Self, Refusal> {
+        let Self::Streamed(Some(body)) = self else { return Ok(self) };
+        match timeout_at(deadline, body::read_start(body, len)).await {
+            Ok(Ok(BodyStart::Whole(bytes))) => Ok(Self::Buffered(bytes)),
+            Ok(Ok(BodyStart::Begun(body))) => Ok(Self::Streamed(Some(body))),
+            Ok(Err(_)) => Err(Refusal::not_run(Reason::BadBody)),
+            Err(_) => Err(Refusal::not_run(Reason::Expired)),
+        }
+    }
+
     /// Returns the body for another attempt; `None` if it was a streamed one and has
     /// been taken already.
     pub fn take_body(&mut self) -> Option<RelayBody> {
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -88,6 +88,8 @@
     UpstreamMoved = "upstream-moved", BAD_GATEWAY;
     /// The upstream's answer belongs to another request.
     AnswerForeign = "answer-foreign", BAD_GATEWAY;
+    /// Requests with the same content have crashed several upstreams.
+    CrashSuspect = "crash-suspect", SERVICE_UNAVAILABLE;
     /// The upstream itself refused the request.
     UpstreamShed = "upstream-shed", SERVICE_UNAVAILABLE;
     /// No connection could be made to another daemon.
@@ -165,6 +167,7 @@
             | Self::BadBody
             | Self::Expired
             | Self::DeadlineExceeded
+            | Self::CrashSuspect
             | Self::AnswerUndelimited
             | Self::AnswerTooLong
             | Self::TokenRequired
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -28,6 +28,7 @@
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::RequestContent;
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
 use crate::request::parent::Parent;
@@ -79,6 +80,8 @@
     /// Called service and matching rule, by which admission levels of the rest of
     /// the call chain are stored.
     pub(super) path: PathKey,
+    /// See [`Work::gather_by`].
+    pub(super) gather_by: Option<u64>,
     /// The request in progress at this daemon on whose behalf this call is made;
     /// `None` for a request from outside.
     pub(super) parent: Option<Arc<Parent>>,
@@ -212,6 +215,11 @@
         node.metrics.count(Counter::RetriesSpent);
         self.cx.rerun |= refusal.outcome != Outcome::NotRun;
         self.cx.repeat |= refusal.reached_upstream();
+        let has_broken_off = refusal.outcome == Outcome::Unknown;
+        if has_broken_off && refusal.reason == Reason::UpstreamFailed {
+            let content = RequestContent::of(&self.inbound, &mut self.payload).digest();
+            self.gather_by = content.map(|content| content.0);
+        }
     }
 
     /// Charges for another attempt: a retry token if the last attempt reached an
@@ -343,7 +351,12 @@
 
 fn pick_instance(node: &Node, call: &Call, tried: &[InstanceId]) -> Result<Arc<Vm>, Refusal> {
     let cx = &call.cx;
-    let work = Work { criticality: cx.criticality, hash: cx.hash, is_call: cx.depth > 0 };
+    let work = Work {
+        criticality: cx.criticality,
+        hash: cx.hash,
+        is_call: cx.depth > 0,
+        gather_by: call.gather_by,
+    };
     let now = node.clock.now();
     let mut router = node.router.lock();
     let picked = router.pick(now, &call.inbound.service, &work, tried);
--- a/lib/src/request/serve/mod.rs
+++ b/lib/src/request/serve/mod.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod call;
 mod config_transfer;
+mod crash_news;
 mod entry;
 mod exchange;
 mod outbound;
@@ -17,6 +18,7 @@
 mod peer;
 mod tracker;
 
+pub use crash_news::spread_crashes;
 pub use entry::serve_caller;
 pub use outbound::serve_upstream;
 pub use peer::serve_peer;
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -51,6 +51,7 @@
 use crate::request::RequestContent;
 use crate::request::UPSTREAM_ERROR;
 use crate::request::UPSTREAM_LEAVING;
+use crate::request::content::DIGESTED_BODY_BYTES;
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
 use crate::request::parent::Parent;
@@ -174,6 +175,10 @@
     };
     let mut payload = Payload::read(body, deadline).await?;
     let content = RequestContent::of(inbound, &mut payload);
+    if node.crash_watch.needs_body(content.head) {
+        payload = payload.read_start(DIGESTED_BODY_BYTES, deadline).await?;
+    }
+    check_ban(node, &content)?;
     // The deadline may have passed while the request waited, for example because the
     // process was paused.
     if Instant::now() >= deadline {
@@ -233,6 +238,15 @@
     Ok(())
 }
 
+/// Refuses a request with a content that has crashed several upstreams.
+fn check_ban(node: &Node, content: &RequestContent) -> Result<(), Refusal> {
+    let left = content.digest().and_then(|content| node.crash_watch.ban_left(content));
+    match left {
+        Some(left) => Err(Refusal::not_run(Reason::CrashSuspect).retry_after(left)),
+        None => Ok(()),
+    }
+}
+
 fn has_room_for_repeat(node: &Node, cx: &Context) -> bool {
     let Some(repeats) = &node.repeats else { return true };
     repeats.lock().has_room(node.clock.now(), cx.criticality, cx.hash)
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -10,6 +10,7 @@
 use super::attempt::read_header;
 use super::call::Call;
 use super::config_transfer;
+use super::crash_news;
 use super::entry::response_deadline;
 use super::entry::root_call;
 use super::entry::take_token;
@@ -18,6 +19,7 @@
 use crate::process::InstanceId;
 use crate::process::node::Node;
 use crate::request::CONTEXT;
+use crate::request::CRASHES;
 use crate::request::Context;
 use crate::request::HELD;
 use crate::request::INSTANCE;
@@ -47,6 +49,9 @@
     if req.headers().contains_key(HELD) {
         return Ok(config_transfer::receive(&node, req).await);
     }
+    if req.headers().contains_key(CRASHES) {
+        return Ok(crash_news::receive(&node, req).await);
+    }
     let result = match req.headers().contains_key(TOKEN) {
         true => serve_as_issuer(&node, req).await,
         false => serve_as_owner(&node, req).await,
--- a/lib/tests/test_placing.rs
+++ b/lib/tests/test_placing.rs
@@ -17,7 +17,8 @@
 use super::test_membership::list;
 use super::test_membership::ms;
 
-const WORK: Work = Work { criticality: Criticality::Normal, hash: 0, is_call: false };
+const WORK: Work =
+    Work { criticality: Criticality::Normal, hash: 0, is_call: false, gather_by: None };
 
 /// Two instances in each of two availability zones of one region.
 const FLEET: [&str; 4] = ["a-x1-1", "a-x1-2", "a-x2-1", "a-x2-2"];
--- a/lib/tests/test_rate_limits.rs
+++ b/lib/tests/test_rate_limits.rs
@@ -484,7 +484,8 @@
         if levels.check(now, &(), Criticality::Normal, hash, None).is_err() {
             return false;
         }
-        let routed = RoutedWork { criticality: Criticality::Normal, hash, is_call: false };
+        let routed =
+            RoutedWork { criticality: Criticality::Normal, hash, is_call: false, gather_by: None };
         let mut tried = Vec::new();
         while tried.len() <= MAX_REROUTES {
             let Pick::To(vm) = self.senders[sender].pick(now, &"a".into(), &routed, &tried) else {
