crashes: an answer by any upstream clears what it answered

Now owners tell the others of the service when their upstream has answered a suspect. Crashes within 10 s after an answer, or before it, do not count, and a ban is lifted by one.

--- a/lib/src/process/crashes/answered.rs
+++ b/lib/src/process/crashes/answered.rs
@@ -30,12 +30,6 @@
         let (known, at) = self.slots[slot(content)]?;
         (known == content).then_some(at)
     }
-
-    pub(super) fn forget(&mut self, content: ContentDigest) {
-        if self.answered_at(content).is_some() {
-            self.slots[slot(content)] = None;
-        }
-    }
 }
 
 fn slot(content: ContentDigest) -> usize {
--- a/lib/src/process/crashes/history.rs
+++ b/lib/src/process/crashes/history.rs
@@ -3,11 +3,15 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
+use super::AnswerNotice;
 use super::BanNotice;
 use super::CrashId;
+use super::CrashNews;
 use super::CrashReport;
 use super::Suspect;
+use super::running::TRUST_TIME;
 use crate::process::InstanceId;
 use crate::request::CallerDigest;
 use crate::request::ContentDigest;
@@ -30,6 +34,8 @@
 const PROBATION_FACTOR: u32 = 2;
 /// Most bans that are remembered.
 const BANS_MAX: usize = 256;
+/// Time after which it is news that a suspect was answered once more.
+const ANSWER_NEWS_INTERVAL: Duration = Duration::from_secs(2);
 
 /// A past moment, which may lie before the start of the process.
 #[derive(Clone, Copy, Debug)]
@@ -44,11 +50,6 @@
     fn age(self, now: Duration) -> Duration {
         now.saturating_sub(self.heard_at) + self.age
     }
-
-    /// Returns the moment on the clock of this process.
-    fn at(self) -> Duration {
-        self.heard_at.saturating_sub(self.age)
-    }
 }
 
 #[derive(Debug)]
@@ -104,48 +105,66 @@
 pub struct CrashHistory {
     crashes: IndexMap<CrashId, Crash>,
     bans: IndexMap<ContentDigest, Ban>,
+    /// Contents of all suspects and bans.
+    suspected: IndexSet<ContentDigest>,
+    /// When an upstream last answered a suspected content, as far as this daemon knows.
+    answers: IndexMap<ContentDigest, Past>,
 }
 
 impl CrashHistory {
     /// Records a crash and returns the bans that follow from it.
-    ///
-    /// `answered_at` returns when the local upstream last answered a content. Crashes before
-    /// that do not count against it.
-    pub fn record(
-        &mut self,
-        now: Duration,
-        report: CrashReport,
-        answered_at: impl Fn(ContentDigest) -> Option<Duration>,
-    ) -> Vec<BanNotice> {
+    pub fn record(&mut self, now: Duration, report: CrashReport) -> Vec<BanNotice> {
         self.expire(now);
         let CrashReport { id, instance, age, suspects } = report;
         if age >= CRASH_MEMORY || self.crashes.contains_key(&id) {
             return Vec::new();
         }
         let since = Past { heard_at: now, age };
+        self.suspected.extend(suspects.iter().filter_map(|suspect| suspect.content));
         self.crashes.insert(id, Crash { instance, since, suspects });
         while self.crashes.len() > CRASHES_MAX {
             let ages = self.crashes.iter().map(|(id, crash)| (crash.since.age(now), *id));
             let Some((_, oldest)) = ages.max() else { break };
             self.crashes.shift_remove(&oldest);
         }
-        let counts = self.counts(&answered_at);
+        let counts = self.counts(now);
         let Some(crash) = self.crashes.get(&id) else { return Vec::new() };
         let culprits = crash.suspects.iter().filter(|suspect| self.is_culprit(suspect, &counts));
         let culprits: Vec<Suspect> = culprits.copied().collect();
         culprits.iter().filter_map(|suspect| self.ban(now, suspect)).collect()
     }
 
-    /// Returns in how many crashes each suspect was running since it was last answered.
-    fn counts(
-        &self,
-        answered_at: impl Fn(ContentDigest) -> Option<Duration>,
-    ) -> IndexMap<SuspectKey, usize> {
+    /// Records that an upstream has answered a content; returns whether the other daemons are
+    /// to be told.
+    pub fn record_answer(&mut self, now: Duration, answer: &AnswerNotice) -> bool {
+        let AnswerNotice { content, age } = *answer;
+        if !self.suspected.contains(&content) {
+            return false;
+        }
+        let known = self.answers.get(&content).map(|answer| answer.age(now));
+        if known.is_some_and(|known| known <= age + ANSWER_NEWS_INTERVAL) {
+            return false;
+        }
+        self.answers.insert(content, Past { heard_at: now, age });
+        true
+    }
+
+    /// Whether a content was answered so lately before something happened, or since then, that
+    /// it cannot be the cause.
+    fn was_answered_about(&self, now: Duration, content: ContentDigest, event: Past) -> bool {
+        let answer = self.answers.get(&content);
+        answer.is_some_and(|answer| answer.age(now) <= event.age(now) + TRUST_TIME)
+    }
+
+    /// Returns how many crashes count against each suspect.
+    fn counts(&self, now: Duration) -> IndexMap<SuspectKey, usize> {
         let mut counts = IndexMap::new();
         for crash in self.crashes.values() {
             for suspect in &crash.suspects {
-                let answered_at = suspect.content.and_then(&answered_at);
-                if answered_at.is_none_or(|at| at <= crash.since.at()) {
+                let was_answered = suspect
+                    .content
+                    .is_some_and(|content| self.was_answered_about(now, content, crash.since));
+                if !was_answered {
                     *counts.entry(key(suspect)).or_default() += 1;
                 }
             }
@@ -178,7 +197,7 @@
     fn ban(&mut self, now: Duration, suspect: &Suspect) -> Option<BanNotice> {
         let content = suspect.content?;
         let earlier = self.bans.get(&content);
-        if earlier.is_some_and(|ban| ban.left(now).is_some()) {
+        if self.ban_left(now, content).is_some() {
             return None;
         }
         let level = earlier.map_or(1, |ban| ban.level.saturating_add(1));
@@ -204,6 +223,7 @@
     /// Adds a ban. If there are too many, the caller with the most of them loses its oldest,
     /// so that no caller can crowd out the bans of another.
     fn insert_ban(&mut self, now: Duration, content: ContentDigest, ban: Ban) {
+        self.suspected.insert(content);
         self.bans.insert(content, ban);
         if self.bans.len() <= BANS_MAX {
             return;
@@ -222,19 +242,9 @@
 
     /// Returns the time until requests with a content may run again; `None` if they may run
     /// now.
-    ///
-    /// `answered_at` is when the local upstream last answered the content.
-    pub fn ban_left(
-        &self,
-        now: Duration,
-        content: ContentDigest,
-        answered_at: Option<Duration>,
-    ) -> Option<Duration> {
+    pub fn ban_left(&self, now: Duration, content: ContentDigest) -> Option<Duration> {
         let ban = self.bans.get(&content)?;
-        if answered_at.is_some_and(|at| at > ban.since.at()) {
-            return None;
-        }
-        ban.left(now)
+        ban.left(now).filter(|_| !self.was_answered_about(now, content, ban.since))
     }
 
     /// Whether it depends on the body of a request with this head if it may run, or whether a
@@ -247,8 +257,15 @@
 
     /// Forgets crashes and bans that no longer count.
     pub fn expire(&mut self, now: Duration) {
+        let remembered = self.crashes.len() + self.bans.len();
         self.crashes.retain(|_, crash| crash.since.age(now) < CRASH_MEMORY);
         self.bans.retain(|_, ban| ban.is_remembered(now));
+        if self.crashes.len() + self.bans.len() < remembered {
+            let suspects = self.crashes.values().flat_map(|crash| &crash.suspects);
+            let contents = suspects.filter_map(|suspect| suspect.content);
+            self.suspected = contents.chain(self.bans.keys().copied()).collect();
+            self.answers.retain(|content, _| self.suspected.contains(content));
+        }
     }
 
     /// Returns whether there is nothing to tell other daemons.
@@ -282,6 +299,14 @@
             .collect()
     }
 
+    /// Returns all that is remembered but the crashes.
+    pub fn bans_and_answers(&self, now: Duration) -> CrashNews {
+        let answers = self.answers.iter();
+        let answers = answers
+            .map(|(content, answer)| AnswerNotice { content: *content, age: answer.age(now) });
+        CrashNews { crashes: Vec::new(), bans: self.bans(now), answers: answers.collect() }
+    }
+
     /// Returns all remembered bans, also those that have ended.
     pub fn bans(&self, now: Duration) -> Vec<BanNotice> {
         self.bans.iter().map(|(content, ban)| ban.notice(now, *content)).collect()
@@ -289,7 +314,7 @@
 
     /// Returns the contents that may not run now, with the time until they may.
     pub fn active_bans(&self, now: Duration) -> Vec<(ContentDigest, Duration)> {
-        let active = |(content, ban): (&ContentDigest, &Ban)| Some((*content, ban.left(now)?));
-        self.bans.iter().filter_map(active).collect()
+        let active = |content: &ContentDigest| Some((*content, self.ban_left(now, *content)?));
+        self.bans.keys().filter_map(active).collect()
     }
 }
--- a/lib/src/process/crashes/mod.rs
+++ b/lib/src/process/crashes/mod.rs
@@ -9,8 +9,10 @@
 mod running;
 
 pub use self::history::CrashHistory;
+pub use self::report::AnswerNotice;
 pub use self::report::BanNotice;
 pub use self::report::CrashId;
+pub use self::report::CrashNews;
 pub use self::report::CrashReport;
 pub use self::running::CrashScene;
 pub use self::running::RunId;
--- a/lib/src/process/crashes/report.rs
+++ b/lib/src/process/crashes/report.rs
@@ -33,6 +33,28 @@
     pub suspects: Vec<Suspect>,
 }
 
+/// An upstream has answered a content, so that it does not crash each upstream that runs it.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AnswerNotice {
+    /// The answered content.
+    pub content: ContentDigest,
+    /// Time since the answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub age: Duration,
+}
+
+/// What one daemon tells another without being asked.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct CrashNews {
+    /// Crashes of upstreams.
+    pub crashes: Vec<CrashReport>,
+    /// Contents that upstreams no longer run.
+    pub bans: Vec<BanNotice>,
+    /// Answers to suspects of crashes.
+    pub answers: Vec<AnswerNotice>,
+}
+
 /// A content that no upstream runs any more because it has crashed several.
 #[serde_as]
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/lib/src/process/crashes/running.rs
+++ b/lib/src/process/crashes/running.rs
@@ -21,8 +21,8 @@
 const ABANDONED_MAX: usize = 256;
 /// Most suspects of one crash; the requests that began last come first.
 const SUSPECTS_MAX: usize = 256;
-/// How long after an answer a content is beyond suspicion.
-const TRUST_TIME: Duration = Duration::from_secs(60);
+/// How long after an answer by any upstream a content is beyond suspicion.
+pub(super) const TRUST_TIME: Duration = Duration::from_secs(10);
 
 /// Identifies a request in [`RunningRequests`].
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashScene {
     suspects: IndexMap<(HeadDigest, Option<ContentDigest>), (Suspect, Option<RequestName>)>,
-    trusted: Vec<ContentDigest>,
+    trusted: usize,
 }
 
 impl CrashScene {
@@ -61,7 +61,7 @@
 
     /// Returns the number of requests that are beyond suspicion.
     pub fn trusted_count(&self) -> usize {
-        self.trusted.len()
+        self.trusted
     }
 }
 
@@ -83,12 +83,11 @@
         id
     }
 
-    /// Removes a request that was answered with success.
-    pub fn answered(&mut self, now: Duration, id: RunId) {
-        let Some(run) = self.running.swap_remove(&id) else { return };
-        if let Some(content) = run.content.digest() {
-            self.answered.record(now, content);
-        }
+    /// Removes a request that was answered with success, and returns its content.
+    pub fn answered(&mut self, now: Duration, id: RunId) -> Option<ContentDigest> {
+        let content = self.running.swap_remove(&id)?.content.digest()?;
+        self.answered.record(now, content);
+        Some(content)
     }
 
     /// Removes a request that did not run.
@@ -119,8 +118,8 @@
         for run in self.running.values().rev().chain(abandoned.map(|(_, run)| run)) {
             let RequestContent { head, caller, .. } = run.content;
             let content = run.content.digest();
-            if let Some(content) = content.filter(|content| self.is_trusted(now, *content)) {
-                scene.trusted.push(content);
+            if content.is_some_and(|content| self.is_trusted(now, content)) {
+                scene.trusted += 1;
             } else if scene.suspects.len() < SUSPECTS_MAX {
                 let suspect = Suspect { head, caller, content };
                 scene.suspects.entry((head, content)).or_insert((suspect, run.name.clone()));
@@ -134,14 +133,8 @@
         answered_at.is_some_and(|at| now.saturating_sub(at) < TRUST_TIME)
     }
 
-    /// Records that the upstream has crashed with the requests of `scene`.
-    ///
-    /// Contents that were trusted are suspects in the next crash unless the upstream answers
-    /// them before it.
-    pub fn crashed(&mut self, scene: &CrashScene) {
+    /// Forgets the requests that were given up before a crash of the upstream.
+    pub fn crashed(&mut self) {
         self.abandoned.clear();
-        for content in &scene.trusted {
-            self.answered.forget(*content);
-        }
     }
 }
--- a/lib/src/process/node/crash_watch.rs
+++ b/lib/src/process/node/crash_watch.rs
@@ -12,9 +12,11 @@
 use crate::process::InstanceId;
 use crate::process::RequestName;
 use crate::process::clock::Clock;
+use crate::process::crashes::AnswerNotice;
 use crate::process::crashes::BanNotice;
 use crate::process::crashes::CrashHistory;
 use crate::process::crashes::CrashId;
+use crate::process::crashes::CrashNews;
 use crate::process::crashes::CrashReport;
 use crate::process::crashes::CrashScene;
 use crate::process::crashes::RunId;
@@ -35,10 +37,33 @@
     clock: Clock,
     running: Arc<Mutex<RunningRequests>>,
     check: Mutex<CheckState>,
+    desk: Arc<NewsDesk>,
+    /// What the other daemons of the service are to be told of at once.
+    news_rx: tokio::sync::Mutex<UnboundedReceiver<CrashNews>>,
+}
+
+/// The crash history, with what the other daemons are to be told of.
+#[derive(Debug)]
+struct NewsDesk {
     history: Mutex<CrashHistory>,
-    /// Crashes of the local upstream that the other daemons are to be told of.
-    reports_tx: UnboundedSender<CrashReport>,
-    reports_rx: tokio::sync::Mutex<UnboundedReceiver<CrashReport>>,
+    news_tx: UnboundedSender<CrashNews>,
+}
+
+impl NewsDesk {
+    fn tell(&self, news: CrashNews) {
+        // The receiver lives as long as the node.
+        let _ = self.news_tx.send(news);
+    }
+
+    /// Records that the local upstream has answered a content, and tells the other daemons if
+    /// it is suspected of a crash.
+    fn record_answer(&self, now: Duration, content: ContentDigest, age: Duration) {
+        let answer = AnswerNotice { content, age };
+        let is_news = self.history.lock().record_answer(now, &answer);
+        if is_news {
+            self.tell(CrashNews { answers: vec![answer], ..CrashNews::default() });
+        }
+    }
 }
 
 /// Whether the failure of a connection starts a check of the upstream.
@@ -54,13 +79,18 @@
 pub(crate) struct RunGuard {
     clock: Clock,
     running: Arc<Mutex<RunningRequests>>,
+    news: Arc<NewsDesk>,
     id: RunId,
 }
 
 impl RunGuard {
     /// Records that the upstream has answered the request with success.
     pub(crate) fn answered(&self) {
-        self.running.lock().answered(self.clock.now(), self.id);
+        let now = self.clock.now();
+        let content = self.running.lock().answered(now, self.id);
+        if let Some(content) = content {
+            self.news.record_answer(now, content, Duration::ZERO);
+        }
     }
 
     /// Records that the request did not run.
@@ -77,65 +107,64 @@
 
 impl CrashWatch {
     pub(super) fn new(clock: Clock) -> Self {
-        let (reports_tx, reports_rx) = unbounded_channel();
+        let (news_tx, news_rx) = unbounded_channel();
         Self {
             clock,
             running: Arc::default(),
             check: Mutex::new(CheckState::Idle),
-            history: Mutex::default(),
-            reports_tx,
-            reports_rx: tokio::sync::Mutex::new(reports_rx),
+            desk: Arc::new(NewsDesk { history: Mutex::default(), news_tx }),
+            news_rx: tokio::sync::Mutex::new(news_rx),
         }
     }
 
     /// Adds a request that is about to be sent to the upstream.
     pub(crate) fn begin(&self, content: RequestContent, name: Option<RequestName>) -> RunGuard {
         let id = self.running.lock().begin(content, name);
-        RunGuard { clock: self.clock, running: Arc::clone(&self.running), id }
+        let (running, news) = (Arc::clone(&self.running), Arc::clone(&self.desk));
+        RunGuard { clock: self.clock, running, news, id }
     }
 
     /// Returns the time until requests with a content may run again; `None` if they may now.
     pub(crate) fn ban_left(&self, content: ContentDigest) -> Option<Duration> {
-        let answered_at = self.running.lock().answered_at(content);
-        self.history.lock().ban_left(self.clock.now(), content, answered_at)
+        self.desk.history.lock().ban_left(self.clock.now(), content)
     }
 
     /// Whether the body of a request with this head must be known before it is sent.
     pub(crate) fn needs_body(&self, head: HeadDigest) -> bool {
-        self.history.lock().needs_body(head)
+        self.desk.history.lock().needs_body(head)
     }
 
-    /// Waits for a crash that the other daemons are to be told of.
-    pub(crate) async fn next_report(&self) -> CrashReport {
-        let report = self.reports_rx.lock().await.recv().await;
-        report.expect("the sender lives as long as the receiver")
+    /// Waits for news that the other daemons of the service are to be told of.
+    pub(crate) async fn next_news(&self) -> CrashNews {
+        let news = self.news_rx.lock().await.recv().await;
+        news.expect("the sender lives as long as the receiver")
     }
 
     pub(crate) fn is_history_empty(&self) -> bool {
-        let mut history = self.history.lock();
+        let mut history = self.desk.history.lock();
         history.expire(self.clock.now());
         history.is_empty()
     }
 
     pub(crate) fn checksum(&self) -> u64 {
-        self.history.lock().checksum()
+        self.desk.history.lock().checksum()
     }
 
     pub(crate) fn crash_ids(&self) -> Vec<CrashId> {
-        self.history.lock().crash_ids()
+        self.desk.history.lock().crash_ids()
     }
 
     pub(crate) fn reports(&self, wanted: &[CrashId]) -> Vec<CrashReport> {
-        self.history.lock().reports(self.clock.now(), wanted)
+        self.desk.history.lock().reports(self.clock.now(), wanted)
     }
 
-    pub(crate) fn bans(&self) -> Vec<BanNotice> {
-        self.history.lock().bans(self.clock.now())
+    pub(crate) fn bans_and_answers(&self) -> CrashNews {
+        self.desk.history.lock().bans_and_answers(self.clock.now())
     }
 
     /// Returns the contents that may not run now, with the time until they may.
     pub(crate) fn active_bans(&self) -> Vec<(ContentDigest, Duration)> {
-        self.history.lock().active_bans(self.clock.now())
+        self.desk.history.lock().active_bans(self.clock.now())
     }
 
     fn try_begin_check(&self, now: Duration) -> bool {
@@ -180,31 +209,39 @@
         });
     }
 
-    /// Records crashes that another daemon tells of.
-    pub(crate) fn adopt_crashes(&self, reports: Vec<CrashReport>) {
-        for report in reports {
+    /// Records what another daemon tells.
+    pub(crate) fn adopt_crash_news(&self, news: CrashNews) {
+        let now = self.clock.now();
+        for answer in &news.answers {
+            self.crash_watch.desk.history.lock().record_answer(now, answer);
+        }
+        for report in news.crashes {
             self.record_report(report);
         }
-    }
-
-    /// Adopts bans that another daemon tells of.
-    pub(crate) fn adopt_bans(&self, bans: &[BanNotice]) {
-        let now = self.clock.now();
-        for ban in bans {
-            let is_news = self.crash_watch.history.lock().adopt_ban(now, ban);
+        for ban in &news.bans {
+            let is_news = self.crash_watch.desk.history.lock().adopt_ban(now, ban);
             if is_news {
                 self.report_ban(ban, true);
             }
         }
+        // Answers to contents that became suspect only by these crashes.
+        for answer in &news.answers {
+            self.crash_watch.desk.history.lock().record_answer(now, answer);
+        }
     }
 
+    /// Records a crash, and tells which of its suspects the local upstream has answered.
     fn record_report(&self, report: CrashReport) {
         let now = self.clock.now();
-        let bans = {
-            let running = self.crash_watch.running.lock();
-            let answered_at = |content| running.answered_at(content);
-            self.crash_watch.history.lock().record(now, report, answered_at)
-        };
+        let contents: Vec<_> =
+            report.suspects.iter().filter_map(|suspect| suspect.content).collect();
+        let bans = self.crash_watch.desk.history.lock().record(now, report);
+        for content in contents {
+            let answered_at = self.crash_watch.running.lock().answered_at(content);
+            if let Some(age) = answered_at.map(|at| now.saturating_sub(at)) {
+                self.crash_watch.desk.record_answer(now, content, age);
+            }
+        }
         for ban in &bans {
             self.report_ban(ban, false);
         }
@@ -218,7 +255,7 @@
 
     fn record_crash(&self, instance: &InstanceId, scene: &CrashScene) {
         let now = self.clock.now();
-        self.crash_watch.running.lock().crashed(scene);
+        self.crash_watch.running.lock().crashed();
         self.metrics.count(Counter::UpstreamCrashes);
         let suspects = scene.suspects().count();
         let decision =
@@ -235,7 +272,6 @@
             suspects: scene.suspects().map(|(suspect, _)| *suspect).collect(),
         };
         self.record_report(report.clone());
-        // The receiver lives as long as the node.
-        let _ = self.crash_watch.reports_tx.send(report);
+        self.crash_watch.desk.tell(CrashNews { crashes: vec![report], ..CrashNews::default() });
     }
 }
--- a/lib/src/request/content.rs
+++ b/lib/src/request/content.rs
@@ -90,6 +90,11 @@
 }
 
 impl RequestContent {
+    /// Creates the content of a request whose body is known.
+    pub fn new(head: HeadDigest, caller: CallerDigest, content: ContentDigest) -> Self {
+        Self { head, caller, body: BodyState::Known(content) }
+    }
+
     /// Computes the digests of a request that is about to be sent. The body of a streamed one
     /// is digested on its way.
     pub(crate) fn of(inbound: &Inbound, payload: &mut Payload) -> Self {
--- a/lib/src/request/serve/crash_news.rs
+++ b/lib/src/request/serve/crash_news.rs
@@ -22,9 +22,8 @@
 use crate::connection::body::RelayBody;
 use crate::connection::body::RelayError;
 use crate::connection::peers::PeerError;
-use crate::process::crashes::BanNotice;
 use crate::process::crashes::CrashId;
-use crate::process::crashes::CrashReport;
+use crate::process::crashes::CrashNews;
 use crate::process::membership::Vm;
 use crate::process::node::Node;
 use crate::request::CRASHES;
@@ -53,9 +52,9 @@
     /// The other one knows the same.
     Same,
     /// What this daemon knows, in answer to a comparison.
-    Known { crashes: Vec<CrashId>, bans: Vec<BanNotice> },
+    Known { crashes: Vec<CrashId>, news: CrashNews },
     /// What the other one does not know, and what this daemon wants to know.
-    Tell { crashes: Vec<CrashReport>, bans: Vec<BanNotice>, wanted: Vec<CrashId> },
+    Tell { news: CrashNews, wanted: Vec<CrashId> },
 }
 
 /// Why daemons could not compare what they know.
@@ -85,7 +84,7 @@
             _ => START_COMPARE_INTERVAL,
         };
         tokio::select! {
-            report = node.crash_watch.next_report() => tell_service(&node, &report),
+            news = node.crash_watch.next_news() => tell_service(&node, &news),
             () = sleep(pause) => {
                 let Some(peer) = choose_peer(&node) else { continue };
                 if start_comparisons == 0 && node.crash_watch.is_history_empty() {
@@ -100,16 +99,15 @@
     }
 }
 
-/// Sends a crash to all daemons of the service, since their upstreams may get the next request
-/// with the same content. Those that it does not reach learn of it by comparison.
-fn tell_service(node: &Arc<Node>, report: &CrashReport) {
+/// Sends news to all daemons of the service, since their upstreams may get the next request with
+/// the same content. Those that it does not reach learn of it by comparison.
+fn tell_service(node: &Arc<Node>, news: &CrashNews) {
     let service = &node.settings.daemon.service;
     for vm in listed_peers(node).into_iter().filter(|vm| vm.service == *service) {
-        let (node, report) = (Arc::clone(node), report.clone());
+        let (node, news) = (Arc::clone(node), news.clone());
         tokio::spawn(async move {
-            let bans = node.crash_watch.bans();
-            let news = Message::Tell { crashes: vec![report], bans, wanted: Vec::new() };
-            if let Err(err) = ask(&node, vm.peer, &news).await {
+            let tell = Message::Tell { news, wanted: Vec::new() };
+            if let Err(err) = ask(&node, vm.peer, &tell).await {
                 spdlog::debug!("event=crash-not-told peer={} error={err:?}", vm.peer);
             }
         });
@@ -135,27 +133,16 @@
 /// Compares what both daemons know and exchanges what either lacks.
 async fn compare(node: &Node, peer: SocketAddr) -> Result<(), NewsError> {
     let checksum = node.crash_watch.checksum();
-    let Message::Known { crashes, bans } = ask(node, peer, &Message::Compare { checksum }).await?
-    else {
-        return Ok(());
-    };
-    node.adopt_bans(&bans);
+    let answer = ask(node, peer, &Message::Compare { checksum }).await?;
+    let Message::Known { crashes, news: theirs } = answer else { return Ok(()) };
     let known = node.crash_watch.crash_ids();
-    let wanted: Vec<_> = crashes.iter().filter(|id| !known.contains(id)).copied().collect();
+    let wanted = crashes.iter().filter(|id| !known.contains(id)).copied().collect();
     let unknown: Vec<_> = known.into_iter().filter(|id| !crashes.contains(id)).collect();
-    let mut news = node.crash_watch.bans();
-    let has = |ban: &BanNotice| {
-        bans.iter().any(|known| known.content == ban.content && known.level >= ban.level)
-    };
-    news.retain(|ban| !has(ban));
-    if wanted.is_empty() && unknown.is_empty() && news.is_empty() {
-        return Ok(());
-    }
-    let reports = node.crash_watch.reports(&unknown);
-    let tell = Message::Tell { crashes: reports, bans: news, wanted };
-    if let Message::Tell { crashes, bans, .. } = ask(node, peer, &tell).await? {
-        node.adopt_crashes(crashes);
-        node.adopt_bans(&bans);
+    let crashes = node.crash_watch.reports(&unknown);
+    let news = CrashNews { crashes, ..node.crash_watch.bans_and_answers() };
+    node.adopt_crash_news(theirs);
+    if let Message::Tell { news, .. } = ask(node, peer, &Message::Tell { news, wanted }).await? {
+        node.adopt_crash_news(news);
     }
     Ok(())
 }
@@ -204,13 +191,12 @@
     match message {
         Message::Compare { checksum } if checksum == watch.checksum() => Some(Message::Same),
         Message::Compare { .. } => {
-            Some(Message::Known { crashes: watch.crash_ids(), bans: watch.bans() })
+            Some(Message::Known { crashes: watch.crash_ids(), news: watch.bans_and_answers() })
         }
-        Message::Tell { crashes, bans, wanted } => {
-            node.adopt_crashes(crashes);
-            node.adopt_bans(&bans);
-            let crashes = watch.reports(&wanted);
-            Some(Message::Tell { crashes, bans: Vec::new(), wanted: Vec::new() })
+        Message::Tell { news, wanted } => {
+            node.adopt_crash_news(news);
+            let news = CrashNews { crashes: watch.reports(&wanted), ..CrashNews::default() };
+            Some(Message::Tell { news, wanted: Vec::new() })
         }
         Message::Same | Message::Known { .. } => None,
     }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -14,6 +14,8 @@
 mod test_config;
 mod test_config_graph;
 mod test_context;
+mod test_crash_fleet;
+mod test_crashes;
 mod test_docs;
 mod test_examples;
 mod test_idempotency;
