--- a/lib/src/process/crashes/history.rs
+++ b/lib/src/process/crashes/history.rs
@@ -8,8 +8,8 @@
 use super::AnswerNotice;
 use super::BanNotice;
 use super::CrashId;
-use super::CrashNews;
 use super::CrashReport;
+use super::CrashUpdate;
 use super::Suspect;
 use super::running::TRUST_TIME;
 use crate::process::InstanceId;
@@ -39,8 +39,8 @@
 const PROBATION_FACTOR: u32 = 2;
 /// Most bans that are remembered.
 const BANS_MAX: usize = 256;
-/// Time after which it is news that a suspect was answered once more.
-const ANSWER_NEWS_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after which it other daemons are told that a suspect was answered once more.
+const ANSWER_UPDATE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// A past moment, which may lie before the start of the process.
 #[derive(Clone, Copy, Debug)]
@@ -148,7 +148,7 @@
             return false;
         }
         let known = self.answers.get(&content).map(|answer| answer.age(now));
-        if known.is_some_and(|known| known <= age + ANSWER_NEWS_INTERVAL) {
+        if known.is_some_and(|known| known <= age + ANSWER_UPDATE_INTERVAL) {
             return false;
         }
         self.answers.insert(content, Past { heard_at: now, age });
@@ -228,13 +228,13 @@
         Some(ban.notice(now, content))
     }
 
-    /// Adopts a ban that another daemon tells of; returns whether it is news.
+    /// Adopts a ban that another daemon tells of; returns whether it is new to this one.
     pub fn adopt_ban(&mut self, now: Duration, notice: &BanNotice) -> bool {
         self.expire(now);
         let BanNotice { content, head, caller, level, age } = *notice;
         let ban = Ban { head, caller, level, since: Past { heard_at: now, age } };
-        let is_news = self.bans.get(&content).is_none_or(|known| known.level < level);
-        if !is_news || !ban.is_remembered(now) {
+        let is_new = self.bans.get(&content).is_none_or(|known| known.level < level);
+        if !is_new || !ban.is_remembered(now) {
             return false;
         }
         self.insert_ban(now, content, ban);
@@ -321,11 +321,11 @@
     }
 
     /// Returns all that is remembered but the crashes.
-    pub fn bans_and_answers(&self, now: Duration) -> CrashNews {
+    pub fn bans_and_answers(&self, now: Duration) -> CrashUpdate {
         let answers = self.answers.iter();
         let answers = answers
             .map(|(content, answer)| AnswerNotice { content: *content, age: answer.age(now) });
-        CrashNews { crashes: Vec::new(), bans: self.bans(now), answers: answers.collect() }
+        CrashUpdate { crashes: Vec::new(), bans: self.bans(now), answers: answers.collect() }
     }
 
     /// Returns all remembered bans, also those that have ended.
--- a/lib/src/process/crashes/report.rs
+++ b/lib/src/process/crashes/report.rs
@@ -46,7 +46,7 @@
 
 /// What one daemon tells another without being asked.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct CrashNews {
+pub struct CrashUpdate {
     /// Crashes of upstreams.
     pub crashes: Vec<CrashReport>,
     /// Contents that upstreams no longer run.
--- a/lib/src/process/crashes/running.rs
+++ b/lib/src/process/crashes/running.rs
@@ -48,12 +48,12 @@
 
 /// The requests that an upstream was running when it may have crashed.
 #[derive(Clone, Debug, Default)]
-pub struct CrashScene {
+pub struct CrashSnapshot {
     suspects: IndexMap<(HeadDigest, Option<ContentDigest>), (Suspect, Option<RequestName>)>,
     trusted: usize,
 }
 
-impl CrashScene {
+impl CrashSnapshot {
     /// Returns the suspects, each with the name of one request of its content.
     pub fn suspects(&self) -> impl Iterator<Item = &(Suspect, Option<RequestName>)> {
         self.suspects.values()
@@ -111,21 +111,21 @@
     /// Returns the requests that have caused a crash of the upstream, if it has crashed now.
     ///
     /// Contents that the upstream has answered lately are not suspects.
-    pub fn suspects(&self, now: Duration) -> CrashScene {
+    pub fn suspects(&self, now: Duration) -> CrashSnapshot {
         let oldest = now.saturating_sub(ABANDONED_RUN_TIME);
         let abandoned = self.abandoned.iter().rev().filter(|(at, _)| *at >= oldest);
-        let mut scene = CrashScene::default();
+        let mut snapshot = CrashSnapshot::default();
         for run in self.running.values().rev().chain(abandoned.map(|(_, run)| run)) {
             let RequestContent { head, caller, .. } = run.content;
             let content = run.content.digest();
             if content.is_some_and(|content| self.is_trusted(now, content)) {
-                scene.trusted += 1;
-            } else if scene.suspects.len() < SUSPECTS_MAX {
+                snapshot.trusted += 1;
+            } else if snapshot.suspects.len() < SUSPECTS_MAX {
                 let suspect = Suspect { head, caller, content };
-                scene.suspects.entry((head, content)).or_insert((suspect, run.name.clone()));
+                snapshot.suspects.entry((head, content)).or_insert((suspect, run.name.clone()));
             }
         }
-        scene
+        snapshot
     }
 
     fn is_trusted(&self, now: Duration, content: ContentDigest) -> bool {
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -313,7 +313,7 @@
         self.background.spawn(Arc::clone(&self.node.gate).run_timer());
         self.background.spawn(Arc::clone(&self.node).follow_vms());
         self.background.spawn(Arc::clone(&self.node).follow_peers());
-        self.background.spawn(serve::spread_crashes(Arc::clone(&self.node)));
+        self.background.spawn(serve::gossip_crashes(Arc::clone(&self.node)));
         self.background.spawn(flush_metrics(Arc::clone(&self.node)));
         self.background.spawn(watch_pauses(Arc::clone(&self.node)));
     }
--- a/lib/src/process/node/crash_watch.rs
+++ b/lib/src/process/node/crash_watch.rs
@@ -16,9 +16,9 @@
 use crate::process::crashes::BanNotice;
 use crate::process::crashes::CrashHistory;
 use crate::process::crashes::CrashId;
-use crate::process::crashes::CrashNews;
 use crate::process::crashes::CrashReport;
-use crate::process::crashes::CrashScene;
+use crate::process::crashes::CrashSnapshot;
+use crate::process::crashes::CrashUpdate;
 use crate::process::crashes::RunId;
 use crate::process::crashes::RunningRequests;
 use crate::process::log::Decision;
@@ -37,31 +37,31 @@
     clock: Clock,
     running: Arc<Mutex<RunningRequests>>,
     check: Mutex<CheckState>,
-    desk: Arc<NewsDesk>,
+    shared: Arc<SharedHistory>,
     /// What the other daemons of the service are to be told of at once.
-    news_rx: tokio::sync::Mutex<UnboundedReceiver<CrashNews>>,
+    update_rx: tokio::sync::Mutex<UnboundedReceiver<CrashUpdate>>,
 }
 
 /// The crash history, with what the other daemons are to be told of.
 #[derive(Debug)]
-struct NewsDesk {
+struct SharedHistory {
     history: Mutex<CrashHistory>,
-    news_tx: UnboundedSender<CrashNews>,
+    update_tx: UnboundedSender<CrashUpdate>,
 }
 
-impl NewsDesk {
-    fn tell(&self, news: CrashNews) {
+impl SharedHistory {
+    fn push(&self, update: CrashUpdate) {
         // The receiver lives as long as the node.
-        let _ = self.news_tx.send(news);
+        let _ = self.update_tx.send(update);
     }
 
     /// Records that the local upstream has answered a content, and tells the other daemons if
     /// it is suspected of a crash.
     fn record_answer(&self, now: Duration, content: ContentDigest, age: Duration) {
         let answer = AnswerNotice { content, age };
-        let is_news = self.history.lock().record_answer(now, &answer);
-        if is_news {
-            self.tell(CrashNews { answers: vec![answer], ..CrashNews::default() });
+        let is_new = self.history.lock().record_answer(now, &answer);
+        if is_new {
+            self.push(CrashUpdate { answers: vec![answer], ..CrashUpdate::default() });
         }
     }
 }
@@ -79,7 +79,7 @@
 pub(crate) struct RunGuard {
     clock: Clock,
     running: Arc<Mutex<RunningRequests>>,
-    news: Arc<NewsDesk>,
+    shared: Arc<SharedHistory>,
     id: RunId,
 }
 
@@ -89,7 +89,7 @@
         let now = self.clock.now();
         let content = self.running.lock().answered(now, self.id);
         if let Some(content) = content {
-            self.news.record_answer(now, content, Duration::ZERO);
+            self.shared.record_answer(now, content, Duration::ZERO);
         }
     }
 
@@ -107,64 +107,64 @@
 
 impl CrashWatch {
     pub(super) fn new(clock: Clock) -> Self {
-        let (news_tx, news_rx) = unbounded_channel();
+        let (update_tx, update_rx) = unbounded_channel();
         Self {
             clock,
             running: Arc::default(),
             check: Mutex::new(CheckState::Idle),
-            desk: Arc::new(NewsDesk { history: Mutex::default(), news_tx }),
-            news_rx: tokio::sync::Mutex::new(news_rx),
+            shared: Arc::new(SharedHistory { history: Mutex::default(), update_tx }),
+            update_rx: tokio::sync::Mutex::new(update_rx),
         }
     }
 
     /// Adds a request that is about to be sent to the upstream.
     pub(crate) fn begin(&self, content: RequestContent, name: Option<RequestName>) -> RunGuard {
         let id = self.running.lock().begin(content, name);
-        let (running, news) = (Arc::clone(&self.running), Arc::clone(&self.desk));
-        RunGuard { clock: self.clock, running, news, id }
+        let (running, shared) = (Arc::clone(&self.running), Arc::clone(&self.shared));
+        RunGuard { clock: self.clock, running, shared, id }
     }
 
     /// Returns the time until requests with a content may run again; `None` if they may now.
     pub(crate) fn ban_left(&self, content: ContentDigest) -> Option<Duration> {
-        self.desk.history.lock().ban_left(self.clock.now(), content)
+        self.shared.history.lock().ban_left(self.clock.now(), content)
     }
 
     /// Whether the body of a request with this head must be known before it is sent.
     pub(crate) fn needs_body(&self, head: HeadDigest) -> bool {
-        self.desk.history.lock().needs_body(head)
+        self.shared.history.lock().needs_body(head)
     }
 
-    /// Waits for news that the other daemons of the service are to be told of.
-    pub(crate) async fn next_news(&self) -> CrashNews {
-        let news = self.news_rx.lock().await.recv().await;
-        news.expect("the sender lives as long as the receiver")
+    /// Waits for what the other daemons of the service are to be told of.
+    pub(crate) async fn next_update(&self) -> CrashUpdate {
+        let update = self.update_rx.lock().await.recv().await;
+        update.expect("the sender lives as long as the receiver")
     }
 
     pub(crate) fn is_history_empty(&self) -> bool {
-        let mut history = self.desk.history.lock();
+        let mut history = self.shared.history.lock();
         history.expire(self.clock.now());
         history.is_empty()
     }
 
     pub(crate) fn checksum(&self) -> u64 {
-        self.desk.history.lock().checksum()
+        self.shared.history.lock().checksum()
     }
 
     pub(crate) fn crash_ids(&self) -> Vec<CrashId> {
-        self.desk.history.lock().crash_ids()
+        self.shared.history.lock().crash_ids()
     }
 
     pub(crate) fn reports(&self, wanted: &[CrashId]) -> Vec<CrashReport> {
-        self.desk.history.lock().reports(self.clock.now(), wanted)
+        self.shared.history.lock().reports(self.clock.now(), wanted)
     }
 
-    pub(crate) fn bans_and_answers(&self) -> CrashNews {
-        self.desk.history.lock().bans_and_answers(self.clock.now())
+    pub(crate) fn bans_and_answers(&self) -> CrashUpdate {
+        self.shared.history.lock().bans_and_answers(self.clock.now())
     }
 
     /// Returns the contents that may not run now, with the time until they may.
     pub(crate) fn active_bans(&self) -> Vec<(ContentDigest, Duration)> {
-        self.desk.history.lock().active_bans(self.clock.now())
+        self.shared.history.lock().active_bans(self.clock.now())
     }
 
     fn try_begin_check(&self, now: Duration) -> bool {
@@ -198,35 +198,35 @@
         if !self.crash_watch.try_begin_check(now) {
             return;
         }
-        let scene = self.crash_watch.running.lock().suspects(now);
+        let snapshot = self.crash_watch.running.lock().suspects(now);
         let (node, instance) = (Arc::clone(self), instance.clone());
         tokio::spawn(async move {
             let has_ended = node.upstream.has_ended().await;
             node.crash_watch.end_check(node.clock.now(), has_ended);
             if has_ended {
-                node.record_crash(&instance, &scene);
+                node.record_crash(&instance, &snapshot);
             }
         });
     }
 
     /// Records what another daemon tells.
-    pub(crate) fn adopt_crash_news(&self, news: CrashNews) {
+    pub(crate) fn apply_crash_update(&self, update: CrashUpdate) {
         let now = self.clock.now();
-        for answer in &news.answers {
-            self.crash_watch.desk.history.lock().record_answer(now, answer);
+        for answer in &update.answers {
+            self.crash_watch.shared.history.lock().record_answer(now, answer);
         }
-        for report in news.crashes {
+        for report in update.crashes {
             self.record_report(report);
         }
-        for ban in &news.bans {
-            let is_news = self.crash_watch.desk.history.lock().adopt_ban(now, ban);
-            if is_news {
+        for ban in &update.bans {
+            let is_new = self.crash_watch.shared.history.lock().adopt_ban(now, ban);
+            if is_new {
                 self.report_ban(ban, true);
             }
         }
         // Answers to contents that became suspect only by these crashes.
-        for answer in &news.answers {
-            self.crash_watch.desk.history.lock().record_answer(now, answer);
+        for answer in &update.answers {
+            self.crash_watch.shared.history.lock().record_answer(now, answer);
         }
     }
 
@@ -235,11 +235,11 @@
         let now = self.clock.now();
         let contents: Vec<_> =
             report.suspects.iter().filter_map(|suspect| suspect.content).collect();
-        let bans = self.crash_watch.desk.history.lock().record(now, report);
+        let bans = self.crash_watch.shared.history.lock().record(now, report);
         for content in contents {
             let answered_at = self.crash_watch.running.lock().answered_at(content);
             if let Some(age) = answered_at.map(|at| now.saturating_sub(at)) {
-                self.crash_watch.desk.record_answer(now, content, age);
+                self.crash_watch.shared.record_answer(now, content, age);
             }
         }
         for ban in &bans {
@@ -253,15 +253,15 @@
         self.decisions.write(self.clock.now(), None, &decision);
     }
 
-    fn record_crash(&self, instance: &InstanceId, scene: &CrashScene) {
+    fn record_crash(&self, instance: &InstanceId, snapshot: &CrashSnapshot) {
         let now = self.clock.now();
         self.crash_watch.running.lock().crashed();
         self.metrics.count(Counter::UpstreamCrashes);
-        let suspects = scene.suspects().count();
+        let suspects = snapshot.suspects().count();
         let decision =
-            Decision::UpstreamCrashed { instance, suspects, trusted: scene.trusted_count() };
+            Decision::UpstreamCrashed { instance, suspects, trusted: snapshot.trusted_count() };
         self.decisions.write(now, None, &decision);
-        for (suspect, name) in scene.suspects() {
+        for (suspect, name) in snapshot.suspects() {
             let decision = Decision::CrashSuspect { instance, suspect, name: name.as_ref() };
             self.decisions.write(now, None, &decision);
         }
@@ -269,9 +269,11 @@
             id: CrashId(rand::random()),
             instance: instance.clone(),
             age: Duration::ZERO,
-            suspects: scene.suspects().map(|(suspect, _)| *suspect).collect(),
+            suspects: snapshot.suspects().map(|(suspect, _)| *suspect).collect(),
         };
         self.record_report(report.clone());
-        self.crash_watch.desk.tell(CrashNews { crashes: vec![report], ..CrashNews::default() });
+        self.crash_watch
+            .shared
+            .push(CrashUpdate { crashes: vec![report], ..CrashUpdate::default() });
     }
 }
--- a/lib/src/process/routing/router.rs
+++ b/lib/src/process/routing/router.rs
@@ -59,7 +59,7 @@
     /// Set if the last attempt broke off, as when its instance has crashed: attempts with the
     /// same value go to the same instance, so that a request which crashes instances ends one
     /// more of them and not several.
-    pub gather_by: Option<u64>,
+    pub affinity: Option<u64>,
 }
 
 impl Work {
@@ -278,7 +278,7 @@
     /// less loaded of two instances of the nearest tier, where a tier with few working
     /// instances passes a share of its calls on to the next tier.
     fn choose(&mut self, now: Duration, survey: &Survey, work: &Work) -> Option<Choice> {
-        if let Some(key) = work.gather_by {
+        if let Some(key) = work.affinity {
             let candidates = survey.tiers.iter().flat_map(|tier| &tier.candidates);
             let chosen = candidates.max_by_key(|candidate| rendezvous(key, &candidate.instance));
             if let Some(chosen) = chosen {
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -80,8 +80,8 @@
     /// Called service and matching rule, by which admission levels of the rest of
     /// the call chain are stored.
     pub(super) path: PathKey,
-    /// See [`Work::gather_by`].
-    pub(super) gather_by: Option<u64>,
+    /// See [`Work::affinity`].
+    pub(super) affinity: Option<u64>,
     /// The request in progress at this daemon on whose behalf this call is made;
     /// `None` for a request from outside.
     pub(super) parent: Option<Arc<Parent>>,
@@ -218,7 +218,7 @@
         let has_broken_off = refusal.outcome == Outcome::Unknown;
         if has_broken_off && refusal.reason == Reason::UpstreamFailed {
             let content = RequestContent::of(&self.inbound, &mut self.payload).digest();
-            self.gather_by = content.map(|content| content.0);
+            self.affinity = content.map(|content| content.0);
         }
     }
 
@@ -355,7 +355,7 @@
         criticality: cx.criticality,
         hash: cx.hash,
         is_call: cx.depth > 0,
-        gather_by: call.gather_by,
+        affinity: call.affinity,
     };
     let now = node.clock.now();
     let mut router = node.router.lock();
--- a/lib/src/request/serve/crash_news.rs
+++ b/lib/src/request/serve/crash_gossip.rs
@@ -23,7 +23,7 @@
 use crate::connection::body::RelayError;
 use crate::connection::peers::PeerError;
 use crate::process::crashes::CrashId;
-use crate::process::crashes::CrashNews;
+use crate::process::crashes::CrashUpdate;
 use crate::process::membership::Vm;
 use crate::process::node::Node;
 use crate::request::CRASHES;
@@ -52,14 +52,14 @@
     /// The other one knows the same.
     Same,
     /// What this daemon knows, in answer to a comparison.
-    Known { crashes: Vec<CrashId>, news: CrashNews },
+    Known { crashes: Vec<CrashId>, update: CrashUpdate },
     /// What the other one does not know, and what this daemon wants to know.
-    Tell { news: CrashNews, wanted: Vec<CrashId> },
+    Update { update: CrashUpdate, wanted: Vec<CrashId> },
 }
 
 /// Why daemons could not compare what they know.
 #[derive(Debug, Snafu)]
-enum NewsError {
+enum GossipError {
     #[snafu(display("the daemon did not respond within {ANSWER_TIMEOUT:?}"))]
     Silent,
     #[snafu(display("the message could not be sent to the daemon"))]
@@ -76,7 +76,7 @@
 
 /// Tells the other daemons of new crashes at once and compares with one of them now and then,
 /// until the process ends.
-pub async fn spread_crashes(node: Arc<Node>) {
+pub async fn gossip_crashes(node: Arc<Node>) {
     let mut start_comparisons = START_COMPARISONS;
     loop {
         let pause = match start_comparisons {
@@ -84,7 +84,7 @@
             _ => START_COMPARE_INTERVAL,
         };
         tokio::select! {
-            news = node.crash_watch.next_news() => tell_service(&node, &news),
+            update = node.crash_watch.next_update() => push_to_service(&node, &update),
             () = sleep(pause) => {
                 let Some(peer) = choose_peer(&node) else { continue };
                 if start_comparisons == 0 && node.crash_watch.is_history_empty() {
@@ -99,15 +99,15 @@
     }
 }
 
-/// Sends news to all daemons of the service, since their upstreams may get the next request with
-/// the same content. Those that it does not reach learn of it by comparison.
-fn tell_service(node: &Arc<Node>, news: &CrashNews) {
+/// Sends an update to all daemons of the service, since their upstreams may get the next request
+/// with the same content. Those that it does not reach learn of it by comparison.
+fn push_to_service(node: &Arc<Node>, update: &CrashUpdate) {
     let service = &node.settings.daemon.service;
     for vm in listed_peers(node).into_iter().filter(|vm| vm.service == *service) {
-        let (node, news) = (Arc::clone(node), news.clone());
+        let (node, update) = (Arc::clone(node), update.clone());
         tokio::spawn(async move {
-            let tell = Message::Tell { news, wanted: Vec::new() };
-            if let Err(err) = ask(&node, vm.peer, &tell).await {
+            let message = Message::Update { update, wanted: Vec::new() };
+            if let Err(err) = ask(&node, vm.peer, &message).await {
                 spdlog::debug!("event=crash-not-told peer={} error={err:?}", vm.peer);
             }
         });
@@ -131,23 +131,25 @@
 }
 
 /// Compares what both daemons know and exchanges what either lacks.
-async fn compare(node: &Node, peer: SocketAddr) -> Result<(), NewsError> {
+async fn compare(node: &Node, peer: SocketAddr) -> Result<(), GossipError> {
     let checksum = node.crash_watch.checksum();
     let answer = ask(node, peer, &Message::Compare { checksum }).await?;
-    let Message::Known { crashes, news: theirs } = answer else { return Ok(()) };
+    let Message::Known { crashes, update: theirs } = answer else { return Ok(()) };
     let known = node.crash_watch.crash_ids();
     let wanted = crashes.iter().filter(|id| !known.contains(id)).copied().collect();
     let unknown: Vec<_> = known.into_iter().filter(|id| !crashes.contains(id)).collect();
     let crashes = node.crash_watch.reports(&unknown);
-    let news = CrashNews { crashes, ..node.crash_watch.bans_and_answers() };
-    node.adopt_crash_news(theirs);
-    if let Message::Tell { news, .. } = ask(node, peer, &Message::Tell { news, wanted }).await? {
-        node.adopt_crash_news(news);
+    let update = CrashUpdate { crashes, ..node.crash_watch.bans_and_answers() };
+    node.apply_crash_update(theirs);
+    if let Message::Update { update, .. } =
+        ask(node, peer, &Message::Update { update, wanted }).await?
+    {
+        node.apply_crash_update(update);
     }
     Ok(())
 }
 
-async fn ask(node: &Node, peer: SocketAddr, message: &Message) -> Result<Message, NewsError> {
+async fn ask(node: &Node, peer: SocketAddr, message: &Message) -> Result<Message, GossipError> {
     let json = serde_json::to_vec(message).context(TextSnafu)?;
     let req = Request::post(format!("http://{peer}/"))
         .header(CRASHES, HeaderValue::from_static("1"))
@@ -163,7 +165,7 @@
     timeout(ANSWER_TIMEOUT, asking).await.unwrap_or_else(|_| SilentSnafu.fail())
 }
 
-async fn parse(body: RelayBody) -> Result<Message, NewsError> {
+async fn parse(body: RelayBody) -> Result<Message, GossipError> {
     let json = body::collect(body, MAX_MESSAGE_BYTES).await.context(BodySnafu)?;
     serde_json::from_slice(&json).context(TextSnafu)
 }
@@ -173,7 +175,7 @@
     let answer = match parse(req.into_body()).await {
         Ok(message) => answer(node, message),
         Err(err) => {
-            spdlog::warn!("event=crash-news-unreadable error={err:?}");
+            spdlog::warn!("event=crash-update-unreadable error={err:?}");
             None
         }
     };
@@ -191,12 +193,12 @@
     match message {
         Message::Compare { checksum } if checksum == watch.checksum() => Some(Message::Same),
         Message::Compare { .. } => {
-            Some(Message::Known { crashes: watch.crash_ids(), news: watch.bans_and_answers() })
+            Some(Message::Known { crashes: watch.crash_ids(), update: watch.bans_and_answers() })
         }
-        Message::Tell { news, wanted } => {
-            node.adopt_crash_news(news);
-            let news = CrashNews { crashes: watch.reports(&wanted), ..CrashNews::default() };
-            Some(Message::Tell { news, wanted: Vec::new() })
+        Message::Update { update, wanted } => {
+            node.apply_crash_update(update);
+            let update = CrashUpdate { crashes: watch.reports(&wanted), ..CrashUpdate::default() };
+            Some(Message::Update { update, wanted: Vec::new() })
         }
         Message::Same | Message::Known { .. } => None,
     }
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -185,7 +185,7 @@
         account,
         reroutes: 0,
         path,
-        gather_by: None,
+        affinity: None,
         parent: None,
     }
 }
--- a/lib/src/request/serve/mod.rs
+++ b/lib/src/request/serve/mod.rs
@@ -10,7 +10,7 @@
 mod attempt;
 mod call;
 mod config_transfer;
-mod crash_news;
+mod crash_gossip;
 mod entry;
 mod exchange;
 mod outbound;
@@ -18,7 +18,7 @@
 mod peer;
 mod tracker;
 
-pub use crash_news::spread_crashes;
+pub use crash_gossip::gossip_crashes;
 pub use entry::serve_caller;
 pub use outbound::serve_upstream;
 pub use peer::serve_peer;
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -138,7 +138,7 @@
         account,
         reroutes: 0,
         path,
-        gather_by: None,
+        affinity: None,
         parent,
     }
 }
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -10,7 +10,7 @@
 use super::attempt::read_header;
 use super::call::Call;
 use super::config_transfer;
-use super::crash_news;
+use super::crash_gossip;
 use super::entry::response_deadline;
 use super::entry::root_call;
 use super::entry::take_token;
@@ -50,7 +50,7 @@
         return Ok(config_transfer::receive(&node, req).await);
     }
     if req.headers().contains_key(CRASHES) {
-        return Ok(crash_news::receive(&node, req).await);
+        return Ok(crash_gossip::receive(&node, req).await);
     }
     let result = match req.headers().contains_key(TOKEN) {
         true => serve_as_issuer(&node, req).await,
--- a/lib/tests/test_crash_fleet.rs
+++ b/lib/tests/test_crash_fleet.rs
@@ -5,8 +5,8 @@
 use endivescale::process::crashes::AnswerNotice;
 use endivescale::process::crashes::CrashHistory;
 use endivescale::process::crashes::CrashId;
-use endivescale::process::crashes::CrashNews;
 use endivescale::process::crashes::CrashReport;
+use endivescale::process::crashes::CrashUpdate;
 use endivescale::process::crashes::RunId;
 use endivescale::process::crashes::RunningRequests;
 use endivescale::request::CallerDigest;
@@ -204,8 +204,8 @@
 
     /// Records an answer of an owner's upstream, and tells the others if it is news.
     fn record_answer(&mut self, owner: usize, answer: AnswerNotice) {
-        let is_news = self.owners[owner].history.record_answer(self.now, &answer);
-        if !is_news || self.load.variant == Variant::NothingTold {
+        let is_new = self.owners[owner].history.record_answer(self.now, &answer);
+        if !is_new || self.load.variant == Variant::NothingTold {
             return;
         }
         for other in (0..self.owners.len()).filter(|other| *other != owner) {
@@ -297,13 +297,13 @@
     fn crash(&mut self, n: usize) {
         let owner = &mut self.owners[n];
         owner.down_until = self.now + DOWNTIME;
-        let scene = owner.running.suspects(self.now);
+        let snapshot = owner.running.suspects(self.now);
         owner.running.crashed();
         let report = CrashReport {
             id: CrashId(self.rng.random()),
             instance: format!("i-{n}").as_str().into(),
             age: Duration::ZERO,
-            suspects: scene.suspects().map(|(suspect, _)| *suspect).collect(),
+            suspects: snapshot.suspects().map(|(suspect, _)| *suspect).collect(),
         };
         for run in std::mem::take(&mut self.owners[n].runs) {
             *self.crashes_of.entry(run.request.content).or_default() += 1;
@@ -343,7 +343,7 @@
             for (from, to) in [(other, n), (n, other)] {
                 let history = &self.owners[from].history;
                 let reports = history.reports(self.now, &history.crash_ids());
-                let CrashNews { bans, answers, .. } = history.bans_and_answers(self.now);
+                let CrashUpdate { bans, answers, .. } = history.bans_and_answers(self.now);
                 for report in reports {
                     self.record(to, report);
                 }
--- a/lib/tests/test_crashes.rs
+++ b/lib/tests/test_crashes.rs
@@ -235,9 +235,9 @@
 }
 
 fn suspects(running: &RunningRequests, now: Duration) -> Vec<u64> {
-    let scene = running.suspects(now);
+    let snapshot = running.suspects(now);
     let mut contents: Vec<u64> =
-        scene.suspects().filter_map(|(suspect, _)| Some(suspect.content?.0)).collect();
+        snapshot.suspects().filter_map(|(suspect, _)| Some(suspect.content?.0)).collect();
     contents.sort_unstable();
     contents
 }
--- a/lib/tests/test_placing.rs
+++ b/lib/tests/test_placing.rs
@@ -18,7 +18,7 @@
 use super::test_membership::ms;
 
 const WORK: Work =
-    Work { criticality: Criticality::Normal, hash: 0, is_call: false, gather_by: None };
+    Work { criticality: Criticality::Normal, hash: 0, is_call: false, affinity: None };
 
 /// Two instances in each of two availability zones of one region.
 const FLEET: [&str; 4] = ["a-x1-1", "a-x1-2", "a-x2-1", "a-x2-2"];
--- a/lib/tests/test_rate_limits.rs
+++ b/lib/tests/test_rate_limits.rs
@@ -485,7 +485,7 @@
             return false;
         }
         let routed =
-            RoutedWork { criticality: Criticality::Normal, hash, is_call: false, gather_by: None };
+            RoutedWork { criticality: Criticality::Normal, hash, is_call: false, affinity: None };
         let mut tried = Vec::new();
         while tried.len() <= MAX_REROUTES {
             let Pick::To(vm) = self.senders[sender].pick(now, &"a".into(), &routed, &tried) else {
--- a/lib/tests/test_routing.rs
+++ b/lib/tests/test_routing.rs
@@ -36,7 +36,7 @@
 
     fn pick_for(&mut self, at: u64, criticality: Criticality, avoid: &[&str]) -> Pick {
         let avoid: Vec<InstanceId> = avoid.iter().map(|&name| name.into()).collect();
-        let work = Work { criticality, hash: 500, is_call: false, gather_by: None };
+        let work = Work { criticality, hash: 500, is_call: false, affinity: None };
         self.router.pick(ms(at), &self.service, &work, &avoid)
     }
 
@@ -71,7 +71,7 @@
 
 /// Picks for a call on behalf of a request that was let in.
 fn pick_for_call(s: &mut Setup) -> Pick {
-    let work = Work { criticality: Criticality::Normal, hash: 500, is_call: true, gather_by: None };
+    let work = Work { criticality: Criticality::Normal, hash: 500, is_call: true, affinity: None };
     s.router.pick(ms(0), &s.service, &work, &[])
 }
 
@@ -242,7 +242,7 @@
         let mut router = Router::new(here, n);
         router.apply(ms(0), &list);
         let work =
-            Work { criticality: Criticality::Normal, hash: 0, is_call: false, gather_by: None };
+            Work { criticality: Criticality::Normal, hash: 0, is_call: false, affinity: None };
         let mut own = IndexMap::new();
         for _ in 0..100 {
             let instance = name(router.pick(ms(0), &"a".into(), &work, &[]));
