--- a/lib/tests/test_crash_fleet.rs
+++ b/lib/tests/test_crash_fleet.rs
@@ -13,7 +13,6 @@
 use endivescale::request::ContentDigest;
 use endivescale::request::HeadDigest;
 use endivescale::request::RequestContent;
-use indexmap::IndexMap;
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand::seq::IndexedRandom as _;
@@ -28,9 +27,6 @@
 /// allows then.
 const CONTACT: Duration = Duration::from_secs(3);
 const ALLOWED_SENDS: usize = 3;
-/// A request that was asked for once and was running in as many crashes cannot be told from a
-/// lethal one.
-const CRASHES_THAT_EXPLAIN: u32 = 2;
 /// Time that an upstream is down after a crash.
 const DOWNTIME: Duration = Duration::from_secs(3);
 /// Number of contents that many callers ask for.
@@ -115,8 +111,6 @@
     sends: Vec<Vec<Duration>>,
     harmless: usize,
     harmless_refused: usize,
-    /// Harmless requests that were refused although they had run in fewer than two crashes.
-    wrongly_refused: usize,
     /// Time from a first ban to that of the last owner that was up all the while.
     spread: Duration,
 }
@@ -132,8 +126,6 @@
     answers: Vec<(Duration, usize, AnswerNotice)>,
     next_unique: u64,
     banned_at: Option<Duration>,
-    /// In how many crashes each content was running.
-    crashes_of: IndexMap<u64, u32>,
     outcome: Outcome,
 }
 
@@ -155,7 +147,6 @@
             answers: Vec::new(),
             next_unique: FIRST_UNIQUE,
             banned_at: None,
-            crashes_of: IndexMap::new(),
             outcome,
         }
     }
@@ -255,9 +246,6 @@
         let left = history.ban_left(now, content);
         if left.is_some() && variant != Variant::NoBans {
             self.outcome.harmless_refused += usize::from(is_harmless);
-            let crashes = self.crashes_of.get(&request.content).copied().unwrap_or(0);
-            let has_cause = crashes >= CRASHES_THAT_EXPLAIN && request.content >= FIRST_UNIQUE;
-            self.outcome.wrongly_refused += usize::from(is_harmless && !has_cause);
             return;
         }
         let digests = RequestContent::new(HeadDigest(request.content), CallerDigest(1), content);
@@ -306,7 +294,6 @@
             suspects: snapshot.suspects().map(|(suspect, _)| *suspect).collect(),
         };
         for run in std::mem::take(&mut self.owners[n].runs) {
-            *self.crashes_of.entry(run.request.content).or_default() += 1;
             self.owners[n].running.abandoned(self.now, run.id);
             self.send_again(run.request);
         }
@@ -411,8 +398,7 @@
     outcomes.filter_map(of_outcome).max().unwrap_or(0)
 }
 
-/// Checks the platform's rule under a load, and that no harmless request is refused without a
-/// cause.
+/// Checks the platform's rule under a load, and that no harmless request is refused.
 macro_rules! loads {
     ($($name:ident: $load:expr, $seeds:expr;)*) => {
         $(
@@ -433,7 +419,7 @@
                         "{}: seed {seed}: {} of {} harmless refused, spread {:?}",
                         stringify!($name), outcome.harmless_refused, outcome.harmless, outcome.spread,
                     );
-                    assert_eq!(outcome.wrongly_refused, 0, "seed {seed}");
+                    assert_eq!(outcome.harmless_refused, 0, "seed {seed}");
                 }
             }
         )*
@@ -471,6 +457,6 @@
 #[test]
 fn without_trust_in_answered_requests_harmless_ones_are_refused() {
     let load = Load { variant: Variant::NoTrust, ..Load::default() };
-    let refused: usize = (0..5).map(|n| replay(load, SEED + n).wrongly_refused).sum();
+    let refused: usize = (0..5).map(|n| replay(load, SEED + n).harmless_refused).sum();
     assert!(refused > 0);
 }
