review: submissions held up by long uploads reach a leaving instance after drain

Examined: what an owner checks between the arrival of a request and its way to the instance, and the flow control of the one connection between two daemons. Done: a script in which clients upload 24 MiB to instances that read 160 KB a second, others send submissions, and one instance drains.

--- a/review/common/mesh.py
+++ b/review/common/mesh.py
@@ -65,8 +65,9 @@
     return lines[0], headers
 
 
-async def read_body(reader, headers, on_data):
+async def read_body(reader, headers, on_data, pace=lambda: 0):
     """Reads a body to its end as its framing states it, and passes its bytes to `on_data`.
+    Waits for the time that `pace` returns before each piece of 64 KiB.
 
     Raises IncompleteReadError or ConnectionError if it breaks off."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
@@ -78,6 +79,7 @@
                 return
             left = size
             while left:
+                await asyncio.sleep(pace())
                 data = await reader.read(min(left, 65536))
                 if not data:
                     raise asyncio.IncompleteReadError(b"", left)
@@ -86,6 +88,7 @@
             await reader.readexactly(2)
     left = int(headers.get("content-length", "0"))
     while left:
+        await asyncio.sleep(pace())
         data = await reader.read(min(left, 65536))
         if not data:
             raise asyncio.IncompleteReadError(b"", left)
@@ -174,7 +177,7 @@
         self.name = f"sidecar-{ZONE}-{index}"
         self.id = f"i-{mesh.net:02x}{index:02x}"
         self.process, self.seq, self.born = None, 0, int(time.time() * 1000)
-        self.connections = set()
+        self.connections, self.receive_buffer = set(), None
 
     def address(self, name):
         return self.ip, self.mesh.ports[name]
@@ -199,8 +202,12 @@
         return "\n".join(lines) + "\n"
 
     async def start_instance(self):
-        self.server = await asyncio.start_server(
-            self.serve, *self.address("app"), limit=1 << 20, backlog=512)
+        listener = socket.create_server(self.address("app"), backlog=512)
+        if self.receive_buffer:
+            # Accepted connections inherit it.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
+        limit = self.receive_buffer or 1 << 20
+        self.server = await asyncio.start_server(self.serve, sock=listener, limit=limit)
 
     async def report(self, state="ready"):
         self.seq += 1
@@ -258,13 +265,13 @@
         self.vm, self.headers, self.reader, self.writer = vm, headers, reader, writer
         self.method, self.path, _ = line.split(" ")
         self.id = headers.get("endivescale-request-id", "-")
-        self.body_bytes, self.body_hash = 0, 0
+        self.body_bytes, self.pace = 0, lambda: 0
 
     def on_data(self, data):
         self.body_bytes += len(data)
 
     async def drain_body(self):
-        await read_body(self.reader, self.headers, self.on_data)
+        await read_body(self.reader, self.headers, self.on_data, self.pace)
 
     def head(self, status, run=True, extra=""):
         stamp = f"Endivescale-Server-Stamp: {self.vm.id}.{self.id}\r\n" if run else ""
