--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,90 +1,75 @@
-"""Pipelined requests behind a long answer that its instance breaks off."""
+"""A planned stop closes connections without an answer to submissions that still wait for a slot."""
 import asyncio
 import os
+import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 from mesh import *  # noqa: E402,F403
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-HOST = "hulo84.example"
-CONNECTIONS, BEHIND = 60, 8
-LONG = 200 * 1024
-GARBLED_SHARE = 0.03      # of the answers of one instance in three; `garble` has .03 at half
+HOST = "kaje25.example"
+SLOTS = 16                # of each of the two instances
+SEARCH_WORK = 6.6         # of a search; searches fill all slots
+SUBMIT_WORK = 0.21
+SUBMISSIONS = 16
+TIMEOUT = 8.0             # of both routes, and the clients' deadline
+GRACE = 6.0
 
 
 async def main(mesh):
-    record, ran, garbled = mesh.record, {}, []
+    record, ran, ended = mesh.record, {}, {}
 
     async def handler(request):
         await request.drain_body()
-        ran[request.id] = request.vm
-        request.vm.answers = getattr(request.vm, "answers", 0) + 1
-        long = request.path.endswith("/long")
-        await asyncio.sleep(0.1 if long else 0.02)
-        body = bytes(LONG if long else 400)
-        breaks = TROUBLE and request.vm is faulty and long and (
-            request.vm.answers * GARBLED_SHARE >= len(garbled) + 1)
-        record(f"instance {request.vm.id} ran {request.id} {request.path}"
-               f"{', breaks its answer off' if breaks else ''}")
-        if breaks:
-            garbled.append(request.id)
-            request.writer.write(request.head(200, True, f"Content-Length: {LONG}\r\n\r\n"))
-            request.writer.write(body[:LONG // 2])
-            await request.writer.drain()
-            await asyncio.sleep(0.1)
-            raise ConnectionResetError
-        await request.reply(200, body)
+        ran[request.id] = time.monotonic()
+        record(f"instance {request.vm.id} runs {request.id} {request.path}")
+        await asyncio.sleep(SEARCH_WORK if "search" in request.path else SUBMIT_WORK)
+        await request.reply(200, b"done\n")
 
-    entry = mesh.add_vm("board", handler)
-    faulty, *_ = [mesh.add_vm("desk", handler) for _ in range(3)]
-    await mesh.start(config(7, [route("r-list", "safe", HOST, "/leny950/", "desk", 4000)],
-                            ["board", "desk"]))
-    lost = []
+    entry, other = mesh.add_vm("board", handler), mesh.add_vm("board", handler)
+    for _ in range(2):
+        mesh.add_vm("desk", handler, slots=SLOTS)
+    await mesh.start(config(7, [
+        route("r-search", "safe", HOST, "/deka70/search/", "desk", 8000, aim_ms=8000),
+        route("r-submit", "unsafe", HOST, "/sewu861/", "desk", 8000, aim_ms=8000),
+    ], ["board", "desk"]))
 
-    async def client(index):
-        reader, writer = await asyncio.open_connection(*entry.address("outbound"), limit=1 << 20)
-
-        def send(path):
-            name = new_id()
-            writer.write(f"GET /leny950/{path} HTTP/1.1\r\nHost: {HOST}\r\n"
-                         f"Endivescale-Request-Id: {name}\r\n"
-                         f"Endivescale-Deadline-Ms: 5000\r\n\r\n".encode())
-            return name
-
-        waiting = [send(f"{index:x}/short")]
-        status, headers, _, whole = await read_answer(reader)     # now the connection is kept
-        assert (status, whole) == (200, True), status
-        waiting = [send(f"{index:x}/long")] + [send(f"{index:x}/{n}") for n in range(BEHIND)]
-        record(f"client {index} sends {waiting} behind one another")
-        why = "answered"
-        while waiting:
-            try:
-                status, headers, body, whole = await asyncio.wait_for(read_answer(reader), 8)
-            except (asyncio.IncompleteReadError, ConnectionError) as err:
-                why = f"no answer, the connection ended: {err!r}"
-                break
-            name = headers.get("endivescale-request-id")
-            record(f"client {index}: {name} {status} whole={whole} {len(body)} bytes")
-            if not whole:
-                why = f"the answer to {name} broke off"
-                break
-            waiting.pop(0)
-        sound = [name for name in waiting[1:] if name in ran and ran[name] is not faulty]
-        record(f"client {index}: {why}; unanswered: {waiting}; of these run by sound "
-               f"instances: {sound}")
-        lost.extend(sound)
+    async def send(vm, method, path, size):
+        reader, writer = await asyncio.open_connection(*vm.address("outbound"))
+        name = new_id()
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+                     f"Endivescale-Request-Id: {name}\r\nEndivescale-Deadline-Ms: 8000\r\n"
+                     f"Content-Length: {size}\r\n\r\n".encode() + bytes(size))
+        await writer.drain()
+        sent = time.monotonic()
+        record(f"client sends {name} {path} to {vm.name}")
+        try:
+            status, _, _, whole = await asyncio.wait_for(read_answer(reader), TIMEOUT + 2)
+            result = f"{status} whole={whole}" if whole else "an incomplete answer"
+        except (asyncio.IncompleteReadError, ConnectionError) as err:
+            status, result = None, f"closed without an answer ({type(err).__name__})"
+        ended[name] = (path, sent, time.monotonic(), status)
+        record(f"client: {name} {path} {result} after {time.monotonic() - sent:.2f} s")
         writer.close()
 
-    for index in range(CONNECTIONS):
-        await client(index)
-    answers = getattr(faulty, "answers", 0)
-    record(f"instance {faulty.id} gave {answers} answers and broke off {len(garbled)}")
-    if TROUBLE and (not garbled or len(garbled) > answers * GARBLED_SHARE):
-        raise CannotRun(f"{len(garbled)} of {answers} answers broke off")
-    if len(lost) <= 3:
-        return []
-    return [f"{len(lost)} requests that sound instances ran got no answer: {lost}"]
+    tasks = [asyncio.create_task(send(other, "GET", f"/deka70/search/{n:x}", 0))
+             for n in range(2 * SLOTS)]
+    await asyncio.sleep(0.3)
+    tasks += [asyncio.create_task(send(entry, "POST", f"/sewu861/{n:x}", 1200))
+              for n in range(SUBMISSIONS)]
+    await asyncio.sleep(0.2)
+    if TROUBLE:
+        record(f"SIGTERM to {entry.name}")
+        entry.process.send_signal(signal.SIGTERM)
+    stopped = time.monotonic()
+    await asyncio.gather(*tasks)
+    record(f"{entry.name} has ended: {entry.process.poll()}")
+    return [f"{name} was sent {stopped - sent:.2f} s before the SIGTERM, "
+            f"{'had begun to run' if name in ran else 'had not begun to run'}, and its "
+            f"connection was closed without an answer {end - stopped:.2f} s after it"
+            for name, (path, sent, end, status) in ended.items()
+            if "sewu861" in path and status is None and end < sent + TIMEOUT - 0.2]
 
 
 run(main, HERE)
