--- a/review/2/case.py
+++ b/review/2/case.py
@@ -31,8 +31,8 @@
     for _ in range(2):
         mesh.add_vm("desk", handler, slots=SLOTS)
     await mesh.start(config(7, [
-        route("r-search", "safe", HOST, "/deka70/search/", "desk", 8000, aim_ms=8000),
-        route("r-submit", "unsafe", HOST, "/sewu861/", "desk", 8000, aim_ms=8000),
+        route("r-search", "safe", HOST, "/deka70/search/", "desk", 8000, priority=2, aim_ms=2000),
+        route("r-submit", "unsafe", HOST, "/sewu861/", "desk", 8000, priority=0, aim_ms=1500),
     ], ["board", "desk"]))
 
     async def send(vm, method, path, size):
@@ -65,6 +65,8 @@
     stopped = time.monotonic()
     await asyncio.gather(*tasks)
     record(f"{entry.name} has ended: {entry.process.poll()}")
+    if len(ran) < 2 * SLOTS:
+        raise CannotRun("the searches did not fill the slots")
     return [f"{name} was sent {stopped - sent:.2f} s before the SIGTERM, "
             f"{'had begun to run' if name in ran else 'had not begun to run'}, and its "
             f"connection was closed without an answer {end - stopped:.2f} s after it"
