--- a/lib/benches/pieces.rs
+++ b/lib/benches/pieces.rs
@@ -78,7 +78,7 @@
         non_idempotent: true,
         rerun: false,
         may_wait: true,
-        repeat: false,
+        repeat: None,
         weight: 4,
         sender: Incarnation(9),
     };
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -400,6 +400,7 @@
         tokio::time::sleep(METRICS_INTERVAL).await;
         node.metrics.flush();
         node.decisions.flush(node.clock.now());
+        node.log_repeats();
     }
 }
 
--- a/lib/src/process/log/decision.rs
+++ b/lib/src/process/log/decision.rs
@@ -66,7 +66,7 @@
             cx.criticality,
             cx.depth,
             cx.hash,
-            u8::from(cx.repeat),
+            u8::from(cx.repeat.is_some()),
         )
     }
 }
--- a/lib/src/process/log/state_change.rs
+++ b/lib/src/process/log/state_change.rs
@@ -10,6 +10,7 @@
 use crate::process::catalog::Revision;
 use crate::process::catalog::Topic;
 use crate::process::config::VersionId;
+use crate::process::repeats::RepeatUsage;
 use crate::process::settings::SettingsChange;
 
 /// Why a daemon began to drain.
@@ -130,6 +131,11 @@
     },
     /// The daemon admits all requests again.
     SheddingEnded,
+    /// Repeats were sent to the local upstream, or were denied.
+    RepeatsUsed {
+        /// What the account of repeats has counted since the last such line.
+        usage: RepeatUsage,
+    },
     /// Another daemon coordinates the usage of customers.
     UsageCoordinator {
         /// Address of the daemon.
@@ -177,6 +183,7 @@
             | Self::CatalogBack { .. }
             | Self::SettingsReloaded { .. }
             | Self::SheddingEnded
+            | Self::RepeatsUsed { .. }
             | Self::UsageCoordinator { .. }
             | Self::CustomersInForce { .. }
             | Self::Draining { .. }
@@ -228,6 +235,7 @@
             Self::PeerBack { instance } => write!(f, "event=peer-back instance={instance}"),
             Self::SheddingBegan { level } => write!(f, "event=shedding-began level={level}"),
             Self::SheddingEnded => f.write_str("event=shedding-ended"),
+            Self::RepeatsUsed { usage } => write!(f, "event=repeats {usage}"),
             Self::UsageCoordinator { coordinator } => {
                 write!(f, "event=usage-coordinator coordinator={coordinator}")
             }
--- a/lib/src/process/metrics/counter.rs
+++ b/lib/src/process/metrics/counter.rs
@@ -54,6 +54,16 @@
     Cancelled = "requests.cancelled";
     /// Further attempts that this daemon made at requests that failed or were refused.
     RetriesSpent = "retries.spent";
+    /// Requests sent to the local upstream that had reached none before.
+    FirstArrivals = "arrivals.first";
+    /// Requests sent to the local upstream again after it had refused them.
+    RepeatsResent = "repeats.resent";
+    /// Requests sent to the local upstream that had reached another one before.
+    RepeatsSentElsewhere = "repeats.sent-elsewhere";
+    /// Calls sent to the local upstream that were made by a run that was a repeat.
+    RepeatsInherited = "repeats.inherited";
+    /// Repeats that were not sent to the local upstream, because they exceeded the limit.
+    RepeatsDenied = "repeats.denied";
     /// Idempotency tokens issued.
     TokensIssued = "tokens.issued";
     /// Idempotency tokens used for the first time.
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -11,6 +11,7 @@
 mod gate;
 mod lifecycle;
 mod operated;
+mod repeats;
 mod token_registry;
 
 use std::net::SocketAddr;
--- a/lib/src/process/repeats/mod.rs
+++ b/lib/src/process/repeats/mod.rs
@@ -13,10 +13,14 @@
 //! the same at every hop. See `docs/design/retries.md`.
 
 mod sliding;
+mod tally;
 
+use std::fmt;
 use std::time::Duration;
 
 use self::sliding::SlidingCount;
+pub use self::tally::Arrival;
+pub use self::tally::RepeatTally;
 use crate::version::Criticality;
 
 /// Share of the bound that is used. Daemons observe a changed number of instances at
@@ -68,6 +72,27 @@
     granted: SlidingCount,
     /// Repeats that were requested, granted or not, by criticality.
     requested: [SlidingCount; Criticality::ALL.len()],
+    tally: RepeatTally,
+}
+
+/// How an account stands, and what it has counted since the last report.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatUsage {
+    /// What was counted.
+    pub tally: RepeatTally,
+    /// Repeats sent in the window that ends now.
+    pub used: u32,
+    /// Repeats allowed in that window.
+    pub allowed: f64,
+    /// Number of instances among which the constant part is divided.
+    pub instances: usize,
+}
+
+impl fmt::Display for RepeatUsage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { tally, used, allowed, instances } = self;
+        write!(f, "{tally} used={used} allowed={allowed:.0} instances={instances}")
+    }
 }
 
 impl RepeatAccount {
@@ -80,6 +105,7 @@
             first_arrivals: SlidingCount::new(bound.window * 2),
             granted: SlidingCount::new(bound.window),
             requested: std::array::from_fn(|_| SlidingCount::new(DEMAND_WINDOW)),
+            tally: RepeatTally::default(),
         }
     }
 
@@ -96,18 +122,47 @@
     /// Counts a request that reaches the upstream for the first time.
     pub fn record_first(&mut self, now: Duration) {
         self.first_arrivals.add(now);
+        self.tally.record_sent(Arrival::First);
     }
 
     /// Requests a repeat; returns whether it is granted, and counts it in that case.
-    pub fn try_repeat(&mut self, now: Duration, criticality: Criticality, hash: u16) -> bool {
+    pub fn try_repeat(
+        &mut self,
+        now: Duration,
+        arrival: Arrival,
+        criticality: Criticality,
+        hash: u16,
+    ) -> bool {
         self.requested[usize::from(criticality.rank())].add(now);
         let has_room = self.has_room(now, criticality, hash);
-        if has_room {
-            self.granted.add(now);
+        match has_room {
+            true => {
+                self.granted.add(now);
+                self.tally.record_sent(arrival);
+            }
+            false => self.tally.record_denied(),
         }
         has_room
     }
 
+    /// Returns whether one more repeat of a request would be granted, and counts it as denied
+    /// if not.
+    pub fn check_room(&mut self, now: Duration, criticality: Criticality, hash: u16) -> bool {
+        let has_room = self.has_room(now, criticality, hash);
+        if !has_room {
+            self.tally.record_denied();
+        }
+        has_room
+    }
+
+    /// Returns what was counted since the last call; `None` if that were first arrivals alone.
+    pub fn take_usage(&mut self, now: Duration) -> Option<RepeatUsage> {
+        let tally = std::mem::take(&mut self.tally);
+        let (used, allowed) = (self.granted.total(now), self.allowed(now));
+        let usage = RepeatUsage { tally, used, allowed, instances: self.instances };
+        (!tally.has_no_repeats()).then_some(usage)
+    }
+
     /// Returns whether one more repeat of a request would be granted.
     pub fn has_room(&mut self, now: Duration, criticality: Criticality, hash: u16) -> bool {
         let allowed = self.allowed(now);
--- a/lib/src/request/context.rs
+++ b/lib/src/request/context.rs
@@ -9,6 +9,7 @@
 use snafu::OptionExt as _;
 use snafu::Snafu;
 
+use super::Repeat;
 use crate::process::Incarnation;
 use crate::version::Criticality;
 
@@ -54,9 +55,9 @@
     pub may_wait: bool,
     /// Whether an earlier attempt at the request may have run.
     pub rerun: bool,
-    /// Whether an earlier attempt at the request, or at a request on whose behalf it
-    /// is made, has reached an upstream; see `docs/design/retries.md`.
-    pub repeat: bool,
+    /// Why the request counts as a repeat at each upstream that it reaches; `None` for a
+    /// first arrival.
+    pub repeat: Option<Repeat>,
     /// Incarnation of the daemon that sent the context.
     pub sender: Incarnation,
 }
@@ -84,7 +85,8 @@
         let flags = u8::from(self.non_idempotent)
             | u8::from(self.rerun) << 1
             | u8::from(self.may_wait) << 2
-            | u8::from(self.repeat) << 3;
+            | u8::from(self.repeat.is_some()) << 3
+            | u8::from(self.repeat == Some(Repeat::Inherited)) << 4;
         write!(
             f,
             "{};{};{:x};{};{};{};{};{};{}",
@@ -139,7 +141,11 @@
             non_idempotent: flags & 1 != 0,
             rerun: flags & 2 != 0,
             may_wait: flags & 4 != 0,
-            repeat: flags & 8 != 0,
+            repeat: match (flags & 8 != 0, flags & 16 != 0) {
+                (false, _) => None,
+                (true, false) => Some(Repeat::Own),
+                (true, true) => Some(Repeat::Inherited),
+            },
             weight: weight.context(InvalidFieldSnafu { field: "weight" })?,
             sender: sender.context(InvalidFieldSnafu { field: "sender" })?,
         })
--- a/lib/src/request/mod.rs
+++ b/lib/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod outcome;
 pub mod parent;
 mod refusal;
+mod repeat;
 pub mod retries;
 pub mod serve;
 
@@ -26,3 +27,4 @@
 pub use refusal::ParseReasonError;
 pub use refusal::Reason;
 pub use refusal::Refusal;
+pub use repeat::Repeat;
--- a/lib/src/request/parent.rs
+++ b/lib/src/request/parent.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Context;
+use super::Repeat;
 use super::idempotency::Fingerprint;
 use super::idempotency::Token;
 use super::retries::CallLedger;
@@ -120,6 +121,11 @@
         self.without_answer.load(Ordering::SeqCst) > 0
     }
 
+    /// Returns the mark of the calls that the upstream makes for the request.
+    pub fn repeat_of_calls(&self) -> Option<Repeat> {
+        self.cx.repeat.map(|_| Repeat::Inherited)
+    }
+
     /// Records the admission level received with the answer to one of the calls.
     pub fn record_path_level(&self, level: Level) {
         let mut path_level = self.path_level.lock();
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -29,6 +29,7 @@
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::Repeat;
 use crate::request::RequestContent;
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
@@ -158,7 +159,7 @@
         self.cx.hash = parent.cx.hash;
         self.cx.depth = parent.cx.depth.saturating_add(1);
         self.cx.rerun = parent.cx.rerun;
-        self.cx.repeat = parent.cx.repeat;
+        self.cx.repeat = parent.repeat_of_calls();
         self.deadline = self.deadline.min(parent.deadline);
         self.objective = self.objective.map(|objective| objective.min(self.deadline));
         self.parent = Some(parent);
@@ -227,7 +228,9 @@
     fn prepare_repeat(&mut self, node: &Node, refusal: &Refusal) {
         node.metrics.count(Counter::RetriesSpent);
         self.cx.rerun |= refusal.outcome != Outcome::NotRun;
-        self.cx.repeat |= refusal.reached_upstream();
+        if refusal.reached_upstream() {
+            self.cx.repeat.get_or_insert(Repeat::Own);
+        }
         let has_broken_off = refusal.outcome == Outcome::Unknown;
         if has_broken_off && refusal.reason == Reason::UpstreamFailed {
             let content = RequestContent::of(&self.inbound, &mut self.payload).digest();
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -193,7 +193,7 @@
         weight: plan.weight,
         may_wait: plan.may_wait,
         rerun: false,
-        repeat: false,
+        repeat: None,
         sender: node.incarnation,
     };
     let account = Arc::new(Mutex::new(RetryAccount::mint(plan.retries)));
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -26,7 +26,7 @@
 use crate::process::node::Node;
 use crate::process::node::Permit;
 use crate::process::node::RunGuard;
-use crate::request::Context;
+use crate::process::repeats::Arrival;
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
@@ -95,22 +95,10 @@
             && node.repeats.is_some()
             && !node.gate.is_at_rate_limit()
             && node.gate.try_resend()
-            && count_upstream_attempt(node, &self.parent.parent().cx, true)
+            && node.count_arrival(&self.parent.parent().cx, Arrival::Resent)
     }
 }
 
-/// Counts a request that is about to be sent to the upstream. Returns false if it is
-/// a repeat that exceeds the limit on repeats and must not be sent.
-pub(super) fn count_upstream_attempt(node: &Node, cx: &Context, is_repeat: bool) -> bool {
-    let Some(repeats) = &node.repeats else { return true };
-    let (mut repeats, now) = (repeats.lock(), node.clock.now());
-    if is_repeat {
-        return repeats.try_repeat(now, cx.criticality, cx.hash);
-    }
-    repeats.record_first(now);
-    true
-}
-
 /// Sends a request to the upstream and waits for the head of the response.
 ///
 /// If the upstream refuses while it has free slots, the request is sent again as
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -119,6 +119,7 @@
     let cx = Context {
         depth: parent.cx.depth.saturating_add(1),
         non_idempotent: !plan.idempotent,
+        repeat: parent.repeat_of_calls(),
         sender: node.incarnation,
         ..parent.cx.clone()
     };
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -17,7 +17,6 @@
 use tokio::time::sleep;
 
 use super::exchange::Exchange;
-use super::exchange::count_upstream_attempt;
 use super::exchange::is_delimited;
 use super::exchange::send;
 use super::tracker::RequestTracker;
@@ -38,6 +37,7 @@
 use crate::process::membership::LocalStanding;
 use crate::process::node::GateReport;
 use crate::process::node::Node;
+use crate::process::repeats::Arrival;
 use crate::request::CONFIRMED;
 use crate::request::Context;
 use crate::request::LEAVING;
@@ -170,7 +170,7 @@
         }
         LocalStanding::Departed => return Err(Refusal::not_run(Reason::InstanceGone)),
     }
-    if cx.repeat && !has_room_for_repeat(node, &cx) {
+    if !node.has_room_for(&cx) {
         return Err(Refusal::not_run(Reason::RetriesSpent));
     }
     let deadline = Instant::now() + cx.remaining;
@@ -192,7 +192,7 @@
     if Instant::now() >= deadline {
         return Err(Refusal::not_run(Reason::Expired));
     }
-    if !count_upstream_attempt(node, &cx, cx.repeat) {
+    if !node.count_arrival(&cx, Arrival::of(cx.repeat)) {
         return Err(Refusal::not_run(Reason::RetriesSpent));
     }
     let non_idempotent = cx.non_idempotent;
@@ -255,11 +255,6 @@
     }
 }
 
-fn has_room_for_repeat(node: &Node, cx: &Context) -> bool {
-    let Some(repeats) = &node.repeats else { return true };
-    repeats.lock().has_room(node.clock.now(), cx.criticality, cx.hash)
-}
-
 /// Waits until the daemon or the instance leaves and queued requests must be refused.
 async fn wait_until_queue_closes(node: &Node, instance: &InstanceId) {
     let daemon_leaves = async {
--- a/lib/tests/test_context.rs
+++ b/lib/tests/test_context.rs
@@ -2,6 +2,7 @@
 
 use endivescale::process::Incarnation;
 use endivescale::request::Context;
+use endivescale::request::Repeat;
 use endivescale::request::RequestId;
 use endivescale::version::Criticality;
 
@@ -17,7 +18,7 @@
         non_idempotent: true,
         rerun: false,
         may_wait: true,
-        repeat: true,
+        repeat: Some(Repeat::Inherited),
         weight: 10,
         sender: Incarnation(9),
     }
@@ -26,5 +27,9 @@
 #[test]
 fn printed_context_parses_back() {
     let cx = sample();
-    assert_eq!(cx.to_string().parse(), Ok(cx));
+    assert_eq!(cx.to_string().parse(), Ok(cx.clone()));
+    for repeat in [None, Some(Repeat::Own)] {
+        let cx = Context { repeat, ..cx.clone() };
+        assert_eq!(cx.to_string().parse(), Ok(cx));
+    }
 }
--- a/lib/tests/test_repeats.rs
+++ b/lib/tests/test_repeats.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use endivescale::process::repeats::Arrival;
 use endivescale::process::repeats::RepeatAccount;
 use endivescale::process::repeats::RepeatBound;
 use endivescale::version::Criticality;
@@ -52,7 +53,7 @@
         now += ms(u64::from(gap_ms % 500));
         if !repeats {
             account.record_first(now);
-        } else if !account.try_repeat(now, Criticality::Normal, 0) {
+        } else if !account.try_repeat(now, Arrival::Resent, Criticality::Normal, 0) {
             continue;
         }
         seen.push((now, repeats));
@@ -89,7 +90,7 @@
                 for _ in 0..u32::from(share % 4) * u32::from(amount % 4 + 1) {
                     account.record_first(now);
                     seen.push((now, false));
-                    if account.try_repeat(now, Criticality::Normal, 0) {
+                    if account.try_repeat(now, Arrival::Resent, Criticality::Normal, 0) {
                         seen.push((now, true));
                     }
                 }
@@ -125,7 +126,7 @@
         if at < 20_000 || at % 50 < 35 {
             account.record_first(ms(at));
         }
-        if at >= 20_000 && account.try_repeat(ms(at), Criticality::Critical, 0) {
+        if at >= 20_000 && account.try_repeat(ms(at), Arrival::Resent, Criticality::Critical, 0) {
             granted += 1;
         }
     }
@@ -147,14 +148,14 @@
 #[test]
 fn a_new_process_has_no_slack_until_a_window_has_passed() {
     let mut account = RepeatAccount::new(BOUND);
-    assert!(!account.try_repeat(ms(9_900), Criticality::Critical, 0));
-    assert!(account.try_repeat(ms(10_000), Criticality::Critical, 0));
+    assert!(!account.try_repeat(ms(9_900), Arrival::Resent, Criticality::Critical, 0));
+    assert!(account.try_repeat(ms(10_000), Arrival::Resent, Criticality::Critical, 0));
 }
 
 #[test]
 fn the_first_process_has_its_slack_at_once() {
     let mut account = RepeatAccount::new(RepeatBound { first_start: true, ..BOUND });
-    assert!(account.try_repeat(ms(0), Criticality::Normal, 0));
+    assert!(account.try_repeat(ms(0), Arrival::Resent, Criticality::Normal, 0));
 }
 
 #[test]
@@ -163,15 +164,16 @@
     for _ in 0..100 {
         account.record_first(ms(100));
     }
-    let spent =
-        (0..100).take_while(|_| account.try_repeat(ms(200), Criticality::Critical, 0)).count();
+    let spent = (0..100)
+        .take_while(|_| account.try_repeat(ms(200), Arrival::Resent, Criticality::Critical, 0))
+        .count();
     assert!((15..=20).contains(&spent), "{spent} repeats for 100 first arrivals");
 }
 
 #[test]
 fn repeats_are_forgotten_after_the_window() {
     let mut account = RepeatAccount::new(BOUND);
-    while account.try_repeat(ms(10_000), Criticality::Critical, 0) {}
+    while account.try_repeat(ms(10_000), Arrival::Resent, Criticality::Critical, 0) {}
     assert!(!account.has_room(ms(19_900), Criticality::Critical, 0));
     assert!(account.has_room(ms(20_200), Criticality::Critical, 0));
 }
@@ -202,7 +204,7 @@
         let hash = rng.random();
         while now >= calm && rng.random_bool(0.5) {
             let seen = &mut seen[usize::from(!is_critical)];
-            if !account.try_repeat(now, criticality, hash) {
+            if !account.try_repeat(now, Arrival::Resent, criticality, hash) {
                 seen.denied += 1;
                 break;
             }
@@ -245,7 +247,10 @@
         now += ms(100);
         account.record_first(now);
         if now > WINDOW && round % 20 == 0 {
-            assert!(account.try_repeat(now, Criticality::Deferrable, u16::MAX), "{now:?}");
+            assert!(
+                account.try_repeat(now, Arrival::Resent, Criticality::Deferrable, u16::MAX),
+                "{now:?}"
+            );
         }
     }
 }
