repeats: calls made by a resent run are repeats

Cause: a request in progress keeps the context that came with it. A daemon that sends a request to its own upstream again, after a refusal, charged that arrival, but did not mark the request, so the calls of the run that followed were charged as first arrivals at the services below, and even earned repeats there. Requests sent to another instance were marked.

Now the request in progress remembers that it was sent again.

--- a/lib/src/request/parent.rs
+++ b/lib/src/request/parent.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
@@ -82,6 +83,8 @@
     may_have_run: AtomicUsize,
     /// Number of calls without a good answer.
     without_answer: AtomicUsize,
+    /// Whether the upstream refused the request, and it was sent there again.
+    is_resent: AtomicBool,
 }
 
 impl Parent {
@@ -121,9 +124,15 @@
         self.without_answer.load(Ordering::SeqCst) > 0
     }
 
+    /// Records that the request is sent to the upstream again. From now on its run is a repeat.
+    pub fn record_resend(&self) {
+        self.is_resent.store(true, Ordering::SeqCst);
+    }
+
     /// Returns the mark of the calls that the upstream makes for the request.
     pub fn repeat_of_calls(&self) -> Option<Repeat> {
-        self.cx.repeat.map(|_| Repeat::Inherited)
+        let is_repeat = self.cx.repeat.is_some() || self.is_resent.load(Ordering::SeqCst);
+        is_repeat.then_some(Repeat::Inherited)
     }
 
     /// Records the admission level received with the answer to one of the calls.
@@ -209,6 +218,7 @@
             path_level,
             may_have_run: AtomicUsize::new(0),
             without_answer: AtomicUsize::new(0),
+            is_resent: AtomicBool::new(false),
         });
         let mut table = self.table.lock();
         let sequence = table.next_sequence;
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -125,6 +125,7 @@
             ResponseClass::Shed if resends < MAX_RESENDS && exchange.may_resend(node) => {
                 resends += 1;
                 node.gate.record_resend();
+                exchange.parent.parent().record_resend();
                 node.metrics.count(Counter::RetriesSpent);
                 let decision = Decision::Resent { times: resends };
                 node.decisions.write(node.clock.now(), Some(&exchange.subject()), &decision);
