repeats: begin no repeat whose calls would be denied

A request that is repeated makes all of its calls as repeats. Where several services refuse work at once, most such calls found no room further down, and the repeats above were spent for nothing.

Owners now state on each answer up to which criticality and hash they and the services below them grant repeats, as they do with admission levels, and a request beyond that is not repeated, neither beside its instance nor elsewhere.

--- a/lib/src/process/log/decision.rs
+++ b/lib/src/process/log/decision.rs
@@ -82,6 +82,8 @@
     BodyGone,
     /// The request has no retry tokens left, or no attempts that reach no upstream.
     Spent,
+    /// The called service, or one further down, would deny the repeat.
+    NoRoom,
 }
 
 impl fmt::Display for NoRetryReason {
@@ -91,6 +93,7 @@
             Self::SameElsewhere => "same-elsewhere",
             Self::BodyGone => "body-gone",
             Self::Spent => "spent",
+            Self::NoRoom => "no-room",
         })
     }
 }
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -62,6 +62,7 @@
 use super::membership::listing_changes;
 use super::metrics::Counter;
 use super::metrics::Metrics;
+use super::repeats::PathRoom;
 use super::repeats::RepeatAccount;
 use super::repeats::RepeatBound;
 use super::routing::Place;
@@ -141,6 +142,8 @@
     pub decisions: DecisionLog,
     /// Admission levels of downstream services, by the path that requests take.
     pub path_levels: Mutex<PathLevels<PathKey>>,
+    /// Repeats that downstream services would grant, by the path that requests take.
+    pub path_room: Mutex<PathRoom<PathKey>>,
     /// Calls that the local upstream makes for the requests of each rule or route.
     pub called_paths: Mutex<CalledPaths<PlanKey, PathKey>>,
     /// Consumption of the error budgets of the service-level objectives.
@@ -195,6 +198,7 @@
             metrics,
             decisions: DecisionLog::default(),
             path_levels: Mutex::default(),
+            path_room: Mutex::default(),
             called_paths: Mutex::default(),
             burn,
             config,
--- a/lib/src/process/node/repeats.rs
+++ b/lib/src/process/node/repeats.rs
@@ -1,11 +1,13 @@
 //! The account of repeats at the local upstream, as requests use it.
 
 use super::Node;
+use crate::process::admission::Level;
 use crate::process::log;
 use crate::process::log::StateChange;
 use crate::process::metrics::Counter;
 use crate::process::repeats::Arrival;
 use crate::request::Context;
+use crate::version::PlanKey;
 
 impl Node {
     /// Counts a request that is about to be sent to the local upstream. Returns false if it
@@ -40,6 +42,21 @@
         has_room
     }
 
+    /// Returns the level up to which a repeat of a request of this kind would be granted here
+    /// and at all services that such requests usually call.
+    pub(crate) fn repeat_level(&self, kind: &PlanKey) -> Level {
+        let Some(repeats) = &self.repeats else { return Level::OPEN };
+        let own = repeats.lock().level(self.clock.now());
+        own.min(self.repeat_level_below(kind))
+    }
+
+    /// Returns the level up to which all services that requests of this kind usually call would
+    /// grant the calls of a repeat.
+    pub(crate) fn repeat_level_below(&self, kind: &PlanKey) -> Level {
+        let called = self.called_paths.lock();
+        self.path_room.lock().strictest(self.clock.now(), called.usual(kind))
+    }
+
     /// Logs what the account of repeats has counted since the last call, if that were not
     /// first arrivals alone.
     pub(crate) fn log_repeats(&self) {
--- a/lib/src/process/repeats/mod.rs
+++ b/lib/src/process/repeats/mod.rs
@@ -12,15 +12,18 @@
 //! requests therefore take precedence, and among equals those with a low hash, which is
 //! the same at every hop. See `docs/design/retries.md`.
 
+mod path_room;
 mod sliding;
 mod tally;
 
 use std::fmt;
 use std::time::Duration;
 
+pub use self::path_room::PathRoom;
 use self::sliding::SlidingCount;
 pub use self::tally::Arrival;
 pub use self::tally::RepeatTally;
+use crate::process::admission::Level;
 use crate::version::Criticality;
 
 /// Share of the bound that is used. Daemons observe a changed number of instances at
@@ -171,8 +174,8 @@
 
     /// Returns whether one more repeat of a request would be granted.
     ///
-    /// A call made by a repeat needs no share: it is lost work if the call is denied, and the
-    /// daemon that began the repeat has looked at the share there.
+    /// A call made by a repeat needs no share: the daemon that began the repeat has looked at
+    /// [`Self::level`], and its work is lost if the call is denied.
     pub fn has_room(
         &mut self,
         now: Duration,
@@ -193,6 +196,22 @@
         }
     }
 
+    /// Returns the level up to which repeats are granted now.
+    pub fn level(&mut self, now: Duration) -> Level {
+        let allowed = self.allowed(now);
+        if allowed - f64::from(self.granted.total(now)) < 1.0 {
+            return Level::CLOSED;
+        }
+        for criticality in Criticality::ALL {
+            let share = self.grantable_share(now, allowed, criticality);
+            if share < 1.0 {
+                let threshold = (share * f64::from(u16::MAX)) as u16;
+                return Level { criticality, threshold };
+            }
+        }
+        Level::OPEN
+    }
+
     /// Returns how many repeats are allowed in the window that ends now.
     ///
     /// The constant part is not used until the process has run for a window, because an
--- a/lib/src/request/headers.rs
+++ b/lib/src/request/headers.rs
@@ -43,6 +43,10 @@
 /// calls; omitted if the level admits everything.
 pub const PATH_LEVEL: HeaderName = HeaderName::from_static("endivescale-path-level");
 
+/// Level up to which the answering daemon and the services that the request calls grant repeats
+/// of it; omitted if that is all. See [`crate::process::repeats::PathRoom`].
+pub const REPEAT_LEVEL: HeaderName = HeaderName::from_static("endivescale-repeat-level");
+
 /// Limit on the rate of requests that an upstream states in its answers, in requests per
 /// second. Between daemons, the limit that the sender knows of; see
 /// [`crate::process::admission::KnownLimit`].
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -45,6 +45,7 @@
 use crate::request::Outcome;
 use crate::request::PATH_LEVEL;
 use crate::request::RATE_LIMIT;
+use crate::request::REPEAT_LEVEL;
 use crate::request::RETRIES_LEFT;
 use crate::request::RULES_VERSION;
 use crate::request::Reason;
@@ -148,6 +149,8 @@
     if let (Some(asked_at), Some(stamp)) = (asked_at, read_header(rsp.headers(), &CONFIRMED)) {
         node.config().hear_stamp(asked_at, stamp);
     }
+    let repeat_level = read_header(rsp.headers(), &REPEAT_LEVEL);
+    call.record_repeat_level(node, repeat_level.unwrap_or(Level::OPEN));
     let path_level = read_header(rsp.headers(), &PATH_LEVEL);
     if let Some(refusal) = Refusal::from_headers(rsp.headers()) {
         if let Some(level) = path_level {
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -180,6 +180,17 @@
         self.forward_level_to_parent(level);
     }
 
+    /// Records up to which level the called service and those below it grant repeats.
+    pub(super) fn record_repeat_level(&self, node: &Node, level: Level) {
+        node.path_room.lock().record(node.clock.now(), &self.path, level);
+    }
+
+    /// Whether the called service and those below it would grant a repeat of the request.
+    fn has_room_for_repeat(&self, node: &Node) -> bool {
+        let level = node.path_room.lock().level(node.clock.now(), &self.path);
+        level.admits(self.cx.criticality, self.cx.hash)
+    }
+
     fn forward_level_to_parent(&self, level: Level) {
         if let Some(parent) = &self.parent {
             parent.record_path_level(level);
@@ -189,7 +200,7 @@
     /// Checks that another attempt is safe and possible, and charges for it.
     ///
     /// Fails with the reason why the previous attempt was the last.
-    fn charge_next_attempt(&mut self, refusal: &Refusal) -> Result<(), NoRetryReason> {
+    fn charge_next_attempt(&mut self, node: &Node, refusal: &Refusal) -> Result<(), NoRetryReason> {
         if refusal.outcome != Outcome::NotRun && self.cx.non_idempotent {
             return Err(NoRetryReason::MayHaveRun);
         }
@@ -199,6 +210,9 @@
         if !self.payload.has_body_left() {
             return Err(NoRetryReason::BodyGone);
         }
+        if refusal.reached_upstream() && !self.has_room_for_repeat(node) {
+            return Err(NoRetryReason::NoRoom);
+        }
         if !self.try_charge(refusal) {
             return Err(NoRetryReason::Spent);
         }
@@ -210,11 +224,12 @@
     ///
     /// Load pattern: instances fail part of their requests while their health is good. The
     /// error took `elapsed`, which the next attempt must still have.
-    fn charge_after_error(&mut self, elapsed: Duration) -> bool {
+    fn charge_after_error(&mut self, node: &Node, elapsed: Duration) -> bool {
         let left = self.deadline.saturating_duration_since(Instant::now());
         !self.cx.non_idempotent
             && left >= elapsed
             && self.payload.has_body_left()
+            && self.has_room_for_repeat(node)
             && self.account.lock().spend()
     }
 
@@ -316,7 +331,7 @@
         let refusal = match attempt::send_to_instance(node, &vm, call).await {
             Ok(rsp) => {
                 let is_upstream_error = rsp.extensions().get::<UpstreamError>().is_some();
-                if !is_upstream_error || !call.charge_after_error(started.elapsed()) {
+                if !is_upstream_error || !call.charge_after_error(node, started.elapsed()) {
                     return Ok(rsp);
                 }
                 *upstream_error = Some(rsp);
@@ -333,7 +348,7 @@
             Err(refusal) => refusal,
         };
         let failed_at = &vm.instance;
-        if let Err(because) = call.charge_next_attempt(&refusal) {
+        if let Err(because) = call.charge_next_attempt(node, &refusal) {
             call.log(node, &Decision::NotRepeated { failed_at, refusal: &refusal, because });
             return Err(refusal.after(earlier_outcome));
         }
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -93,10 +93,18 @@
             && node.local_standing(&self.instance) == LocalStanding::Current
             && self.payload.has_body_left()
             && node.repeats.is_some()
+            && self.has_room_for_calls(node)
             && !node.gate.is_at_rate_limit()
             && node.gate.try_resend()
             && node.count_arrival(&self.parent.parent().cx, Arrival::Resent)
     }
+
+    /// Whether the services that such requests usually call would grant the calls of a repeat.
+    fn has_room_for_calls(&self, node: &Node) -> bool {
+        let parent = self.parent.parent();
+        let level = node.repeat_level_below(&parent.kind);
+        level.admits(parent.cx.criticality, parent.cx.hash)
+    }
 }
 
 /// Sends a request to the upstream and waits for the head of the response.
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -46,6 +46,7 @@
 use crate::request::Outcome;
 use crate::request::PATH_LEVEL;
 use crate::request::RATE_LIMIT;
+use crate::request::REPEAT_LEVEL;
 use crate::request::RETRIES_LEFT;
 use crate::request::Reason;
 use crate::request::Refusal;
@@ -90,7 +91,8 @@
     tracker.describe(inbound, &cx);
     let retries = cx.retries;
     let path_level = Arc::new(Mutex::new(Level::OPEN));
-    let result = try_serve(node, cx, inbound, instance, body, &path_level).await;
+    let kind = matching_plan_key(node, inbound);
+    let result = try_serve(node, cx, inbound, instance, body, kind, &path_level).await;
     let mut rsp = result.unwrap_or_else(|refusal| {
         // A request that did not start has spent no retry tokens.
         let retries_left = match refusal.outcome {
@@ -104,6 +106,7 @@
     let path_level = level.min(*path_level.lock());
     insert_level(rsp.headers_mut(), LEVEL, level);
     insert_level(rsp.headers_mut(), PATH_LEVEL, path_level);
+    insert_level(rsp.headers_mut(), REPEAT_LEVEL, node.repeat_level(&kind));
     if let Ok(mut load) = HeaderValue::try_from(load.to_string()) {
         load.set_sensitive(true);
         rsp.headers_mut().insert(LOAD, load);
@@ -154,6 +157,7 @@
     inbound: &Inbound,
     instance: &InstanceId,
     body: RelayBody,
+    kind: PlanKey,
     path_level: &Arc<Mutex<Level>>,
 ) -> Result<Response<RelayBody>, Refusal> {
     let in_progress = node.lifecycle.begin();
@@ -174,7 +178,6 @@
         return Err(Refusal::not_run(Reason::RetriesSpent));
     }
     let deadline = Instant::now() + cx.remaining;
-    let kind = matching_plan_key(node, inbound);
     check_called_paths(node, &cx, kind, path_level)?;
     let work = admission_work(node, &cx, kind);
     let permit = tokio::select! {
--- a/lib/tests/test_repeat_chain.rs
+++ b/lib/tests/test_repeat_chain.rs
@@ -3,7 +3,9 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use endivescale::process::admission::Level;
 use endivescale::process::repeats::Arrival;
+use endivescale::process::repeats::PathRoom;
 use endivescale::process::repeats::RepeatAccount;
 use endivescale::process::repeats::RepeatBound;
 use endivescale::request::Repeat;
@@ -44,6 +46,8 @@
     Unmarked,
     /// Calls of repeats are granted like other repeats.
     Ranked,
+    /// Nobody looks at the room further down before a request is repeated.
+    Blind,
 }
 
 struct Owner {
@@ -79,6 +83,8 @@
     load: &'a Load,
     variant: Variant,
     owners: Vec<Vec<Owner>>,
+    /// What the callers of each service know of its room for repeats.
+    room: PathRoom<usize>,
     rng: ChaCha8Rng,
     now: Duration,
     arrived: Vec<Arrived>,
@@ -89,6 +95,8 @@
 struct Outcome {
     sent: u32,
     served: u32,
+    /// Repeats for requests that failed in the end.
+    wasted: usize,
     /// Most repeats beyond the bound in any window.
     excess: f64,
 }
@@ -103,6 +111,7 @@
             load,
             variant,
             owners: owners.collect(),
+            room: PathRoom::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: Duration::ZERO,
             arrived: Vec::new(),
@@ -112,6 +121,9 @@
     /// Sends a call to the instances of a service; returns whether it succeeded.
     fn send(&mut self, service: usize, mut call: Call) -> bool {
         for attempt in 0..MAX_ATTEMPTS {
+            if attempt > 0 && !self.has_room(service, call.root) {
+                return false;
+            }
             if let Some(has_succeeded) = self.serve(service, call, attempt == 0) {
                 return has_succeeded;
             }
@@ -123,8 +135,23 @@
 
     /// Returns whether the call succeeded; `None` if the upstream refused it.
     fn serve(&mut self, service: usize, call: Call, is_first_attempt: bool) -> Option<bool> {
-        let Call { root, mark, is_repeat } = call;
         let owner = self.rng.random_range(0..self.owners[service].len());
+        let result = self.serve_at(service, owner, call, is_first_attempt);
+        let below = self.room.level(self.now, &(service + 1));
+        let Owner { account, started_at } = &mut self.owners[service][owner];
+        let level = account.level(self.now - *started_at).min(below);
+        self.room.record(self.now, &service, level);
+        result
+    }
+
+    fn serve_at(
+        &mut self,
+        service: usize,
+        owner: usize,
+        call: Call,
+        is_first_attempt: bool,
+    ) -> Option<bool> {
+        let Call { root, mark, is_repeat } = call;
         let arrival = match (Arrival::of(mark), self.variant) {
             (Arrival::Inherited, Variant::Ranked) => Arrival::SentElsewhere,
             (arrival, _) => arrival,
@@ -144,20 +171,30 @@
             let is_refusing = refuses.contains(&self.now.as_secs());
             if !is_refusing || !self.rng.random_bool(self.load.refused_share) {
                 let is_marked = match self.variant {
-                    Variant::Real | Variant::Ranked => mark.is_some() || resends > 0,
+                    Variant::Real | Variant::Ranked | Variant::Blind => {
+                        mark.is_some() || resends > 0
+                    }
                     Variant::Unmarked => mark.is_some(),
                 };
                 let mark = is_marked.then_some(Repeat::Inherited);
                 let call = Call { root, mark, is_repeat };
                 return Some((0..calls).all(|_| self.send(service + 1, call)));
             }
-            if resends == MAX_RESENDS || !self.count(service, owner, Arrival::Resent, root) {
+            if resends == MAX_RESENDS
+                || !self.has_room(service + 1, root)
+                || !self.count(service, owner, Arrival::Resent, root)
+            {
                 return None;
             }
         }
         None
     }
 
+    fn has_room(&self, service: usize, root: Root) -> bool {
+        self.variant == Variant::Blind
+            || self.room.level(self.now, &service).admits(root.criticality, root.hash)
+    }
+
     fn count(&mut self, service: usize, owner: usize, arrival: Arrival, root: Root) -> bool {
         let Owner { account, started_at } = &mut self.owners[service][owner];
         let now = self.now - *started_at;
@@ -188,7 +225,12 @@
             let is_critical = self.rng.random_bool(0.3);
             let criticality = if is_critical { Criticality::Critical } else { Criticality::Normal };
             let root = Root { criticality, hash: self.rng.random() };
+            let before = self.arrived.len();
             let has_succeeded = self.send(0, Call { root, mark: None, is_repeat: false });
+            if !has_succeeded {
+                let arrived = &self.arrived[before..];
+                outcome.wasted += arrived.iter().filter(|arrived| arrived.is_repeat).count();
+            }
             if DISTURBED.contains(&self.now) {
                 outcome.sent += 1;
                 outcome.served += u32::from(has_succeeded);
@@ -229,9 +271,10 @@
 fn run_all(load: &Load, variant: Variant) -> Outcome {
     let mut total = Outcome { excess: f64::MIN, ..Outcome::default() };
     for seed in SEEDS {
-        let Outcome { sent, served, excess } = Chain::new(load, variant, seed).run();
+        let Outcome { sent, served, wasted, excess } = Chain::new(load, variant, seed).run();
         total.sent += sent;
         total.served += served;
+        total.wasted += wasted;
         total.excess = total.excess.max(excess);
     }
     println!("{variant:?}: {total:?}");
@@ -283,6 +326,21 @@
     assert!(real > ranked, "{real} served, {ranked} if ranked");
 }
 
+#[test]
+fn fewer_repeats_are_wasted_than_without_a_look_at_the_room_below() {
+    let wasted = |variant| LOADS.iter().map(|load| run_all(load, variant).wasted).sum::<usize>();
+    let [real, blind] = [Variant::Real, Variant::Blind].map(wasted);
+    assert!(real < blind, "{real} repeats for failed requests, {blind} without a look");
+}
+
+#[test]
+fn path_without_answers_is_open() {
+    let mut room = PathRoom::default();
+    room.record(Duration::ZERO, &1, Level::CLOSED);
+    assert_eq!(room.level(Duration::from_millis(900), &1), Level::CLOSED);
+    assert_eq!(room.level(Duration::from_millis(1_100), &1), Level::OPEN);
+}
+
 /// The check of the bound fires.
 #[test]
 fn unmarked_calls_of_resent_runs_exceed_the_bound() {
