repeats: a call whose run is not known is a repeat

A call that names a request which is not in progress at the daemon, as after a restart of it, was a first arrival at the called service, and earned repeats there, even if the run that makes it is a repeat. Nothing shows whether it is, and its caller has no way left to be answered, so it is now one.

--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -31,6 +31,7 @@
 use crate::request::Outcome;
 use crate::request::Reason;
 use crate::request::Refusal;
+use crate::request::Repeat;
 use crate::request::RequestId;
 use crate::request::TOKEN;
 use crate::request::idempotency::Token;
@@ -123,6 +124,7 @@
     if parent.is_none() && node.lifecycle.is_refusing_callers() {
         return Err(Refusal::not_run(Reason::Leaving).retry_after(LEAVING_RETRY_AFTER));
     }
+    let is_call = parent.is_some();
     let parent = parent.and_then(|parent| node.parents.find_named(parent));
     inbound.name = sender_info.name;
     tracker.describe_caller(&inbound);
@@ -138,8 +140,11 @@
     if !rules.policy.customers().is_empty() {
         call.cx.hash = node.rank_usage(identity.customer.as_deref(), call.cx.hash);
     }
-    if let Some(parent) = parent {
-        call.attach_to_parent(parent);
+    match parent {
+        Some(parent) => call.attach_to_parent(parent),
+        // The run that makes the call may have been a repeat.
+        None if is_call => call.cx.repeat = Some(Repeat::Inherited),
+        None => {}
     }
     // A token guarantees at most one run, even if the rule has changed since and
     // makes the request idempotent.
