repeats: a refused request stays a repeat if the resend finds no upstream

A request that an upstream refused, and that could not be sent to it again since it had ended, came back as 'upstream-unreachable', not run. The sender took that for a request that had reached no upstream: the next instance counted a first arrival, and no retry token was spent. It comes back as refused now.

request_that_was_refused_before_its_upstream_ended_is_a_repeat: 2 first arrivals before, 1 and one repeat now.

--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -121,11 +121,16 @@
         let (rsp, lease, class) = match send_once(node, &mut exchange, wait_deadline).await {
             Ok(received) => received,
             Err((refusal, completion)) => {
-                if refusal.outcome == Outcome::NotRun {
+                let is_not_run = refusal.outcome == Outcome::NotRun;
+                if is_not_run {
                     exchange.run.not_run();
                 }
                 exchange.complete(completion);
-                return Err(refusal);
+                return Err(match is_not_run && resends > 0 {
+                    // An earlier attempt has reached the upstream, which refused it.
+                    true => Refusal::not_run(Reason::UpstreamShed),
+                    false => refusal,
+                });
             }
         };
         match class {
