--- a/lib/src/process/catalog/follower/mod.rs
+++ b/lib/src/process/catalog/follower/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpListener;
@@ -114,6 +115,7 @@
     let roster = VmsFollower {
         source: source(1),
         roster: Roster::default(),
+        unusable: IndexSet::default(),
         clock: Clock::start(),
         vms_tx,
         offers,
--- a/lib/src/process/catalog/follower/vms.rs
+++ b/lib/src/process/catalog/follower/vms.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -16,6 +17,7 @@
 use crate::process::catalog::CatalogError;
 use crate::process::catalog::Change;
 use crate::process::catalog::ConfigSnapshot;
+use crate::process::catalog::EntryKey;
 use crate::process::catalog::Page;
 use crate::process::catalog::Revision;
 use crate::process::catalog::Roster;
@@ -24,6 +26,8 @@
 use crate::process::catalog::relay;
 use crate::process::catalog::relay::ReadRole;
 use crate::process::clock::Clock;
+use crate::process::log;
+use crate::process::log::StateChange;
 use crate::process::membership::VmList;
 
 /// Pause after changes of entries, in which further ones gather at the catalog.
@@ -32,6 +36,9 @@
 /// change would cost a call for each reader.
 const GATHER_TIME: Duration = Duration::from_millis(300);
 
+/// Most entries that cannot be used whose keys are logged and remembered as logged.
+const MAX_UNUSABLE_LOGGED: usize = 64;
+
 /// What a daemon with relays knows of itself.
 pub(super) struct LocalDaemon {
     /// Address at which other daemons poll this one.
@@ -48,6 +55,8 @@
 pub(super) struct VmsFollower {
     pub(super) source: ChangeSource,
     pub(super) roster: Roster,
+    /// Entries that cannot be used and were logged.
+    pub(super) unusable: IndexSet<EntryKey>,
     /// Time since the start of the task.
     pub(super) clock: Clock,
     pub(super) vms_tx: watch::Sender<Option<Arc<VmList>>>,
@@ -202,7 +211,20 @@
         }
     }
 
+    /// Logs the entries that cannot be used, each once until it can be used or is removed.
+    fn log_unusable(&mut self) {
+        let mut unusable: IndexSet<EntryKey> = IndexSet::new();
+        for (key, reason) in self.roster.unusable().take(MAX_UNUSABLE_LOGGED) {
+            unusable.insert(key.clone());
+            if !self.unusable.contains(key) {
+                log::write(&StateChange::EntryUnusable { key: key.clone(), reason: reason.into() });
+            }
+        }
+        self.unusable = unusable;
+    }
+
     fn publish(&mut self, complete: Revision) {
+        self.log_unusable();
         self.vms_tx.send_replace(Some(Arc::new(self.roster.build_list())));
         let Some(local) = &self.local else { return };
         let role = relay::assign(local.control, &local.zone, self.roster.vms());
--- a/lib/src/process/catalog/mod.rs
+++ b/lib/src/process/catalog/mod.rs
@@ -134,6 +134,18 @@
     Unusable(String),
 }
 
+impl Entry {
+    /// Longest reason that is kept, in bytes. It may quote the entry, which may be long.
+    const MAX_REASON_BYTES: usize = 200;
+
+    /// Creates an entry that cannot be used.
+    pub fn unusable(reason: &dyn fmt::Display) -> Self {
+        let mut reason = reason.to_string();
+        reason.truncate(reason.floor_char_boundary(Self::MAX_REASON_BYTES));
+        Self::Unusable(reason)
+    }
+}
+
 /// One change to a catalog.
 #[derive(Debug)]
 pub enum Change {
--- a/lib/src/process/catalog/roster.rs
+++ b/lib/src/process/catalog/roster.rs
@@ -275,6 +275,14 @@
         VmList { version: self.version, ..list }
     }
 
+    /// Returns the entries that cannot be used, with the reason.
+    pub fn unusable(&self) -> impl Iterator<Item = (&EntryKey, &str)> {
+        self.entries.iter().filter_map(|(key, known)| match &known.entry {
+            Entry::Listed(_) => None,
+            Entry::Unusable(reason) => Some((key, reason.as_str())),
+        })
+    }
+
     /// Returns the VMs of all usable entries.
     pub fn vms(&self) -> impl Iterator<Item = &Vm> {
         self.entries.values().filter_map(|known| match &known.entry {
--- a/lib/src/process/log/state_change.rs
+++ b/lib/src/process/log/state_change.rs
@@ -7,6 +7,7 @@
 use crate::process::Incarnation;
 use crate::process::InstanceId;
 use crate::process::admission::Level;
+use crate::process::catalog::EntryKey;
 use crate::process::catalog::Revision;
 use crate::process::catalog::Topic;
 use crate::process::config::VersionId;
@@ -114,6 +115,13 @@
         /// Revision up to which it is known now.
         to: Revision,
     },
+    /// An entry of the catalog cannot be used.
+    EntryUnusable {
+        /// Key of the entry.
+        key: EntryKey,
+        /// What is wrong with it.
+        reason: String,
+    },
     /// A peer stopped responding and is sent no new requests.
     PeerLost {
         /// VM name of the peer.
@@ -174,6 +182,7 @@
             | Self::PatienceEnded { .. } => spdlog::Level::Error,
             Self::PeerLost { .. }
             | Self::CatalogLost { .. }
+            | Self::EntryUnusable { .. }
             | Self::CatalogEra { .. }
             | Self::SheddingBegan { .. }
             | Self::PauseNoticed { .. } => spdlog::Level::Warn,
@@ -231,6 +240,9 @@
             Self::CatalogEra { topic, from, to } => {
                 write!(f, "event=catalog-era topic={topic} from={from} to={to}")
             }
+            Self::EntryUnusable { key, reason } => {
+                write!(f, "event=entry-unusable key={:?} reason={reason:?}", key.0)
+            }
             Self::PeerLost { instance } => write!(f, "event=peer-lost instance={instance}"),
             Self::PeerBack { instance } => write!(f, "event=peer-back instance={instance}"),
             Self::SheddingBegan { level } => write!(f, "event=shedding-began level={level}"),
