status: a status that is asked for during a change no longer hangs the daemon

If a new version arrived in between, its writer waited for the first borrow, the second one for the writer, and with them all requests of the daemon: it accepted no connection any more. The list of VMs was borrowed twice in the same way.

Nothing is borrowed twice now, and nothing while the router is locked; the reports of usage, which borrowed rules and list together, take them in turn.

--- a/lib/src/process/node/customers.rs
+++ b/lib/src/process/node/customers.rs
@@ -92,7 +92,8 @@
     /// Takes the reports of this daemon's usage, with the coordinators to send them to; empty if
     /// there is no configuration yet.
     pub(crate) fn take_usage_reports(&self) -> Vec<(SocketAddr, UsageReport)> {
-        let Some((rules, list)) = self.config().rules.borrow().clone().zip(self.vms()) else {
+        let rules = self.config().rules.borrow().clone();
+        let Some((rules, list)) = rules.zip(self.vms()) else {
             return Vec::new();
         };
         let mut usage = self.customers.usage.lock();
--- a/lib/src/process/node/operated.rs
+++ b/lib/src/process/node/operated.rs
@@ -40,6 +40,10 @@
 impl OperatorApi for Node {
     fn status(&self) -> StatusReport {
         let daemon = &self.settings.daemon;
+        // A borrow within the literal would last until its end, and a second one of the same
+        // channel waits for a writer that waits for the first.
+        let rules = self.rules_status();
+        let vms = self.vms().map(|list| VmsStatus { version: list.version, vms: list.vms.len() });
         StatusReport {
             instance: daemon.instance.clone(),
             service: daemon.service.clone(),
@@ -50,16 +54,8 @@
             uptime: self.clock.now(),
             state: self.state(),
             in_progress: self.lifecycle.in_progress(),
-            rules: self.config.rules.borrow().as_ref().map(|active| RulesStatus {
-                version: active.version(),
-                rules: active.policy.len(),
-            }),
-            vms: self
-                .config
-                .vms
-                .borrow()
-                .as_ref()
-                .map(|list| VmsStatus { version: list.version, vms: list.vms.len() }),
+            rules,
+            vms,
             admission: self.admission_status(),
             tokens: self.token_status(),
             peers: self.peer_statuses(),
@@ -112,6 +108,11 @@
         }
     }
 
+    fn rules_status(&self) -> Option<RulesStatus> {
+        let active = self.config.rules.borrow().clone()?;
+        Some(RulesStatus { version: active.version(), rules: active.policy.len() })
+    }
+
     fn admission_status(&self) -> AdmissionStatus {
         let rate_limit = self.gate.rate_limit().map(|known| known.rate.per_second());
         self.gate.with_admission(|admission| {
@@ -169,10 +170,10 @@
     }
 
     fn peer_statuses(&self) -> Vec<PeerStatus> {
+        let list = self.vms();
         let router = self.router.lock();
         let status_if_called =
             |vm: &Arc<Vm>| self.was_called(&router, vm).then(|| self.peer_status(&router, vm));
-        let list = self.config.vms.borrow();
         let vms = list.iter().flat_map(|list| &list.vms);
         vms.filter_map(|vm| status_if_called(router.members().vm(&vm.instance)?)).collect()
     }
