log: no thread waits for standard output

Cause: each line was written by the thread that logged it, under a lock that all threads share. In a stop there are one or two lines for each refusal at one moment.

Whether their machines have a log that stands still is not known.

Change: lines go to a queue, and a thread of the logging library writes them. When the queue is full they are dropped, counted (log.lines-dropped, log.lines-failed) and reported (lines-lost). The last lines get 200 ms at the end of the process, inside its patience.

--- a/cli/src/bin/endivescaled.rs
+++ b/cli/src/bin/endivescaled.rs
@@ -1,12 +1,15 @@
 //! The daemon that runs beside the upstream in each VM.
 
+use std::io::Write as _;
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::sync::mpsc;
 use std::time::Duration;
 
 use endivescale::process::daemon::Daemon;
 use endivescale::process::daemon::Interfaces;
+use endivescale::process::daemon::LAST_LINES_TIME;
 use endivescale::process::daemon::StartError;
 use endivescale::process::log;
 use endivescale::process::log::LogError;
@@ -32,6 +35,9 @@
 /// over minutes, so a delay of seconds is short enough.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Longest wait for standard error to take the error that ends the process.
+const PRINT_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Error that makes the daemon exit with a failure.
 #[derive(Debug, Snafu)]
 enum RunError {
@@ -56,15 +62,28 @@
 }
 
 fn main() -> ExitCode {
-    match run() {
+    let result = run();
+    log::close(LAST_LINES_TIME);
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
-            eprintln!("endivescaled: {err}");
+            print_error(err);
             ExitCode::FAILURE
         }
     }
 }
 
+/// Prints why the process ends, unless standard error doesn't take it in time.
+fn print_error(err: RunError) {
+    let (tx, rx) = mpsc::channel();
+    std::thread::spawn(move || {
+        // Without standard error, the exit code is all that is left to tell.
+        let _ = writeln!(std::io::stderr(), "endivescaled: {err}");
+        let _ = tx.send(());
+    });
+    let _ = rx.recv_timeout(PRINT_TIMEOUT);
+}
+
 fn run() -> Result<(), RunError> {
     let mut opts = Options::new();
     opts.optopt("", "settings", "settings of this daemon, in TOML", "FILE");
--- a/cli/tests/processes.rs
+++ b/cli/tests/processes.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::process::Stdio;
 use std::time::Duration;
 
 use endivescale_testutils::headers::MARK;
@@ -87,6 +88,18 @@
         self.wait_ready().await;
     }
 
+    /// Restarts a killed daemon with its log lines of all levels going to `stdout`.
+    pub(crate) async fn restart_into(&mut self, daemon: usize, stdout: Stdio) {
+        let place = &self.places[daemon];
+        let settings = place.settings(self.platform.addr(), &self.patience);
+        let path = self.dir.path().join(format!("{}.toml", place.instance));
+        std::fs::write(&path, settings.replace("level = \"warn\"", "level = \"debug\"")).unwrap();
+        let program = Path::new(env!("CARGO_BIN_EXE_endivescaled"));
+        let args = ["--settings", &path.display().to_string()];
+        self.daemons[daemon] = Program::start_into(program, &args, stdout).unwrap();
+        self.wait_ready().await;
+    }
+
     /// Publishes the VM list, with `state` for the VMs that `changed` selects and
     /// `live` for all others.
     pub(crate) fn publish_vms(&self, state: &str, changed: impl Fn(&Place) -> bool) {
--- a/cli/tests/runner.rs
+++ b/cli/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_drain_command;
 mod test_explain_command;
 mod test_help_command;
+mod test_log_output;
 mod test_once;
 mod test_retries;
 mod test_status_command;
--- a/cli/tests/test_stopping.rs
+++ b/cli/tests/test_stopping.rs
@@ -58,7 +58,7 @@
     }
 }
 
-fn plan(entries: Vec<SocketAddr>, classes: Vec<Class>, rate: f64, for_ms: u64) -> Plan {
+pub(crate) fn plan(entries: Vec<SocketAddr>, classes: Vec<Class>, rate: f64, for_ms: u64) -> Plan {
     let phases = vec![Phase { rate, for_ms }];
     Plan { seed: 31, entries, phases, classes, hard_retries: 0, cancel_per_mille: 0 }
 }
@@ -68,11 +68,11 @@
     Class { answer_bytes: 100_000, answer_rate: Some(20_000), ..downloads }
 }
 
-fn submissions() -> Class {
+pub(crate) fn submissions() -> Class {
     class("submissions", "submission", "POST", "/expressions/1")
 }
 
-fn single_class(mut report: Report) -> ClassReport {
+pub(crate) fn single_class(mut report: Report) -> ClassReport {
     report.classes.swap_remove_index(0).unwrap().1
 }
 
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -21,6 +21,7 @@
 use tower::ServiceBuilder;
 use tower::service_fn;
 
+pub use self::stop::LAST_LINES_TIME;
 use crate::connection::body;
 use crate::connection::body::RelayBody;
 use crate::connection::listener;
@@ -394,13 +395,14 @@
     }))
 }
 
-/// Periodically sends counters to statsd and logs how many lines were suppressed.
+/// Periodically sends counters to statsd and logs how many lines were left out or lost.
 async fn flush_metrics(node: Arc<Node>) {
     loop {
         tokio::time::sleep(METRICS_INTERVAL).await;
         node.metrics.flush();
         node.decisions.flush(node.clock.now());
         node.log_repeats();
+        node.report_lost_lines();
     }
 }
 
--- a/lib/src/process/daemon/stop.rs
+++ b/lib/src/process/daemon/stop.rs
@@ -32,6 +32,9 @@
 /// Time between the end of a stop and the moment at which a foreign platform
 /// kills the process.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Longest wait for the last lines of the log to be written after a stop, which belongs to its
+/// patience. It is shorter than [`KILL_MARGIN`].
+pub const LAST_LINES_TIME: Duration = Duration::from_millis(200);
 
 impl Daemon {
     /// Stops gracefully: refuses new requests, then waits for those in progress.
@@ -49,6 +52,7 @@
         // A daemon that starts at the same addresses must find them free.
         self.node.config().stop().await;
         self.node.decisions.flush_all();
+        self.node.report_lost_lines();
         self.report_ends()
     }
 
@@ -72,7 +76,7 @@
         let patience = self.settings.stop.patience;
         let patience = match self.node.settings.adapter {
             Some(_) => patience.saturating_sub(KILL_MARGIN),
-            None => patience,
+            None => patience.saturating_sub(LAST_LINES_TIME),
         };
         patience.max(STOP_NOTICE_TIME)
     }
--- a/lib/src/process/log/state_change.rs
+++ b/lib/src/process/log/state_change.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::LostLines;
 use crate::process::Incarnation;
 use crate::process::InstanceId;
 use crate::process::admission::Level;
@@ -151,6 +152,11 @@
         /// Address of the daemon.
         coordinator: SocketAddr,
     },
+    /// Lines of this log were lost, because standard output did not take them.
+    LinesLost {
+        /// How many were lost since the process started.
+        lines: LostLines,
+    },
     /// The process was paused for a while; its observations of other daemons are
     /// treated as out of date.
     PauseNoticed {
@@ -198,6 +204,7 @@
             | Self::EntryUnusable { .. }
             | Self::CatalogEra { .. }
             | Self::SheddingBegan { .. }
+            | Self::LinesLost { .. }
             | Self::PauseNoticed { .. } => spdlog::Level::Warn,
             Self::Started { .. }
             | Self::VersionInForce { .. }
@@ -264,6 +271,9 @@
             Self::UsageCoordinator { coordinator } => {
                 write!(f, "event=usage-coordinator coordinator={coordinator}")
             }
+            Self::LinesLost { lines: LostLines { dropped, failed } } => {
+                write!(f, "event=lines-lost dropped={dropped} failed={failed}")
+            }
             Self::PauseNoticed { gap } => {
                 write!(f, "event=pause-noticed gap_ms={}", gap.as_millis())
             }
--- a/lib/src/process/metrics/counter.rs
+++ b/lib/src/process/metrics/counter.rs
@@ -89,6 +89,10 @@
     UpstreamCrashes = "upstream.crashes";
     /// Contents that were banned because requests with them crash upstreams.
     ContentsBanned = "contents.banned";
+    /// Log lines that were dropped because standard output did not take the ones before them.
+    LogLinesDropped = "log.lines-dropped";
+    /// Log lines whose write to standard output failed.
+    LogLinesFailed = "log.lines-failed";
     /// Detected pauses of this process.
     Pauses = "pauses";
 }
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -61,10 +61,13 @@
 use super::clock::Clock;
 use super::config::ActiveRules;
 use super::config::ConfigHandle;
+use super::log;
 use super::log::Decision;
 use super::log::DecisionLog;
 use super::log::DrainCause;
 use super::log::LimitSource;
+use super::log::LostLines;
+use super::log::StateChange;
 use super::membership::LocalInstances;
 use super::membership::LocalStanding;
 use super::membership::VmList;
@@ -152,6 +155,8 @@
     pub metrics: Metrics,
     /// Log lines about single requests, limited in number.
     pub decisions: DecisionLog,
+    /// How many lost lines of the log were reported so far.
+    reported_losses: Mutex<LostLines>,
     /// Admission levels of downstream services, by the path that requests take.
     pub path_levels: Mutex<PathLevels<PathKey>>,
     /// Repeats that downstream services would grant, by the path that requests take.
@@ -210,6 +215,7 @@
             stops: Stops::default(),
             metrics,
             decisions: DecisionLog::default(),
+            reported_losses: Mutex::default(),
             path_levels: Mutex::default(),
             path_room: Mutex::default(),
             called_paths: Mutex::default(),
@@ -322,6 +328,18 @@
         self.decisions.write(self.clock.now(), None, &Decision::RateLimit { change, source });
     }
 
+    /// Counts and logs the lines of the log that were lost since the last call.
+    pub(crate) fn report_lost_lines(&self) {
+        let lines = log::lost_lines();
+        let reported = std::mem::replace(&mut *self.reported_losses.lock(), lines);
+        if lines == reported {
+            return;
+        }
+        self.metrics.add(Counter::LogLinesDropped, lines.dropped - reported.dropped);
+        self.metrics.add(Counter::LogLinesFailed, lines.failed - reported.failed);
+        log::write(&StateChange::LinesLost { lines });
+    }
+
     /// Waits until the local upstream must no longer run requests for an instance.
     pub async fn wait_instance_leaves(&self, instance: &InstanceId) {
         loop {
--- a/lib/tests/test_log.rs
+++ b/lib/tests/test_log.rs
@@ -1,11 +1,22 @@
 //! The bound on lines about single requests; see `docs/operators.md`.
 
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
 use std::time::Duration;
+use std::time::Instant;
 
 use endivescale::process::CustomerName;
 use endivescale::process::log::LineAction;
 use endivescale::process::log::LineRateLimit;
+use endivescale::process::log::LogOutput;
 use endivescale::process::log::LoggedRequest;
+use endivescale::process::log::LostLines;
+use endivescale::process::log::QUEUE_LINES;
+use spdlog::LevelFilter;
 
 /// Lines of one kind a second, as `docs/operators.md` states it.
 const STATED_MAX: usize = 20;
@@ -49,3 +60,69 @@
     let subject = subject.of_customer(Some(&customer));
     assert_eq!(subject.to_string(), "request=r-1 customer=alerts service=board");
 }
+
+/// Takes nothing until the test allows it, then counts lines.
+struct HeldOutput {
+    held: Option<mpsc::Receiver<()>>,
+    lines: Arc<AtomicUsize>,
+}
+
+impl Write for HeldOutput {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        if let Some(held) = self.held.take() {
+            held.recv().unwrap();
+        }
+        self.lines.fetch_add(buf.iter().filter(|byte| **byte == b'\n').count(), Ordering::Relaxed);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Lines that the output does not take are dropped and counted; nobody waits for them.
+#[test]
+fn lines_are_dropped_and_counted_while_the_output_takes_none() {
+    let (release, held) = mpsc::channel();
+    let lines = Arc::new(AtomicUsize::new(0));
+    let writer = HeldOutput { held: Some(held), lines: Arc::clone(&lines) };
+    let output = LogOutput::new(writer, LevelFilter::All).unwrap();
+    let start = Instant::now();
+    for number in 0..3 * QUEUE_LINES.get() {
+        spdlog::info!(logger: output.logger(), "number={number}");
+    }
+    assert!(!output.flush(Duration::from_millis(100)));
+    assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
+    let LostLines { dropped, failed } = output.lost_lines();
+    // One line more may have left the queue for the output.
+    let waiting = 3 * QUEUE_LINES.get() as u64 - dropped;
+    assert!((0..=1).contains(&(waiting - QUEUE_LINES.get() as u64)), "{waiting} lines");
+    assert_eq!(failed, 0);
+    release.send(()).unwrap();
+    assert!(output.flush(Duration::from_secs(10)));
+    assert_eq!(lines.load(Ordering::Relaxed) as u64, waiting);
+}
+
+/// Fails on every write.
+struct BrokenOutput;
+
+impl Write for BrokenOutput {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        Err(io::ErrorKind::BrokenPipe.into())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_whose_write_fails_are_counted() {
+    let output = LogOutput::new(BrokenOutput, LevelFilter::All).unwrap();
+    for number in 0..5 {
+        spdlog::info!(logger: output.logger(), "number={number}");
+    }
+    assert!(output.flush(Duration::from_secs(10)));
+    assert_eq!(output.lost_lines(), LostLines { dropped: 0, failed: 5 });
+}
