log: a limit on the size of files does not end the daemon

Cause: the signal's default action. A write that would exceed the limit fails without it, and the log counts such lines already.

Change: the daemon handles SIGXFSZ before it opens its log.

--- a/cli/src/bin/endivescaled.rs
+++ b/cli/src/bin/endivescaled.rs
@@ -21,6 +21,7 @@
 use endivescale_platform::StoreDialect;
 use endivescale_platform::StoreOptions;
 use getopts::Options;
+use rustix::process::Signal;
 use snafu::ResultExt as _;
 use snafu::Snafu;
 use tokio::signal::unix::SignalKind;
@@ -139,6 +140,10 @@
 }
 
 async fn serve(file: &Path, settings: Settings) -> Result<(), RunError> {
+    // Without a handler, this signal would end the process when a file that takes the log has
+    // reached the limit of its size.
+    let file_size = SignalKind::from_raw(Signal::XFSZ.as_raw());
+    let _file_size = signal(file_size).context(SignalSnafu)?;
     log::init(settings.log.level).context(LogSnafu)?;
     spdlog::info!("event=settings toml={:?}", settings.to_string());
     let interfaces = interfaces(&settings);
--- a/cli/tests/processes.rs
+++ b/cli/tests/processes.rs
@@ -88,15 +88,23 @@
         self.wait_ready().await;
     }
 
-    /// Restarts a killed daemon with its log lines of all levels going to `stdout`.
-    pub(crate) async fn restart_into(&mut self, daemon: usize, stdout: Stdio) {
+    /// Restarts a killed daemon with its log lines of all levels going to `stdout`, and files
+    /// that may grow to `file_size_limit` blocks of the shell at most.
+    pub(crate) async fn restart_into(
+        &mut self,
+        daemon: usize,
+        stdout: Stdio,
+        file_size_limit: Option<u32>,
+    ) {
         let place = &self.places[daemon];
         let settings = place.settings(self.platform.addr(), &self.patience);
         let path = self.dir.path().join(format!("{}.toml", place.instance));
         std::fs::write(&path, settings.replace("level = \"warn\"", "level = \"debug\"")).unwrap();
-        let program = Path::new(env!("CARGO_BIN_EXE_endivescaled"));
-        let args = ["--settings", &path.display().to_string()];
-        self.daemons[daemon] = Program::start_into(program, &args, stdout).unwrap();
+        let limit = file_size_limit.map_or_else(|| "unlimited".to_owned(), |max| max.to_string());
+        let script = format!("ulimit -f {limit}; exec \"$0\" --settings \"$1\"");
+        let program = env!("CARGO_BIN_EXE_endivescaled");
+        let args = ["-c", &script, program, &path.display().to_string()];
+        self.daemons[daemon] = Program::start_into(Path::new("sh"), &args, stdout).unwrap();
         self.wait_ready().await;
     }
 
--- a/cli/tests/test_log_output.rs
+++ b/cli/tests/test_log_output.rs
@@ -35,6 +35,8 @@
 const SUBMISSION_MS: f64 = 1_000.0;
 const SUBMISSIONS: usize = 20;
 const PIPE_BYTES: usize = 4096;
+/// Limit on the size of files, in blocks of the shell; a few log lines.
+const FILE_SIZE_LIMIT: u32 = 4;
 
 /// What the standard output of a daemon is.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +45,7 @@
     Full,
     SlowlyRead,
     Closed,
+    LimitedFile,
 }
 
 /// The other end of a daemon's standard output, for as long as the daemon runs.
@@ -54,6 +57,9 @@
 
 impl Output {
     fn open(self) -> (Stdio, OtherEnd) {
+        if let Self::LimitedFile = self {
+            return (tempfile::tempfile().unwrap().into(), OtherEnd::None);
+        }
         let (mut reader, mut writer) = std::io::pipe().unwrap();
         let size = fcntl_setpipe_size(&writer, PIPE_BYTES).unwrap();
         let end = match self {
@@ -71,10 +77,14 @@
                 });
                 OtherEnd::None
             }
-            Self::Closed => OtherEnd::None,
+            Self::Closed | Self::LimitedFile => OtherEnd::None,
         };
         (Stdio::from(File::from(std::os::fd::OwnedFd::from(writer))), end)
     }
+
+    fn file_size_limit(self) -> Option<u32> {
+        matches!(self, Self::LimitedFile).then_some(FILE_SIZE_LIMIT)
+    }
 }
 
 async fn send(addr: SocketAddr, req: Request<()>) -> StatusCode {
@@ -108,7 +118,7 @@
     }
     let (stdout, _end) = output.open();
     cluster.kill(DAEMON).await;
-    cluster.restart_into(DAEMON, stdout).await;
+    cluster.restart_into(DAEMON, stdout, output.file_size_limit()).await;
     let addr = cluster.places[DAEMON].caller;
     for _ in 0..30 {
         send_refused(addr, 1).await;
@@ -137,4 +147,5 @@
     daemon_serves_while_its_log_is_full_from_the_start: Full;
     daemon_serves_while_its_log_is_read_slowly: SlowlyRead;
     daemon_serves_after_its_log_was_closed: Closed;
+    daemon_serves_after_its_log_has_reached_the_limit_of_file_sizes: LimitedFile;
 }
