stop: the end of the process waits for the answers to what is left

Cause: the answers to what is left were due 100 ms before the end of the process, each on a timer of its own. A process that does not run in these 100 ms did both at once, and the end won.

Ruled out: load alone. 1,000 submissions on one core, with owners that ignore the notice, held.

Change: at the end, what is left gets its answers if it has none, and the process waits until they are written, for 150 ms at most, inside the margin before the platform kills it.

--- a/lib/src/process/daemon/stop.rs
+++ b/lib/src/process/daemon/stop.rs
@@ -32,6 +32,9 @@
 /// Time between the end of a stop and the moment at which a foreign platform
 /// kills the process.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// Longest time by which the end of a stop is put off for the answers to what is left. With
+/// [`LAST_LINES_TIME`] it is shorter than [`KILL_MARGIN`].
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
 /// Longest wait for the last lines of the log to be written after a stop, which belongs to its
 /// patience. It is shorter than [`KILL_MARGIN`].
 pub const LAST_LINES_TIME: Duration = Duration::from_millis(200);
@@ -49,6 +52,7 @@
         self.announce_stop().await;
         // The result tells no more than the requests that are left.
         let _ = tokio::time::timeout_at(deadline, self.finish(deadline)).await;
+        self.write_last_answers().await;
         // A daemon that starts at the same addresses must find them free.
         self.node.config().stop().await;
         self.node.decisions.flush_all();
@@ -56,6 +60,13 @@
         self.report_ends()
     }
 
+    /// Lets the answers that end what is left be written if the time for them has passed
+    /// without the process running.
+    async fn write_last_answers(&self) {
+        self.node.lifecycle.cut_off();
+        let _ = tokio::time::timeout(LAST_ANSWERS_TIME, self.node.lifecycle.wait_told()).await;
+    }
+
     /// Logs how requests ended in the stop, and returns how many were cut off.
     fn report_ends(&self) -> usize {
         let unfinished = self.node.lifecycle.accepted();
@@ -76,7 +87,7 @@
         let patience = self.settings.stop.patience;
         let patience = match self.node.settings.adapter {
             Some(_) => patience.saturating_sub(KILL_MARGIN),
-            None => patience.saturating_sub(LAST_LINES_TIME),
+            None => patience.saturating_sub(LAST_ANSWERS_TIME).saturating_sub(LAST_LINES_TIME),
         };
         patience.max(STOP_NOTICE_TIME)
     }
--- a/lib/src/process/node/lifecycle/accepted.rs
+++ b/lib/src/process/node/lifecycle/accepted.rs
@@ -96,6 +96,13 @@
     pub is_cut: bool,
 }
 
+impl AcceptedRequest {
+    /// Whether the answer has begun.
+    pub fn is_answering(&self) -> bool {
+        self.stage == Stage::Answering
+    }
+}
+
 /// The accepted requests of one daemon, for which the end of its process waits.
 #[derive(Debug, Default)]
 pub(super) struct AcceptedRequests {
--- a/lib/src/process/node/lifecycle/mod.rs
+++ b/lib/src/process/node/lifecycle/mod.rs
@@ -6,10 +6,12 @@
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 pub use self::accepted::AcceptedRequest;
@@ -23,6 +25,9 @@
 use crate::process::log::DrainCause;
 use crate::process::log::StateChange;
 
+/// Time between two checks whether senders were told how their requests ended.
+const TOLD_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// State of the daemon's graceful stop; see `docs/design/stopping.md`.
 #[derive(Debug, Default)]
 pub struct Lifecycle {
@@ -160,6 +165,15 @@
         self.accepted.counts()
     }
 
+    /// Waits until the sender of each request has an answer, or at least its beginning.
+    ///
+    /// Of those that were cut off, the answer is short and is waited for to its end.
+    pub async fn wait_told(&self) {
+        while self.accepted().iter().any(|request| request.is_cut || !request.is_answering()) {
+            sleep(TOLD_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Waits until no request is in progress.
     pub async fn wait_idle(&self) {
         self.accepted.wait_empty().await;
