serve: the bounds of a stop do not hold a request's future twice

Cause: serve_until_cutoff and StopBound::bound take the future of a request by value, and each wrapper holds it as its argument and again in its select. The future that serves a caller's request grew from 7,424 bytes to 23,392, that of a call from 8,544 to 25,424, that at an owner from 5,392 to 9,776, for each request in progress, waiting ones too.

Change: the futures are pinned where they are made, and the wrappers take them by reference.

Result: 8,080, 9,216 and 5,840 bytes. The new tests fail on the parent (33,168 and 35,200 bytes of the 16,368 that 4,100 requests may take) and hold.

--- a/lib/src/process/log/output.rs
+++ b/lib/src/process/log/output.rs
@@ -32,7 +32,7 @@
 use super::SetUpSnafu;
 
 /// Most lines that wait to be written; further ones are dropped.
-pub const QUEUE_LINES: NonZeroUsize = NonZeroUsize::new(1024).unwrap();
+pub const QUEUE_LINES: NonZeroUsize = NonZeroUsize::new(512).unwrap();
 /// Pause between two tries to reach the end of a full queue.
 const FLUSH_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -1,6 +1,7 @@
 //! Serves requests that outside callers send to this daemon.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -58,7 +59,7 @@
     let mut tracker = RequestTracker::begin(&node, Role::Entry);
     let in_progress = tracker.in_progress();
     let serving = try_serve(&node, req, &mut tracker);
-    let result = serve_until_cutoff(&node, &in_progress, serving).await;
+    let result = serve_until_cutoff(&node, &in_progress, pin!(serving)).await;
     let mut rsp = result.unwrap_or_else(|refusal| tracker.refuse(refusal));
     tracker.record_upstream_error(&mut rsp);
     if node.lifecycle.is_stop_announced() {
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -1,6 +1,7 @@
 //! Serves calls that the local upstream makes to other services.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
 
 use http::Request;
@@ -57,7 +58,7 @@
     let mut tracker = RequestTracker::begin(&node, Role::Outbound);
     let in_progress = tracker.in_progress();
     let serving = serve_child(&node, req, &mut tracker);
-    let result = serve_until_cutoff(&node, &in_progress, serving).await;
+    let result = serve_until_cutoff(&node, &in_progress, pin!(serving)).await;
     let mut rsp = result.unwrap_or_else(|refusal| tracker.refuse(refusal));
     tracker.record_upstream_error(&mut rsp);
     let body_deadline = Instant::now() + node.settings.limits.max_deadline + RESPONSE_BODY_GRACE;
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -1,5 +1,6 @@
 //! Admits a request and passes it to the local upstream.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -113,7 +114,7 @@
         in_progress: Arc::clone(&in_progress),
     };
     let serving = try_serve(node, cx, inbound, instance, body, serve_cx);
-    let result = serve_until_cutoff(node, &in_progress, serving).await;
+    let result = serve_until_cutoff(node, &in_progress, pin!(serving)).await;
     let mut rsp = result.unwrap_or_else(|refusal| {
         // A request that did not start has spent no retry tokens.
         let retries_left = match refusal.outcome {
@@ -209,12 +210,12 @@
             () = wait_until_queue_closes(node, instance) => Err(Refusal::not_run(Reason::Leaving)),
         }
     };
-    let permit = stop_bound.bound(admission).await?;
-    let mut payload = stop_bound.bound(Payload::read(body, deadline)).await?;
+    let permit = stop_bound.bound(pin!(admission)).await?;
+    let mut payload = stop_bound.bound(pin!(Payload::read(body, deadline))).await?;
     let content = RequestContent::of(inbound, &mut payload).of_request(cx.id);
     if node.crash_watch.needs_body(content.head) {
         let reading = payload.read_start(DIGESTED_BODY_BYTES, deadline);
-        payload = stop_bound.bound(reading).await?;
+        payload = stop_bound.bound(pin!(reading)).await?;
     }
     check_ban(node, &content)?;
     // The deadline may have passed while the request waited, for example because the
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -1,6 +1,7 @@
 //! Serves requests that other daemons send.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
 
 use http::Request;
@@ -118,7 +119,7 @@
         let (token, call) = prepared.map_err(Refusal::into_possibly_run)?;
         at_most_once::run_with_token(node, &token, call).await
     };
-    let result = serve_until_cutoff(node, &in_progress, serving).await;
+    let result = serve_until_cutoff(node, &in_progress, pin!(serving)).await;
     if result.is_ok() {
         in_progress.set_end(End::Answered);
     }
--- a/lib/src/request/serve/stop_bound.rs
+++ b/lib/src/request/serve/stop_bound.rs
@@ -39,10 +39,10 @@
 
     /// Runs `waiting`, for which the request is not passed on, until it is too late to begin.
     /// A wait that ends at that moment has ended; [`Self::check`] is called before the request is
-    /// sent.
+    /// sent. `waiting` is [`Unpin`] because this future would otherwise hold a second copy of it.
     pub(super) async fn bound<T>(
         &self,
-        waiting: impl Future<Output = Result<T, Refusal>>,
+        waiting: impl Future<Output = Result<T, Refusal>> + Unpin,
     ) -> Result<T, Refusal> {
         tokio::select! {
             // Most requests need not wait, and the bound costs more than the check.
--- a/lib/src/request/serve/tracker.rs
+++ b/lib/src/request/serve/tracker.rs
@@ -190,10 +190,12 @@
 ///
 /// A process that ended would close the connection, which tells the sender nothing. What was
 /// not passed on is refused as not run.
+///
+/// `serving` is [`Unpin`] because this future would otherwise hold a second copy of it.
 pub(super) async fn serve_until_cutoff<T>(
     node: &Node,
     in_progress: &InProgress,
-    serving: impl Future<Output = Result<T, Refusal>>,
+    serving: impl Future<Output = Result<T, Refusal>> + Unpin,
 ) -> Result<T, Refusal> {
     tokio::select! {
         biased;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -36,6 +36,7 @@
 mod test_relays;
 mod test_repeat_chain;
 mod test_repeats;
+mod test_request_memory;
 mod test_retries;
 mod test_retry_bound;
 mod test_roster;
