serve: a request that waits for its body does not reach an upstream that has left

Cause: the instance's standing was checked on acceptance and while the request waited for a slot. The wait for the body, for a connection to the upstream, and between two sends came after that.

Change: the daemon records when each instance beside it left. What waits for a slot or a body is refused, as not run, 1 s after that, and it is checked again before each send. A 421 wakes what waits, too.

--- a/lib/src/process/membership/leaving_notices.rs
+++ b/lib/src/process/membership/leaving_notices.rs
@@ -34,6 +34,10 @@
         self.start_ms.contains_key(instance)
     }
 
+    pub(super) fn instances(&self) -> impl Iterator<Item = &InstanceId> {
+        self.start_ms.keys()
+    }
+
     /// Removes the notices of instances for which `listed_start` returns a later start.
     pub(super) fn apply_starts(&mut self, listed_start: impl Fn(&InstanceId) -> Option<u64>) {
         self.start_ms.retain(|instance, start_ms| {
--- a/lib/src/process/membership/local_instances.rs
+++ b/lib/src/process/membership/local_instances.rs
@@ -102,6 +102,13 @@
         }
     }
 
+    /// Returns the instances for which the local upstream must no longer run requests.
+    pub fn gone(&self) -> impl Iterator<Item = &InstanceId> {
+        let listed = self.local.keys().chain(self.unlisted.keys());
+        let known = listed.chain(self.departed.keys()).chain(self.notices.instances());
+        known.filter(|instance| self.standing(instance) != LocalStanding::Current)
+    }
+
     /// Applies a new list; returns whether it names another upstream at the address, or
     /// another start of it, than the lists before.
     ///
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -19,7 +19,10 @@
 use std::net::SocketAddr;
 use std::num::NonZeroU32;
 use std::sync::Arc;
+use std::time::Duration;
 
+use indexmap::IndexMap;
+use indexmap::IndexSet;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -133,6 +136,8 @@
     pub local_instances: Mutex<LocalInstances>,
     /// Wakes the tasks that wait for a change of [`Self::local_instances`].
     local_instances_changed: Notify,
+    /// When the instances left for which the local upstream must no longer run requests.
+    left_at: Mutex<IndexMap<InstanceId, Duration>>,
     /// Connections to other daemons.
     pub peers: PeerPool,
     /// Addresses of peers whose connections were closed; taken by [`Self::follow_peers`].
@@ -204,6 +209,7 @@
             repeats: settings.repeats.map(|bound| Mutex::new(repeat_account(&bound))),
             local_instances: Mutex::new(LocalInstances::new(settings.upstream.address)),
             local_instances_changed: Notify::new(),
+            left_at: Mutex::default(),
             peers,
             config_sent: Mutex::default(),
             ended_peers: Mutex::new(Some(ended_peers)),
@@ -307,7 +313,7 @@
         if notice.is_leaving && self.local_instances.lock().record_leaving(instance) {
             let decision = Decision::UpstreamLeaving { instance };
             self.decisions.write(self.clock.now(), None, &decision);
-            self.local_instances_changed.notify_waiters();
+            self.local_instances_have_changed();
         }
         let change = self.gate.record_limit_notice(notice.limit, is_late);
         self.log_limit_change(change, LimitSource::Upstream);
@@ -340,6 +346,30 @@
         log::write(&StateChange::LinesLost { lines });
     }
 
+    /// Records that another upstream uses the address of an instance.
+    pub(crate) fn record_departure(&self, instance: &InstanceId) {
+        self.local_instances.lock().record_departure(instance);
+        self.local_instances_have_changed();
+    }
+
+    fn local_instances_have_changed(&self) {
+        let now = self.clock.now();
+        let gone: IndexSet<_> = self.local_instances.lock().gone().cloned().collect();
+        let mut left_at = self.left_at.lock();
+        left_at.retain(|instance, _| gone.contains(instance));
+        for instance in gone {
+            left_at.entry(instance).or_insert(now);
+        }
+        drop(left_at);
+        self.local_instances_changed.notify_waiters();
+    }
+
+    /// Returns when an instance left for which the local upstream must no longer run requests;
+    /// `None` if it has not left.
+    pub(crate) fn left_at(&self, instance: &InstanceId) -> Option<Duration> {
+        self.left_at.lock().get(instance).copied()
+    }
+
     /// Waits until the local upstream must no longer run requests for an instance.
     pub async fn wait_instance_leaves(&self, instance: &InstanceId) {
         loop {
@@ -369,7 +399,7 @@
             let change = self.gate.clear_rate_limit();
             self.log_limit_change(change, LimitSource::List);
         }
-        self.local_instances_changed.notify_waiters();
+        self.local_instances_have_changed();
         if let Some(repeats) = &self.repeats {
             let service = &self.settings.daemon.service;
             let instances = list.vms.iter().filter(|vm| vm.service == *service);
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use super::owner::is_queue_closed;
 use super::stop_bound::Passing;
 use super::stop_bound::StopBound;
 use super::stop_bound::bound_body;
@@ -172,7 +173,7 @@
                 return Err(Refusal::not_run(Reason::UpstreamShed).with_retries(retries));
             }
             ResponseClass::Misdirected => {
-                node.local_instances.lock().record_departure(&exchange.instance);
+                node.record_departure(&exchange.instance);
                 exchange.run.not_run();
                 exchange.complete(Completion::Failed);
                 return Err(Refusal::not_run(Reason::UpstreamMoved));
@@ -185,6 +186,19 @@
     }
 }
 
+/// Refuses a request if it is too late to send it, because of a stop or because its instance
+/// has left.
+fn check_may_send(
+    node: &Node,
+    instance: &InstanceId,
+    stop_bound: &StopBound,
+) -> Result<(), Refusal> {
+    if is_queue_closed(node, instance) {
+        return Err(Refusal::not_run(Reason::Leaving));
+    }
+    stop_bound.check()
+}
+
 /// Sends a request once and classifies the response by its head.
 async fn send_once(
     node: &Arc<Node>,
@@ -193,19 +207,21 @@
 ) -> Result<(Response<Incoming>, Lease, ResponseClass), (Refusal, Completion)> {
     let req = exchange.build_request(node);
     let req = req.ok_or((Refusal::not_run(Reason::BadBody), Completion::Failed))?;
-    exchange.stop_bound.check().map_err(|refusal| (refusal, Completion::Cancelled))?;
+    let may_send = || check_may_send(node, &exchange.instance, &exchange.stop_bound);
+    may_send().map_err(|refusal| (refusal, Completion::Cancelled))?;
     exchange.in_progress.handle().set_stage(Stage::Sent);
     node.metrics.count(Counter::ForwardedToUpstream);
     let name = exchange.inbound.name.as_ref();
-    let may_send = || exchange.stop_bound.check().is_ok();
-    match timeout_at(wait_deadline, node.upstream.send(req, name, may_send)).await {
+    let sending = node.upstream.send(req, name, || may_send().is_ok());
+    match timeout_at(wait_deadline, sending).await {
         Ok(Ok((rsp, lease))) => {
             let class = classify_response(node, &rsp, exchange);
             record_notice(node, &rsp, exchange, class);
             Ok((rsp, lease, class))
         }
         Ok(Err(UpstreamError::Withheld)) => {
-            Err((exchange.stop_bound.refuse(), Completion::Cancelled))
+            let refusal = may_send().err().unwrap_or_else(|| exchange.stop_bound.refuse());
+            Err((refusal, Completion::Cancelled))
         }
         Ok(Err(err)) if err.is_unsent() => {
             Err((Refusal::not_run(Reason::UpstreamUnreachable), Completion::Failed))
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use super::exchange::Exchange;
 use super::exchange::is_delimited;
@@ -204,19 +205,23 @@
     let is_idempotent_call = cx.depth > 0 && !cx.non_idempotent;
     let run = BoundedRun { sender: cx.sender, kind, is_idempotent_call };
     let stop_bound = StopBound::new(node, run);
-    let admission = async {
+    let waiting = async {
+        let permit = node.gate.enter(work).await.map_err(refusal_from_shed)?;
+        let mut payload = Payload::read(body, deadline).await?;
+        let content = RequestContent::of(inbound, &mut payload).of_request(cx.id);
+        if node.crash_watch.needs_body(content.head) {
+            payload = payload.read_start(DIGESTED_BODY_BYTES, deadline).await?;
+        }
+        Ok((permit, payload, content))
+    };
+    let waiting = async {
         tokio::select! {
-            admitted = node.gate.enter(work) => admitted.map_err(refusal_from_shed),
+            biased;
+            waited = pin!(waiting) => waited,
             () = wait_until_queue_closes(node, instance) => Err(Refusal::not_run(Reason::Leaving)),
         }
     };
-    let permit = stop_bound.bound(pin!(admission)).await?;
-    let mut payload = stop_bound.bound(pin!(Payload::read(body, deadline))).await?;
-    let content = RequestContent::of(inbound, &mut payload).of_request(cx.id);
-    if node.crash_watch.needs_body(content.head) {
-        let reading = payload.read_start(DIGESTED_BODY_BYTES, deadline);
-        payload = stop_bound.bound(pin!(reading)).await?;
-    }
+    let (permit, payload, content) = stop_bound.bound(pin!(waiting)).await?;
     check_ban(node, &content)?;
     // The deadline may have passed while the request waited, for example because the
     // process was paused.
@@ -296,7 +301,8 @@
     };
     let instance_leaves = async {
         node.wait_instance_leaves(instance).await;
-        sleep(INSTANCE_LEAVING_QUEUE_GRACE).await;
+        let left_at = node.left_at(instance).unwrap_or_else(|| node.clock.now());
+        sleep_until(node.clock.instant(left_at + INSTANCE_LEAVING_QUEUE_GRACE)).await;
     };
     tokio::select! {
         () = daemon_leaves => {}
@@ -304,6 +310,12 @@
     }
 }
 
+/// Whether requests for an instance that were accepted before it left are refused by now.
+pub(super) fn is_queue_closed(node: &Node, instance: &InstanceId) -> bool {
+    let closes_at = node.left_at(instance).map(|at| at + INSTANCE_LEAVING_QUEUE_GRACE);
+    closes_at.is_some_and(|at| at <= node.clock.now())
+}
+
 /// Runs a request that is cancelled if its caller disconnects.
 async fn run_attached(
     node: &Arc<Node>,
