serve: name the steps between acceptance and sending at an owner

Change: admit and until_queue_closes; no change of behaviour.

Result: test_draining, test_stopping, test_requests and test_request_memory hold.

--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -352,6 +352,7 @@
         self.local_instances_have_changed();
     }
 
+    /// Records which local instances have left, and wakes what waits for it.
     fn local_instances_have_changed(&self) {
         let now = self.clock.now();
         let gone: IndexSet<_> = self.local_instances.lock().gone().cloned().collect();
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -44,6 +44,7 @@
 use crate::process::node::GateReport;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
+use crate::process::node::Permit;
 use crate::process::node::RunTimer;
 use crate::process::repeats::Arrival;
 use crate::request::CONFIRMED;
@@ -59,6 +60,7 @@
 use crate::request::Reason;
 use crate::request::Refusal;
 use crate::request::RequestContent;
+use crate::request::RequestId;
 use crate::request::UPSTREAM_ERROR;
 use crate::request::UPSTREAM_LEAVING;
 use crate::request::content::DIGESTED_BODY_BYTES;
@@ -205,23 +207,9 @@
     let is_idempotent_call = cx.depth > 0 && !cx.non_idempotent;
     let run = BoundedRun { sender: cx.sender, kind, is_idempotent_call };
     let stop_bound = StopBound::new(node, run);
-    let waiting = async {
-        let permit = node.gate.enter(work).await.map_err(refusal_from_shed)?;
-        let mut payload = Payload::read(body, deadline).await?;
-        let content = RequestContent::of(inbound, &mut payload).of_request(cx.id);
-        if node.crash_watch.needs_body(content.head) {
-            payload = payload.read_start(DIGESTED_BODY_BYTES, deadline).await?;
-        }
-        Ok((permit, payload, content))
-    };
-    let waiting = async {
-        tokio::select! {
-            biased;
-            waited = pin!(waiting) => waited,
-            () = wait_until_queue_closes(node, instance) => Err(Refusal::not_run(Reason::Leaving)),
-        }
-    };
-    let (permit, payload, content) = stop_bound.bound(pin!(waiting)).await?;
+    let admission = pin!(admit(node, inbound, cx.id, body, work, deadline));
+    let admission = until_queue_closes(node, instance, admission);
+    let (permit, payload, content) = stop_bound.bound(pin!(admission)).await?;
     check_ban(node, &content)?;
     // The deadline may have passed while the request waited, for example because the
     // process was paused.
@@ -293,6 +281,38 @@
     }
 }
 
+/// Waits for a slot and for what is needed of the body before the request is sent.
+async fn admit(
+    node: &Node,
+    inbound: &Inbound,
+    id: RequestId,
+    body: RelayBody,
+    work: Work,
+    deadline: Instant,
+) -> Result<(Permit, Payload, RequestContent), Refusal> {
+    let permit = node.gate.enter(work).await.map_err(refusal_from_shed)?;
+    let mut payload = Payload::read(body, deadline).await?;
+    let content = RequestContent::of(inbound, &mut payload).of_request(id);
+    if node.crash_watch.needs_body(content.head) {
+        payload = payload.read_start(DIGESTED_BODY_BYTES, deadline).await?;
+    }
+    Ok((permit, payload, content))
+}
+
+/// Runs `waiting`, for which the request is not passed on, until requests that wait for the
+/// instance are refused because it or the daemon leaves.
+async fn until_queue_closes<T>(
+    node: &Node,
+    instance: &InstanceId,
+    waiting: impl Future<Output = Result<T, Refusal>> + Unpin,
+) -> Result<T, Refusal> {
+    tokio::select! {
+        biased;
+        result = waiting => result,
+        () = wait_until_queue_closes(node, instance) => Err(Refusal::not_run(Reason::Leaving)),
+    }
+}
+
 /// Waits until the daemon or the instance leaves and queued requests must be refused.
 async fn wait_until_queue_closes(node: &Node, instance: &InstanceId) {
     let daemon_leaves = async {
