pipeline: a long upload that breaks gets one response

A caller that had sent another request took it for that one's.

The reader now only stops: the body fails for whoever relays it, the request keeps the response of its task, and the connection closes behind it. What follows was discarded before, too, and never read as a request.

--- a/lib/src/connection/pipeline/error.rs
+++ b/lib/src/connection/pipeline/error.rs
@@ -27,8 +27,10 @@
 }
 
 impl ReadError {
-    /// Returns the status of the response. The request is not passed on, unless the error is in
-    /// the later part of a long body, which is relayed while it arrives.
+    /// Returns the status of the response. The request is not passed on.
+    ///
+    /// A request whose error is in the later part of a long body, which is relayed while it arrives,
+    /// gets another response.
     pub(super) fn status(self) -> StatusCode {
         match self {
             Self::Malformed => StatusCode::BAD_REQUEST,
--- a/lib/src/connection/pipeline/requests.rs
+++ b/lib/src/connection/pipeline/requests.rs
@@ -210,7 +210,10 @@
         };
         permit.send(QueuedResponse::Pending(self.start(head, body)));
         if let Some(remainder) = remainder {
-            remainder.relay(&mut self.reader, limits.body_bytes).await?;
+            let relayed = remainder.relay(&mut self.reader, limits.body_bytes).await;
+            if !self.is_relayed_whole(relayed)? {
+                return Ok(false);
+            }
             self.activity.record_end();
         }
         if close_after {
@@ -219,6 +222,21 @@
         Ok(!close_after)
     }
 
+    /// Returns whether the rest of a body was relayed to its end. If it was rejected, no more
+    /// requests are read: nobody knows where the next one begins.
+    ///
+    /// The request gets the response of its task and no rejection, which would be a second one.
+    fn is_relayed_whole(&self, relayed: Result<(), ReadFailure>) -> Result<bool, ReadFailure> {
+        match relayed {
+            Err(ReadFailure::Rejected(_)) => {
+                (self.cx.on_malformed)();
+                self.closing.cancel();
+                Ok(false)
+            }
+            relayed => relayed.map(|()| true),
+        }
+    }
+
     /// Reads the head of a request and a short body, or the beginning of a long one.
     async fn read_request(
         &mut self,
