request: a long answer to a submission is relayed and not a failure

Cause: such requests run detached from their caller, and their answers were read whole, as those kept under a token must be. On the users' platform there is no token.

The owner reads such an answer whole within 8 MiB and the memory of buffered answers, as before, and streams the rest. A stream that breaks off ends with an error, which resets the stream between the daemons and closes the caller's connection; it ends at the deadline. Ruled out: reading on when the caller has gone, since the upstream has begun to answer, and before, too, the connection was closed beyond 8 MiB.

Real daemons. Before, `answer_in_many_chunks_to_a_submission_is_not_a_failure` and `long_answer_to_a_submission_is_not_a_failure` printed left: Some(502), right: Some(200); both hold now.

--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -87,8 +87,8 @@
 /// Longest response of known length that is buffered before it is relayed. Buffering a
 /// longer one would delay its first byte.
 pub(super) const BUFFERING_THRESHOLD_BYTES: u64 = 64 * 1024;
-/// Longest response that is buffered at all. A longer one fails, unless it comes in chunks and
-/// need not be kept.
+/// Longest response that is buffered at all. The rest of a longer one is relayed while it arrives,
+/// but one whose end only the end of its connection shows, or that is kept under a token, fails.
 pub(super) const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
 /// State of one request that its parts share while it is served.
@@ -391,8 +391,8 @@
     rsp
 }
 
-/// Reads a response in chunks to its end, like a short one. If it is too long for that, the rest
-/// is relayed while it arrives.
+/// Reads a long response to its end, like a short one. If it is too long for that, the rest is
+/// relayed while it arrives, and fails for its reader if it breaks off.
 async fn hold_response(
     node: &Arc<Node>,
     rsp: Response<Incoming>,
@@ -454,8 +454,13 @@
 async fn run_to_end(node: &Arc<Node>, exchange: Exchange) -> Result<Response<RelayBody>, Refusal> {
     let wait_deadline = exchange.deadline + LATE_FINISH_GRACE;
     let (mut rsp, lease, exchange) = send(node, exchange, wait_deadline).await?;
+    let is_long = rsp.body().size_hint().exact().is_none_or(|len| len > BUFFERING_THRESHOLD_BYTES);
+    let is_delimited = is_delimited(&rsp);
     remove_hop_by_hop(rsp.headers_mut());
-    buffer_response(node, rsp, lease, exchange, wait_deadline).await
+    match is_long && is_delimited {
+        true => hold_response(node, rsp, lease, exchange, wait_deadline).await,
+        false => buffer_response(node, rsp, lease, exchange, wait_deadline).await,
+    }
 }
 
 /// Whether a response is an error that the upstream itself has caused.
