connection: an answer that can no longer be given whole is not begun

A body whose deadline has passed and whose rest is longer than those 128 KiB now fails at once. Nothing of it was written, so the writer replaces it by 504 and goes on. No body that could be delivered is refused: the same bytes were its limit.

What stays: an answer of more than 4 MiB that breaks off midway loses what was passed on behind it, and what comes behind it while it is streamed waits for its end.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -213,16 +213,17 @@
 
 /// Most bytes that a body may still deliver after its deadline: what the buffers of a
 /// connection may have received before it.
-const LATE_BYTES_MAX: usize = 128 * 1024;
+const LATE_BYTES_MAX: u64 = 128 * 1024;
 
 /// A body that fails at a deadline and reports its end to an [`OnEnd`] callback.
 ///
 /// The deadline bounds the wait for the sender. What has arrived is delivered also later, as
-/// far as [`LATE_BYTES_MAX`], because the reader may have been busy.
+/// far as [`LATE_BYTES_MAX`], because the reader may have been busy. A body that is too long to be
+/// delivered whole fails at once: one of which the reader has passed nothing on can be replaced.
 pub(crate) struct GuardedBody<B, G: OnEnd> {
     inner: B,
     deadline: Pin<Box<tokio::time::Sleep>>,
-    late_bytes: usize,
+    late_bytes: u64,
     guard: Option<G>,
 }
 
@@ -237,6 +238,12 @@
         }
         body
     }
+
+    /// Returns the fewest bytes that would have been delivered after the deadline at the end of the
+    /// body, if those from now on are late.
+    fn late_bytes_min(&self) -> u64 {
+        self.late_bytes + self.inner.size_hint().lower()
+    }
 }
 
 impl<B, G: OnEnd> GuardedBody<B, G> {
@@ -263,9 +270,9 @@
         let is_late = this.deadline.as_mut().poll(cx).is_ready();
         let polled = Pin::new(&mut this.inner).poll_frame(cx);
         if let (true, Poll::Ready(Some(Ok(frame)))) = (is_late, &polled) {
-            this.late_bytes += frame.data_ref().map_or(0, Bytes::len);
+            this.late_bytes += frame.data_ref().map_or(0, Bytes::len) as u64;
         }
-        if is_late && (polled.is_pending() || this.late_bytes > LATE_BYTES_MAX) {
+        if is_late && (polled.is_pending() || this.late_bytes_min() > LATE_BYTES_MAX) {
             this.report_end(BodyEnd::Failed);
             return Poll::Ready(Some(Err(RelayError::DeadlineExceeded)));
         }
