request: a long upload is read while it waits for its turn

Both waited until the deadline, at which the answer was cut.

While a request waits, its upload is read into the memory of pipelined answers (16 MiB together), up to 4 MiB each, and passed on at its turn. If it breaks off meanwhile, it is refused as not run (400). No memory is added; uploads beyond it wait as before.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -3,6 +3,7 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::task::Context;
@@ -553,6 +554,37 @@
         }
         Ok(Held::Begun(start.into_body(rest)))
     }
+
+    /// Reads a body into memory until `waiting` ends, as far as `limit` bytes and the memory go.
+    /// Returns the body, which repeats what was read of it, and the result of `waiting`.
+    ///
+    /// Fails if the body breaks off meanwhile.
+    pub async fn read_ahead<T>(
+        &self,
+        mut rest: RelayBody,
+        limit: usize,
+        waiting: impl Future<Output = T>,
+    ) -> Result<(RelayBody, T), RelayError> {
+        let mut waiting = pin!(waiting);
+        let mut start = HeldStart::default();
+        while start.len < limit as u64 {
+            let frame = tokio::select! {
+                biased;
+                waited = &mut waiting => return Ok((start.into_body(rest), waited)),
+                frame = rest.frame() => frame,
+            };
+            let Some(frame) = frame else {
+                rest = empty();
+                break;
+            };
+            let Ok(data) = frame?.into_data() else { continue };
+            if !start.push(data, self) {
+                break;
+            }
+        }
+        let waited = waiting.await;
+        Ok((start.into_body(rest), waited))
+    }
 }
 
 /// Converts a body received by `hyper` into a [`RelayBody`].
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -110,8 +110,8 @@
 const RESPONSE_MEMORY_BYTES: usize = 16 * 1024 * 1024;
 
 /// Memory that all responses together may hold which are read whole because requests behind
-/// them have been passed on, in bytes.
-const PIPELINED_RESPONSE_MEMORY_BYTES: usize = 16 * 1024 * 1024;
+/// them have been passed on, and bodies that are read while their requests wait, in bytes.
+const PIPELINED_MEMORY_BYTES: usize = 16 * 1024 * 1024;
 
 /// State that all requests of one daemon share.
 #[derive(Debug)]
@@ -156,7 +156,8 @@
     pub(crate) customers: Customers,
     /// Memory for the upstream's responses that are buffered.
     pub(crate) response_memory: BodyMemory,
-    /// Limits the memory of responses with pipelined requests behind them.
+    /// Limits the memory of responses with pipelined requests behind them, and of bodies of
+    /// requests that wait for such.
     pub(crate) pipelined_memory: BodyMemory,
     /// Whether new requests are accepted, and which are in progress.
     pub lifecycle: Arc<Lifecycle>,
@@ -223,7 +224,7 @@
             crash_watch: CrashWatch::new(clock),
             customers: Customers::new(rand::random()),
             response_memory: BodyMemory::new(RESPONSE_MEMORY_BYTES),
-            pipelined_memory: BodyMemory::new(PIPELINED_RESPONSE_MEMORY_BYTES),
+            pipelined_memory: BodyMemory::new(PIPELINED_MEMORY_BYTES),
             lifecycle: Arc::default(),
             stops: Stops::default(),
             metrics,
--- a/lib/src/request/message.rs
+++ b/lib/src/request/message.rs
@@ -19,6 +19,7 @@
 use super::idempotency::Fingerprint;
 use super::idempotency::FingerprintInput;
 use crate::connection::body;
+use crate::connection::body::BodyMemory;
 use crate::connection::body::BodyStart;
 use crate::connection::body::RelayBody;
 use crate::process::CustomerName;
@@ -29,6 +30,8 @@
 
 /// Longest request body that is buffered so that the request can be sent again.
 pub(crate) const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
+/// Most bytes of a streamed body that are read while its request waits.
+const MAX_READ_AHEAD_BYTES: usize = 4 * 1024 * 1024;
 /// Longest name of a service, in bytes.
 const MAX_SERVICE_NAME_BYTES: usize = 253;
 
@@ -258,6 +261,25 @@
         }
     }
 
+    /// Reads a streamed body ahead until `waiting` ends, as far as `memory` has room. Its sender may
+    /// do nothing else before it has sent all of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body breaks off meanwhile. In that case nothing of the request was forwarded.
+    pub(crate) async fn read_ahead<T>(
+        &mut self,
+        memory: &BodyMemory,
+        waiting: impl Future<Output = T>,
+    ) -> Result<T, Refusal> {
+        let Self::Streamed(body) = self else { return Ok(waiting.await) };
+        let Some(rest) = body.take() else { return Ok(waiting.await) };
+        let read = memory.read_ahead(rest, MAX_READ_AHEAD_BYTES, waiting).await;
+        let (rest, waited) = read.map_err(|_| Refusal::not_run(Reason::BadBody))?;
+        *body = Some(rest);
+        Ok(waited)
+    }
+
     /// Returns the body for another attempt; `None` if it was a streamed one and has
     /// been taken already.
     pub fn take_body(&mut self) -> Option<RelayBody> {
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -127,7 +127,9 @@
     if turn.try_pass(is_idempotent) {
         return Ok(());
     }
-    let waited = timeout_at(call.deadline, turn.wait(is_idempotent)).await;
+    let waiting = timeout_at(call.deadline, turn.wait(is_idempotent));
+    // Few requests wait, and the others would have the size of this.
+    let waited = Box::pin(call.payload.read_ahead(&node.pipelined_memory, waiting)).await?;
     waited.map_err(|_| call.refuse_expired())?;
     refuse_caller_in_stop(node, is_call)?;
     check_key_again(node, call)
--- a/lib/tests/test_held_bodies.rs
+++ b/lib/tests/test_held_bodies.rs
@@ -1,5 +1,10 @@
 //! Tests of bodies that are held in memory before they are relayed.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
 use bytes::Bytes;
 use endivescale::connection::body;
 use endivescale::connection::body::BodyMemory;
@@ -7,6 +12,7 @@
 use endivescale::connection::body::RelayBody;
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
+use tokio::time::sleep;
 
 const STEP_BYTES: usize = 64 * 1024;
 
@@ -84,3 +90,32 @@
     drop(tx);
     assert!(memory.hold(body, STEP_BYTES).await.is_err());
 }
+
+#[tokio::test(start_paused = true)]
+async fn body_is_read_ahead_as_far_as_its_limit() {
+    const LEN: usize = 8 * STEP_BYTES;
+    let memory = BodyMemory::new(LEN);
+    let sent = Arc::new(AtomicUsize::new(0));
+    let (tx, body) = body::in_parts(1, Bytes::new());
+    let counter = Arc::clone(&sent);
+    tokio::spawn(async move {
+        for part in bytes(LEN).chunks(10_000) {
+            tx.send(Bytes::copy_from_slice(part)).await;
+            counter.fetch_add(part.len(), Ordering::Relaxed);
+        }
+        tx.finish().await;
+    });
+    let waiting = sleep(Duration::from_secs(1));
+    let (body, ()) = memory.read_ahead(body, 2 * STEP_BYTES, waiting).await.unwrap();
+    let read = sent.load(Ordering::Relaxed);
+    assert!((2 * STEP_BYTES..3 * STEP_BYTES).contains(&read), "{read} bytes");
+    assert_eq!(body.collect().await.unwrap().to_bytes(), bytes(LEN));
+}
+
+#[tokio::test(start_paused = true)]
+async fn body_that_breaks_off_while_it_is_read_ahead_fails() {
+    let memory = BodyMemory::new(4 * STEP_BYTES);
+    let (tx, body) = body::in_parts(1, Bytes::from(bytes(100)));
+    drop(tx);
+    assert!(memory.read_ahead(body, STEP_BYTES, sleep(Duration::from_secs(1))).await.is_err());
+}
