connection: heads between daemons need a checksum from the first one on

Cause: until the first valid checksum arrived on a connection between daemons, heads without one were believed, for builds before. Callers saw: a submission that had run was run again where a damaged answer seemed to say not-run; a damaged 200 or 400 was given to its caller. A request with a broken checksum was answered 400 without an outcome, which a sender on a fresh connection passed on to its caller.

Change: a head without a valid checksum is not believed, as a request or as an answer. The sender takes the outcome as unknown and gives up the connection; the receiver answers 502, unknown, which senders of builds between and this one read as a failure, too. Each request has a number of its own under its checksum, so that the answer to an earlier request with an equal head is not valid for it.

Weighed: serving builds without checksums in a rolling upgrade. An answer without one could then be no success and no refusal, which is a failure all the same; those builds are to be replaced by one with checksums first (docs/design/answers.md).

--- a/lib/src/connection/peers.rs
+++ b/lib/src/connection/peers.rs
@@ -1,8 +1,7 @@
 //! Pool of connections to other daemons, with one HTTP/2 connection for each peer address.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -98,19 +97,12 @@
 
 type Sender = http2::SendRequest<RelayBody>;
 
-/// An open connection to a peer.
-#[derive(Clone, Debug)]
-struct Connection {
-    sender: Sender,
-    /// Whether the peer has sealed a response on this connection. From then on all
-    /// responses need a seal.
-    is_sealed: Arc<AtomicBool>,
-}
-
 /// Open connections to peers, by address.
 #[derive(Debug)]
 pub struct PeerPool {
-    connections: Mutex<IndexMap<SocketAddr, Connection>>,
+    connections: Mutex<IndexMap<SocketAddr, Sender>>,
+    /// Number of requests sealed so far.
+    sealed: AtomicU64,
     closed_tx: UnboundedSender<SocketAddr>,
 }
 
@@ -119,20 +111,21 @@
     /// connection that closes.
     pub fn new() -> (Self, UnboundedReceiver<SocketAddr>) {
         let (closed_tx, closed_rx) = unbounded_channel();
-        (Self { connections: Mutex::default(), closed_tx }, closed_rx)
+        let (connections, sealed) = (Mutex::default(), AtomicU64::new(0));
+        (Self { connections, sealed, closed_tx }, closed_rx)
     }
 
-    fn open_connection(&self, address: SocketAddr) -> Option<Connection> {
+    fn open_connection(&self, address: SocketAddr) -> Option<Sender> {
         let mut connections = self.connections.lock();
-        let connection = connections.get(&address)?;
-        if connection.sender.is_closed() {
+        let sender = connections.get(&address)?;
+        if sender.is_closed() {
             connections.swap_remove(&address);
             return None;
         }
-        Some(connection.clone())
+        Some(sender.clone())
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Connection, PeerError> {
+    async fn connect(&self, address: SocketAddr) -> Result<Sender, PeerError> {
         let stream = tcp::connect(address).await.context(ConnectSnafu)?;
         let (sender, connection) = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
@@ -155,14 +148,13 @@
 
     /// Adds a connection to the pool, unless an earlier one to the same peer is open, and
     /// returns the connection in the pool. Two can be opened at the same time.
-    fn insert_if_absent(&self, address: SocketAddr, sender: Sender) -> Connection {
+    fn insert_if_absent(&self, address: SocketAddr, sender: Sender) -> Sender {
         let mut connections = self.connections.lock();
         match connections.get(&address) {
-            Some(earlier) if !earlier.sender.is_closed() => earlier.clone(),
+            Some(earlier) if !earlier.is_closed() => earlier.clone(),
             _ => {
-                let connection = Connection { sender, is_sealed: Arc::default() };
-                connections.insert(address, connection.clone());
-                connection
+                connections.insert(address, sender.clone());
+                sender
             }
         }
     }
@@ -179,17 +171,17 @@
         address: SocketAddr,
         mut req: Request<RelayBody>,
     ) -> Result<Response<Incoming>, PeerError> {
-        let mut connection = match self.open_connection(address) {
-            Some(connection) => connection,
+        let mut sender = match self.open_connection(address) {
+            Some(sender) => sender,
             None => self.connect(address).await?,
         };
-        if connection.sender.ready().await.is_err() {
+        if sender.ready().await.is_err() {
             self.remove(address);
-            connection = self.connect(address).await?;
+            sender = self.connect(address).await?;
         }
-        let seal = seal_request(&mut req);
-        match connection.sender.try_send_request(req).await {
-            Ok(rsp) => self.check_seal(address, &connection, rsp, seal),
+        let seal = seal_request(&mut req, self.sealed.fetch_add(1, Ordering::Relaxed));
+        match sender.try_send_request(req).await {
+            Ok(rsp) => self.check_seal(address, rsp, seal),
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(PeerError::NotSent),
                 None => Err(failure(err.into_error())),
@@ -198,29 +190,26 @@
     }
 
     /// Checks that a response is as its peer sent it; gives up the connection otherwise.
+    ///
+    /// A response without a seal is not believed either: it may have lost it on the way, and the
+    /// peer sends none if it could not read the request.
     fn check_seal(
         &self,
         address: SocketAddr,
-        connection: &Connection,
         mut rsp: Response<Incoming>,
         request: Seal,
     ) -> Result<Response<Incoming>, PeerError> {
-        let check = check_response(&rsp, request);
-        let is_believed = match check {
+        match check_response(&rsp, request) {
             SealCheck::Valid(_) => {
-                connection.is_sealed.store(true, Ordering::Relaxed);
-                true
+                rsp.headers_mut().remove(SEAL);
+                Ok(rsp)
+            }
+            check @ (SealCheck::Missing | SealCheck::Broken) => {
+                spdlog::warn!("event=head-corrupted of=response peer={address} check={check:?}");
+                self.remove(address);
+                CorruptedSnafu.fail()
             }
-            SealCheck::Missing => !connection.is_sealed.load(Ordering::Relaxed),
-            SealCheck::Broken => false,
-        };
-        if !is_believed {
-            spdlog::warn!("event=head-corrupted of=response peer={address} check={check:?}");
-            self.remove(address);
-            return CorruptedSnafu.fail();
         }
-        rsp.headers_mut().remove(SEAL);
-        Ok(rsp)
     }
 
     /// Removes the connection to `address`, if there is one, from the pool. Requests in
--- a/lib/src/connection/seal.rs
+++ b/lib/src/connection/seal.rs
@@ -8,9 +8,6 @@
 use std::convert::Infallible;
 use std::hash::Hasher as _;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -24,9 +21,11 @@
 use siphasher::sip::SipHasher13;
 use tower::Service;
 
-use super::body;
 use super::body::RelayBody;
+use crate::request::Reason;
+use crate::request::Refusal;
 use crate::request::SEAL;
+use crate::request::SEAL_NUMBER;
 
 /// Headers that the HTTP library adds or removes on the way.
 const UNSEALED: [HeaderName; 7] = [
@@ -48,7 +47,7 @@
 pub enum SealCheck {
     /// The head is as it was sent.
     Valid(Seal),
-    /// The head has no checksum; daemons of earlier versions send none.
+    /// The head has no checksum. It may have been lost on the way.
     Missing,
     /// The head is not as it was sent.
     Broken,
@@ -77,7 +76,6 @@
 
     fn insert(self, headers: &mut HeaderMap) {
         let Ok(mut value) = HeaderValue::from_str(&format!("{:016x}", self.0)) else { return };
-        // A value that is unique to the message must not enter the connection's table.
         value.set_sensitive(true);
         headers.insert(SEAL, value);
     }
@@ -94,7 +92,14 @@
 }
 
 /// Adds the checksum to a request and returns it.
-pub fn seal_request<B>(req: &mut Request<B>) -> Seal {
+///
+/// The number differs from that of all other requests on the connection, so that an answer is
+/// valid for one of two requests with equal heads only.
+pub fn seal_request<B>(req: &mut Request<B>, number: u64) -> Seal {
+    let mut value = HeaderValue::from(number);
+    // A value that is unique to the message must not enter the connection's table.
+    value.set_sensitive(true);
+    req.headers_mut().insert(SEAL_NUMBER, value);
     let seal = Seal::of_request(req);
     seal.insert(req.headers_mut());
     seal
@@ -137,15 +142,12 @@
 #[derive(Clone, Debug)]
 pub struct Sealed<S> {
     inner: S,
-    /// Whether a valid checksum has arrived on the connection. From then on all requests
-    /// need one.
-    is_required: Arc<AtomicBool>,
 }
 
 impl<S> Sealed<S> {
     /// Wraps the service for a new connection.
     pub fn new(inner: S) -> Self {
-        Self { inner, is_required: Arc::default() }
+        Self { inner }
     }
 }
 
@@ -163,30 +165,29 @@
     }
 
     fn call(&mut self, mut req: Request<B>) -> Self::Future {
-        let check = check_request(&req);
-        let seal = match check {
-            SealCheck::Valid(seal) => {
-                self.is_required.store(true, Ordering::Relaxed);
-                Some(seal)
-            }
-            SealCheck::Missing if !self.is_required.load(Ordering::Relaxed) => None,
-            SealCheck::Missing | SealCheck::Broken => {
+        let seal = match check_request(&req) {
+            SealCheck::Valid(seal) => seal,
+            check @ (SealCheck::Missing | SealCheck::Broken) => {
                 spdlog::warn!("event=head-corrupted of=request check={check:?}");
-                // Without a checksum the sender does not believe the answer either, and
-                // gives up the connection.
-                let mut rsp = Response::new(body::empty());
-                *rsp.status_mut() = StatusCode::BAD_REQUEST;
-                return Box::pin(std::future::ready(Ok(rsp)));
+                return Box::pin(std::future::ready(Ok(refuse_corrupted())));
             }
         };
+        req.headers_mut().remove(SEAL_NUMBER);
         req.headers_mut().remove(SEAL);
         let answer = self.inner.call(req);
         Box::pin(async move {
             let mut rsp = answer.await?;
-            if let Some(seal) = seal {
-                seal_response(&mut rsp, seal);
-            }
+            seal_response(&mut rsp, seal);
             Ok(rsp)
         })
     }
 }
+
+/// Returns the answer to a request whose head is not as it was sent.
+///
+/// It has no checksum, so that the sender gives up the connection. It states an outcome for
+/// senders that believe it all the same, which must not take it for the upstream's answer. That
+/// outcome is not `not-run`, since nothing is known of the request that was sent.
+fn refuse_corrupted() -> Response<RelayBody> {
+    Refusal::unknown(Reason::PeerFailed).into_response()
+}
--- a/lib/src/request/headers.rs
+++ b/lib/src/request/headers.rs
@@ -107,6 +107,9 @@
 /// [`crate::connection::seal`].
 pub const SEAL: HeaderName = HeaderName::from_static("endivescale-seal");
 
+/// Number by which the checksum of a request differs from those of others with an equal head.
+pub const SEAL_NUMBER: HeaderName = HeaderName::from_static("endivescale-seal-number");
+
 /// Version of the rules that the sending daemon applied.
 pub const RULES_VERSION: HeaderName = HeaderName::from_static("endivescale-rules-version");
 
--- a/lib/tests/test_seal.rs
+++ b/lib/tests/test_seal.rs
@@ -1,19 +1,35 @@
 //! The checksums over the heads of messages between daemons.
 
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use endivescale::connection::body;
+use endivescale::connection::peers::PeerError;
+use endivescale::connection::peers::PeerPool;
 use endivescale::connection::seal::Seal;
 use endivescale::connection::seal::SealCheck;
 use endivescale::connection::seal::check_request;
 use endivescale::connection::seal::check_response;
 use endivescale::connection::seal::seal_request;
 use endivescale::connection::seal::seal_response;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http_body_util::Empty;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
 
 fn request() -> (Request<()>, Seal) {
     let req = Request::post("http://board.example/send/a?b=c").header("x-one", "1");
     let mut req = req.header("x-two", "2").body(()).unwrap();
-    let seal = seal_request(&mut req);
+    let seal = seal_request(&mut req, 1);
     (req, seal)
 }
 
@@ -63,7 +79,7 @@
 fn response_is_valid_for_its_own_request_only() {
     let (mut other, _) = request();
     other.headers_mut().remove("x-two");
-    let other = seal_request(&mut other);
+    let other = seal_request(&mut other, 1);
     let (_, seal) = request();
     let rsp = response(seal);
     assert!(matches!(check_response(&rsp, seal), SealCheck::Valid(_)));
@@ -85,3 +101,29 @@
     rsp.headers_mut().remove("endivescale-seal");
     assert_eq!(check_response(&rsp, seal), SealCheck::Missing);
 }
+
+/// Two requests can have equal heads, such as two messages of the same kind.
+#[tokio::test]
+async fn answer_to_an_earlier_request_with_the_same_head_is_not_believed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let first_answer: Arc<Mutex<Option<HeaderMap>>> = Arc::default();
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let service = service_fn(|req: Request<Incoming>| {
+            let SealCheck::Valid(seal) = check_request(&req) else { panic!("no seal: {req:?}") };
+            let mut rsp = Response::new(Empty::<Bytes>::new());
+            seal_response(&mut rsp, seal);
+            let headers = rsp.headers().clone();
+            *rsp.headers_mut() = first_answer.lock().get_or_insert(headers).clone();
+            async { Ok::<_, Infallible>(rsp) }
+        });
+        let server = http2::Builder::new(TokioExecutor::new());
+        let _ = server.serve_connection(TokioIo::new(stream), service).await;
+    });
+    let (pool, _closed_rx) = PeerPool::new();
+    let send =
+        || pool.send(addr, Request::post("http://board.example/").body(body::empty()).unwrap());
+    send().await.unwrap();
+    assert!(matches!(send().await, Err(PeerError::Corrupted)));
+}
