lifecycle: what the end of a stop has refused is not passed on later

Cause: the end of a stop looked at how far a request had come and then refused it as not run, while the task that passes it on looked at nothing. Only the latest start, 450 ms earlier, kept the two apart.

Change: both take one mark of the request (try_pass_on, try_refuse); the first one decides. The mark outlives the request's place in the list of those in progress, since a task of its own passes submissions on. The same cause elsewhere: a call that waits for the run of an earlier copy could be refused as not run; it counts as passed on.

Two tests of the mark alone in test_stop_bounds.

--- a/lib/src/process/node/lifecycle/mod.rs
+++ b/lib/src/process/node/lifecycle/mod.rs
@@ -48,11 +48,25 @@
     end: Mutex<End>,
 }
 
-/// Records how far a request in progress has come. Does nothing once it has ended.
+/// Records how far a request in progress has come.
 #[derive(Clone, Debug)]
 pub struct RequestHandle {
     lifecycle: Arc<Lifecycle>,
     id: u64,
+    /// Outlives the request, since a task of its own may pass it on.
+    passage: Arc<Mutex<Passage>>,
+}
+
+/// Whether a request may be passed on, which the one that passes it on and the end of the stop
+/// decide between them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Passage {
+    #[default]
+    Open,
+    /// It was passed on, and may have run.
+    Passed,
+    /// Its sender was told that it has not run and never will.
+    Refused,
 }
 
 impl Lifecycle {
@@ -146,7 +160,7 @@
     /// every request that the check does not refuse.
     pub fn begin(self: &Arc<Self>, role: Role) -> InProgress {
         let id = self.accepted.add(role);
-        let handle = RequestHandle { lifecycle: Arc::clone(self), id };
+        let handle = RequestHandle { lifecycle: Arc::clone(self), id, passage: Arc::default() };
         InProgress { handle, end: Mutex::new(End::Cancelled) }
     }
 
@@ -187,11 +201,54 @@
         self.lifecycle.accepted.update(self.id, |request| request.name = Some(name.clone()));
     }
 
-    /// Records how far the request has come.
-    pub fn set_stage(&self, stage: Stage) {
+    fn set_stage(&self, stage: Stage) {
         self.lifecycle.accepted.update(self.id, |request| request.stage = stage);
     }
 
+    /// Records that the request is passed on. Returns false if the stop has refused it, after
+    /// which it must not be.
+    #[must_use]
+    pub fn try_pass_on(&self) -> bool {
+        let mut passage = self.passage.lock();
+        if *passage == Passage::Refused {
+            return false;
+        }
+        *passage = Passage::Passed;
+        self.set_stage(Stage::Sent);
+        true
+    }
+
+    /// Records that the request, or a copy of it, may have been passed on by another.
+    pub fn set_passed_on(&self) {
+        // One that was refused has its answer.
+        let _ = self.try_pass_on();
+    }
+
+    /// Records that the request has not run where it was passed on to.
+    pub fn take_back(&self) {
+        let mut passage = self.passage.lock();
+        if *passage == Passage::Passed {
+            *passage = Passage::Open;
+            self.set_stage(Stage::Received);
+        }
+    }
+
+    /// Records that the answer to the request has begun.
+    pub fn set_answering(&self) {
+        self.set_stage(Stage::Answering);
+    }
+
+    /// Refuses the request for good. Returns false if it may have run.
+    #[must_use]
+    pub fn try_refuse(&self) -> bool {
+        let mut passage = self.passage.lock();
+        if *passage == Passage::Passed {
+            return false;
+        }
+        *passage = Passage::Refused;
+        true
+    }
+
     /// Records that the stop has cut the request off.
     pub fn set_cut(&self) {
         self.lifecycle.accepted.update(self.id, |request| request.is_cut = true);
@@ -222,7 +279,7 @@
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        let RequestHandle { lifecycle, id } = &self.handle;
+        let RequestHandle { lifecycle, id, .. } = &self.handle;
         lifecycle.accepted.remove(*id, *self.end.get_mut());
     }
 }
--- a/lib/src/request/serve/at_most_once.rs
+++ b/lib/src/request/serve/at_most_once.rs
@@ -21,7 +21,6 @@
 use crate::process::node::Node;
 use crate::process::node::RunEnd;
 use crate::process::node::RunStart;
-use crate::process::node::Stage;
 use crate::request::DEADLINE_MS;
 use crate::request::Reason;
 use crate::request::Refusal;
@@ -50,6 +49,7 @@
         }
         RunStart::Attach(rx) => {
             node.metrics.count(Counter::TokensReplayed);
+            request.request.set_passed_on();
             rx
         }
         RunStart::Run(run, rx) => {
@@ -57,7 +57,7 @@
             let node = Arc::clone(node);
             let in_progress = node.lifecycle.begin(Role::Entry);
             in_progress.handle().set_name(request.inbound.name.as_ref());
-            in_progress.handle().set_stage(Stage::Sent);
+            in_progress.handle().set_passed_on();
             tokio::spawn(async move {
                 run.finish(execute(&node, request).await);
                 in_progress.set_end(End::Answered);
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -26,7 +26,6 @@
 use crate::process::node::Node;
 use crate::process::node::PathKey;
 use crate::process::node::RequestHandle;
-use crate::process::node::Stage;
 use crate::process::routing::NoRoute;
 use crate::process::routing::Pick;
 use crate::process::routing::Work;
@@ -340,7 +339,10 @@
             |refusal: Refusal| last_overload.take().unwrap_or(refusal).after(earlier_outcome);
         let vm = pick_instance(node, call, &tried).map_err(or_last_overload)?;
         let started = Instant::now();
-        call.request.set_stage(Stage::Sent);
+        if !call.request.try_pass_on() {
+            let refusal = Refusal::not_run(Reason::Leaving).retry_after(leaving_retry_after());
+            return Err(refusal.after(earlier_outcome));
+        }
         let refusal = match attempt::send_to_instance(node, &vm, call).await {
             Ok(rsp) => {
                 let is_upstream_error = rsp.extensions().get::<UpstreamError>().is_some();
@@ -361,7 +363,7 @@
             Err(refusal) => refusal,
         };
         if refusal.clone().after(earlier_outcome).outcome == Outcome::NotRun {
-            call.request.set_stage(Stage::Received);
+            call.request.take_back();
         }
         let failed_at = &vm.instance;
         if let Err(because) = call.charge_next_attempt(node, &refusal) {
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -35,7 +35,6 @@
 use crate::process::node::Node;
 use crate::process::node::PathKey;
 use crate::process::node::RequestHandle;
-use crate::process::node::Stage;
 use crate::request::Context;
 use crate::request::Outcome;
 use crate::request::Reason;
@@ -71,7 +70,7 @@
         let close = header::HeaderValue::from_static("close");
         rsp.headers_mut().insert(header::CONNECTION, close);
     }
-    in_progress.handle().set_stage(Stage::Answering);
+    in_progress.handle().set_answering();
     // The request is in progress until its response has been written.
     rsp.extensions_mut().insert(in_progress);
     let body_deadline = Instant::now() + node.settings.limits.max_deadline + RESPONSE_BODY_GRACE;
@@ -86,7 +85,7 @@
     let has_token = req.headers().contains_key(TOKEN);
     if has_token {
         // Another copy of the request may have been sent.
-        tracker.in_progress().handle().set_stage(Stage::Sent);
+        tracker.in_progress().handle().set_passed_on();
     }
     let prepared = prepare(node, req, tracker).await;
     // Only the daemon that issued the token knows whether another copy of the
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -31,7 +31,6 @@
 use crate::process::node::Node;
 use crate::process::node::Permit;
 use crate::process::node::RunGuard;
-use crate::process::node::Stage;
 use crate::process::repeats::Arrival;
 use crate::request::Outcome;
 use crate::request::Reason;
@@ -140,7 +139,7 @@
             Err((refusal, completion)) => {
                 let is_not_run = refusal.outcome == Outcome::NotRun;
                 if is_not_run {
-                    exchange.in_progress.handle().set_stage(Stage::Received);
+                    exchange.in_progress.handle().take_back();
                     exchange.run.not_run();
                 }
                 exchange.complete(completion);
@@ -213,7 +212,9 @@
     let (instance, stop_bound) = (&exchange.instance, &exchange.stop_bound);
     let may_send = || check_may_send(node, instance, stop_bound);
     may_send().map_err(|refusal| (refusal, Completion::Cancelled))?;
-    exchange.in_progress.handle().set_stage(Stage::Sent);
+    if !exchange.in_progress.handle().try_pass_on() {
+        return Err((exchange.stop_bound.refuse(), Completion::Cancelled));
+    }
     node.metrics.count(Counter::ForwardedToUpstream);
     let name = exchange.inbound.name.as_ref();
     let (inbound, cx) = (&exchange.inbound, &exchange.parent.parent().cx);
@@ -263,7 +264,7 @@
     }
     exchange.permit.answer_started();
     exchange.passing.answer_begun();
-    exchange.in_progress.handle().set_stage(Stage::Answering);
+    exchange.in_progress.handle().set_answering();
     strip(rsp.headers_mut(), node.dialect.answer_headers());
     Ok((rsp, lease, exchange))
 }
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -26,7 +26,6 @@
 use crate::process::node::End;
 use crate::process::node::Node;
 use crate::process::node::RequestHandle;
-use crate::process::node::Stage;
 use crate::request::CONTEXT;
 use crate::request::CRASHES;
 use crate::request::Context;
@@ -113,7 +112,7 @@
 ) -> Result<Response<RelayBody>, Refusal> {
     let in_progress = node.lifecycle.begin(Role::Entry);
     // Another copy of the request may have been sent.
-    in_progress.handle().set_stage(Stage::Sent);
+    in_progress.handle().set_passed_on();
     let serving = async {
         let prepared = prepare_tokened(node, req, in_progress.handle().clone()).await;
         let (token, call) = prepared.map_err(Refusal::into_possibly_run)?;
--- a/lib/src/request/serve/tracker.rs
+++ b/lib/src/request/serve/tracker.rs
@@ -21,7 +21,6 @@
 use crate::process::node::End;
 use crate::process::node::InProgress;
 use crate::process::node::Node;
-use crate::process::node::Stage;
 use crate::request::Context;
 use crate::request::Outcome;
 use crate::request::Reason;
@@ -205,13 +204,14 @@
 }
 
 fn cut_off(node: &Node, in_progress: &InProgress) -> Refusal {
-    match in_progress.handle().get() {
-        Some(request) if request.stage != Stage::Received => {
-            in_progress.set_end(End::Cut);
-            in_progress.handle().set_cut();
-            node.record_cut(&request);
-            Refusal::unknown(Reason::Leaving)
-        }
-        _ => Refusal::not_run(Reason::Leaving).retry_after(leaving_retry_after()),
+    let handle = in_progress.handle();
+    if handle.try_refuse() {
+        return Refusal::not_run(Reason::Leaving).retry_after(leaving_retry_after());
+    }
+    in_progress.set_end(End::Cut);
+    if let Some(request) = handle.get() {
+        node.record_cut(&request);
     }
+    handle.set_cut();
+    Refusal::unknown(Reason::Leaving)
 }
--- a/lib/tests/test_stop_bounds.rs
+++ b/lib/tests/test_stop_bounds.rs
@@ -1,8 +1,11 @@
 //! Until when requests may begin to run while daemons stop; see `docs/design/stopping.md`.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use endivescale::process::Incarnation;
+use endivescale::process::burn::Role;
+use endivescale::process::node::Lifecycle;
 use endivescale::process::stop::RunTimes;
 use endivescale::process::stop::StopTimes;
 use endivescale::process::stop::StoppingSenders;
@@ -82,3 +85,22 @@
     senders.record(ms(5_600), Incarnation(8), ms(9_000));
     assert_eq!(senders.times(SENDER), None);
 }
+
+/// The task that passes a request on may begin after its caller has been answered.
+#[test]
+fn request_that_was_refused_is_not_passed_on_later() {
+    let request = Arc::new(Lifecycle::default()).begin(Role::Owner);
+    let handle = request.handle().clone();
+    assert!(handle.try_refuse());
+    drop(request);
+    assert!(!handle.try_pass_on());
+}
+
+#[test]
+fn request_that_was_passed_on_is_refused_only_once_it_was_taken_back() {
+    let request = Arc::new(Lifecycle::default()).begin(Role::Owner);
+    assert!(request.handle().try_pass_on());
+    assert!(!request.handle().try_refuse());
+    request.handle().take_back();
+    assert!(request.handle().try_refuse());
+}
