connection: an upload that its upstream leaves unread is not reset

Cause, by a run on Linux 6.18: TCP_USER_TIMEOUT of 2.5 s ends a connection 2.78 s after its window has closed, although the probes into it are acknowledged; without it the same connection lives on. Without it, too, no keepalive probe is sent while bytes wait, so it can't simply go.

Connections to the upstream are now looked at every 0.5 s while bytes are unacknowledged (sock_diag). While the window is closed and the last acknowledgement is less than 2.5 s old, the timeout is moved on; the kernel still ends the connection itself. One look takes two system calls.

Before: the five tests of uploads in test_unread_bodies (3, 5, 12 s, in the send buffer, of another daemon) failed with left: (Some(502), []) right: (Some(200), [4194304]) and the two of answers that a caller leaves unread passed. After: all seven pass. A machine that is gone is found (test_dead_upstreams, which drops what arrives by a socket filter): within the bounds of 3 s, and 5.5 s after a pause of 1, 4 and 12 s (4.5, 4.3 and 4.0 s in one run).

Not tested: a process stopped by a signal; to the kernel it is the same.

--- a/lib/src/connection/limited.rs
+++ b/lib/src/connection/limited.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpStream;
 
 use super::framing_limit::FramingLimit;
+use super::window_watch::WindowWatch;
 
 /// Number of limited reads after which the task that reads yields.
 const MAX_READS_BEFORE_YIELD: u32 = 4;
@@ -132,12 +133,31 @@
     limit: ReadLimit,
     /// Number of limited reads since the task that reads has yielded.
     reads_since_yield: u32,
+    window_watch: Option<WindowWatch>,
 }
 
 impl LimitedStream {
     /// Limits the reading from `stream`.
     pub fn new(stream: TcpStream, limit: ReadLimit) -> Self {
-        Self { stream, limit, reads_since_yield: 0 }
+        Self { stream, limit, reads_since_yield: 0, window_watch: None }
+    }
+
+    /// Keeps the connection open while its remote host answers, although its reader pauses.
+    pub(super) fn with_window_watch(self) -> Self {
+        Self { window_watch: Some(WindowWatch::new()), ..self }
+    }
+
+    fn watch_window(&mut self, cx: &mut Context<'_>) {
+        if let Some(watch) = &mut self.window_watch {
+            watch.poll(cx, &self.stream);
+        }
+    }
+
+    fn record_write(&mut self, cx: &mut Context<'_>) {
+        if let Some(watch) = &mut self.window_watch {
+            watch.record_write();
+        }
+        self.watch_window(cx);
     }
 }
 
@@ -148,6 +168,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
+        this.watch_window(cx);
         let max_len = {
             let state = this.limit.state.lock();
             if state.is_stopped {
@@ -183,7 +204,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(cx);
+        written
     }
 
     fn poll_write_vectored(
@@ -191,7 +214,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(cx);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -199,6 +224,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.watch_window(cx);
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -8,6 +8,8 @@
 pub mod peers;
 pub mod pipeline;
 pub mod seal;
+mod sock_diag;
 pub mod strip;
 pub mod tcp;
 pub mod upstream;
+mod window_watch;
--- a/lib/src/connection/tcp.rs
+++ b/lib/src/connection/tcp.rs
@@ -21,7 +21,7 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Longest time that sent bytes stay unacknowledged before the connection fails. With the
 /// keepalive probes, a dead connection is detected within 3 s.
-const USER_TIMEOUT: Duration = Duration::from_millis(2500);
+pub(super) const USER_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// A connection could not be opened; nothing was sent.
 #[derive(Debug, Snafu)]
@@ -71,6 +71,11 @@
         .with_retries(KEEPALIVE_PROBES);
     let socket = SockRef::from(stream);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    set_user_timeout(stream, USER_TIMEOUT)?;
     stream.set_nodelay(true)
 }
+
+/// Sets how long sent bytes stay unacknowledged before a connection fails.
+pub(super) fn set_user_timeout(stream: &TcpStream, timeout: Duration) -> std::io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(Some(timeout))
+}
--- a/lib/src/connection/upstream.rs
+++ b/lib/src/connection/upstream.rs
@@ -194,7 +194,7 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let limit = ReadLimit::new(Input::Responses);
-        let stream = LimitedStream::new(stream, limit.clone());
+        let stream = LimitedStream::new(stream, limit.clone()).with_window_watch();
         let (sender, connection) =
             builder.handshake(TokioIo::new(stream)).await.context(HandshakeSnafu)?;
         tokio::spawn(connection);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -17,6 +17,7 @@
 mod test_crash_fleet;
 mod test_crashes;
 mod test_customers;
+mod test_dead_upstreams;
 mod test_docs;
 mod test_examples;
 mod test_framing_limit;
