exchange: a refusal is weighed against the calls of the run on named requests, too

Cause: rule 2 of docs/design/outcomes.md (an upstream that says that it did not run a request is believed only if none of its calls for it may have run) held only for calls that carry a context. On the users' platform, where a call names its request, no call was counted: a submission that had made a call which ran, and was then refused by its upstream, was sent again and answered 200. Where the rule did apply, the refusal itself was relayed as the upstream's answer; on the platform its 503 would promise that the request did not run.

Change: calls that are served at the callers' listener count at their request. A refusal or a 421 against them is a failure of unknown outcome (502, upstream-failed) and closes the connection, for all dialects.

Tests: refusal_of_a_request_whose_call_ran_is_not_believed got 200 before, 502 after; refusal_of_a_request_whose_call_did_not_run_is_believed passes before and after.

--- a/lib/src/request/dialect/mod.rs
+++ b/lib/src/request/dialect/mod.rs
@@ -74,6 +74,9 @@
     Answered,
     /// The upstream was overloaded and did not run the request.
     Shed,
+    /// The upstream says that it did not run the request, but calls that it made for the request
+    /// may have run.
+    Contradicted,
     /// The address now belongs to another upstream, which did not run the request.
     Misdirected,
     /// The answer belongs to another request, or does not say to which.
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -96,6 +96,10 @@
     };
     let PreparedRequest { token, call: mut request, is_call, identity } = prepared;
     tracker.describe(&request.inbound, &request.cx);
+    let parent = request.parent.clone();
+    if let Some(parent) = &parent {
+        parent.child_may_run();
+    }
     let result = match (await_turn(node, &mut request, is_call).await, token) {
         (Err(refusal), _) => Err(with_retry_after(&request, refusal)),
         // If the dialect names each attempt, a non-idempotent one needs no token.
@@ -110,10 +114,13 @@
         (Ok(()), None) if request.cx.non_idempotent => Err(refuse_with_token(node)),
         (Ok(()), None) => dispatch(node, request).await,
     };
-    if let (Err(refusal), Some(customer)) = (&result, &identity.customer)
-        && refusal.outcome == Outcome::NotRun
-    {
-        node.give_back_usage(&customer.name);
+    if result.as_ref().is_err_and(|refusal| refusal.outcome == Outcome::NotRun) {
+        if let Some(customer) = &identity.customer {
+            node.give_back_usage(&customer.name);
+        }
+        if let Some(parent) = &parent {
+            parent.child_did_not_run();
+        }
     }
     result
 }
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -177,6 +177,10 @@
                 exchange.complete(Completion::Failed);
                 return Err(Refusal::not_run(Reason::UpstreamMoved));
             }
+            ResponseClass::Contradicted => {
+                exchange.complete(Completion::Failed);
+                return Err(Refusal::unknown(Reason::UpstreamFailed));
+            }
             ResponseClass::Foreign => {
                 let (status, connection) = (rsp.status(), lease.connection());
                 let decision = Decision::ForeignAnswer { status, connection };
@@ -278,7 +282,11 @@
     let echo = node.dialect.echo(rsp.headers(), parent.name.as_ref());
     let class = node.dialect.classify_response(rsp.status(), rsp.headers());
     match class.for_echo(echo) {
-        ResponseClass::Shed if parent.has_child_that_may_have_run() => ResponseClass::Answered,
+        ResponseClass::Shed | ResponseClass::Misdirected
+            if parent.has_child_that_may_have_run() =>
+        {
+            ResponseClass::Contradicted
+        }
         class => class,
     }
 }
@@ -286,7 +294,7 @@
 /// Records what the upstream says about itself in a response.
 fn record_notice(node: &Node, rsp: &Response<Incoming>, exchange: &Exchange, class: ResponseClass) {
     let is_late = match class {
-        ResponseClass::Answered | ResponseClass::Shed => false,
+        ResponseClass::Answered | ResponseClass::Shed | ResponseClass::Contradicted => false,
         ResponseClass::Foreign => true,
         // Another instance has answered.
         ResponseClass::Misdirected => return,
