parent: a call for a request that was given up is refused with 503

Cause: whether a call without a key is asked for one was decided by the requests in progress. A request that this process gave up (its caller left, its deadline passed, its connection failed) is not among them, though its upstream goes on and calls: 401, which tells a sound upstream never to come back.

Change: the hashes of the names of the last 8,192 requests that ended without an answer or a refusal of the upstream are kept (24 bytes each). Nothing without a key is let through.

--- a/lib/src/request/parent.rs
+++ b/lib/src/request/parent.rs
@@ -1,7 +1,9 @@
 //! Requests in progress at the local upstream, on whose behalf the upstream makes
 //! calls.
 
+use std::collections::VecDeque;
 use std::fmt;
+use std::hash::Hasher as _;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -10,6 +12,7 @@
 
 use indexmap::IndexMap;
 use parking_lot::Mutex;
+use siphasher::sip::SipHasher13;
 use snafu::OptionExt as _;
 use snafu::Snafu;
 use tokio::time::Instant;
@@ -26,6 +29,9 @@
 use crate::process::admission::Level;
 use crate::version::PlanKey;
 
+/// Most requests that are remembered after they were given up, 24 bytes each.
+const MAX_GIVEN_UP: usize = 8192;
+
 /// Identifies a request in progress to the local upstream.
 ///
 /// A handle includes the incarnation, so that it is invalid after the daemon was
@@ -85,6 +91,8 @@
     without_answer: AtomicUsize,
     /// Whether the upstream refused the request, and it was sent there again.
     is_resent: AtomicBool,
+    /// Whether the upstream is done with the request.
+    is_done: AtomicBool,
 }
 
 impl Parent {
@@ -129,6 +137,12 @@
         self.is_resent.store(true, Ordering::SeqCst);
     }
 
+    /// Records that the upstream has answered the request, or does not run it. Without this, it
+    /// may go on with the request after its end here.
+    pub fn record_done(&self) {
+        self.is_done.store(true, Ordering::SeqCst);
+    }
+
     /// Returns the mark of the calls that the upstream makes for the request.
     pub fn repeat_of_calls(&self) -> Option<Repeat> {
         let is_repeat = self.cx.repeat.is_some() || self.is_resent.load(Ordering::SeqCst);
@@ -164,6 +178,9 @@
     in_progress: IndexMap<u64, Arc<Parent>>,
     /// Latest request in progress with each name.
     by_name: IndexMap<RequestName, u64>,
+    /// Hashes of the names of requests that ended while the upstream was working on them, and
+    /// when they did, the latest last.
+    given_up: VecDeque<(Instant, u64)>,
 }
 
 impl Table {
@@ -173,9 +190,21 @@
         if self.by_name.get(name) == Some(&sequence) {
             self.by_name.swap_remove(name);
         }
+        if !parent.is_done.load(Ordering::SeqCst) {
+            if self.given_up.len() == MAX_GIVEN_UP {
+                self.given_up.pop_front();
+            }
+            self.given_up.push_back((Instant::now(), hash_name(name.as_str())));
+        }
     }
 }
 
+fn hash_name(name: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
+
 /// Guard that keeps a request in the table.
 ///
 /// When the guard is dropped, the request is removed and its calls are cancelled.
@@ -219,6 +248,7 @@
             may_have_run: AtomicUsize::new(0),
             without_answer: AtomicUsize::new(0),
             is_resent: AtomicBool::new(false),
+            is_done: AtomicBool::new(false),
         });
         let mut table = self.table.lock();
         let sequence = table.next_sequence;
@@ -246,6 +276,15 @@
         table.in_progress.get(sequence).cloned()
     }
 
+    /// Returns when the latest request called `name` ended that the upstream may still be working
+    /// on; `None` if there was none lately.
+    pub fn given_up_at(&self, name: &str) -> Option<Instant> {
+        let hash = hash_name(name);
+        let table = self.table.lock();
+        let found = table.given_up.iter().rev().find(|(_, given_up)| *given_up == hash);
+        found.map(|(at, _)| *at)
+    }
+
     /// Returns the number of requests in progress.
     pub fn len(&self) -> usize {
         self.table.lock().in_progress.len()
--- a/lib/src/request/refusal.rs
+++ b/lib/src/request/refusal.rs
@@ -67,7 +67,8 @@
     NoRoute = "no-route", NOT_FOUND;
     /// The request carries no key, although its rule or route requires one.
     KeyMissing = "key-missing", UNAUTHORIZED;
-    /// An upstream seems to call for a request that an earlier process of this daemon had.
+    /// An upstream seems to call for a request that this daemon, or an earlier process of it, has
+    /// given up.
     ParentUnknown = "parent-unknown", SERVICE_UNAVAILABLE;
     /// No customer holds the key of the request.
     KeyUnknown = "key-unknown", UNAUTHORIZED;
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -162,13 +162,17 @@
     inbound.origin = Some(node.settings.daemon.service.clone());
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
     let plan = inbound.plan(&rules.policy)?;
-    let parent = sender_info.name.as_ref().and_then(|name| node.dialect.parent_of(name));
-    let is_call = parent.is_some();
+    let parent_name = sender_info.name.as_ref().and_then(|name| node.dialect.parent_of(name));
+    let is_call = parent_name.is_some();
     refuse_caller_in_stop(node, is_call)?;
-    let parent = parent.and_then(|parent| node.parents.find_named(parent));
+    let parent = parent_name.and_then(|name| node.parents.find_named(name));
+    let sent_by = match (parent_name, &parent) {
+        (Some(_), Some(_)) => SentBy::Upstream,
+        (Some(name), None) => SentBy::Unknown { given_up_at: node.parents.given_up_at(name) },
+        (None, _) => SentBy::Caller,
+    };
     inbound.name = sender_info.name;
     tracker.describe_caller(&inbound);
-    let sent_by = SentBy::new(is_call, parent.is_some());
     let identity = identify(node, &rules, &plan, &mut inbound, sent_by)?;
     tracker.describe_caller(&inbound);
     check_cap(node, &identity)?;
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -77,6 +77,12 @@
         if completion == Completion::Answered && has_succeeded {
             self.run.answered();
         }
+        match completion {
+            Completion::Answered | Completion::Overloaded | Completion::AtRateLimit => {
+                self.parent.parent().record_done();
+            }
+            Completion::Failed | Completion::TimedOut | Completion::Cancelled => {}
+        }
         self.passing.end(completion);
         self.permit.complete(completion);
     }
--- a/lib/src/request/serve/identify.rs
+++ b/lib/src/request/serve/identify.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::process::config::ActiveRules;
 use crate::process::node::Node;
 use crate::request::Reason;
@@ -32,21 +34,12 @@
     Caller,
     /// The local upstream, for a request that is in progress there.
     Upstream,
-    /// A caller that names its request like a call, or the local upstream for a request that an
-    /// earlier process of this daemon had.
-    Unknown,
-}
-
-impl SentBy {
-    /// Tells the sender of a request by whether it is named like a call, and for a request in
-    /// progress.
-    pub(super) fn new(is_call: bool, has_parent: bool) -> Self {
-        match (is_call, has_parent) {
-            (true, true) => Self::Upstream,
-            (true, false) => Self::Unknown,
-            (false, _) => Self::Caller,
-        }
-    }
+    /// A caller that names its request like a call, or the local upstream for a request that is
+    /// no longer in progress: one that an earlier process of this daemon had, or that this one
+    /// gave up at a time.
+    Unknown {
+        given_up_at: Option<Instant>,
+    },
 }
 
 /// Removes the key from a request of a caller and finds the customer that holds it.
@@ -93,10 +86,14 @@
 fn refuse_without_key(node: &Node, rules: &ActiveRules, sent_by: SentBy) -> Refusal {
     let missing = Refusal::not_run(Reason::KeyMissing);
     let is_first_start = node.settings.repeats.is_some_and(|repeats| repeats.first_start);
-    if sent_by != SentBy::Unknown || is_first_start {
-        return missing;
-    }
-    match rules.policy.longest_deadline().checked_sub(node.clock.now()) {
+    let ended_for = match sent_by {
+        SentBy::Unknown { given_up_at: Some(at) } => at.elapsed(),
+        SentBy::Unknown { given_up_at: None } if !is_first_start => node.clock.now(),
+        SentBy::Unknown { given_up_at: None } | SentBy::Caller | SentBy::Upstream => {
+            return missing;
+        }
+    };
+    match rules.policy.longest_deadline().checked_sub(ended_for) {
         Some(left) => Refusal::not_run(Reason::ParentUnknown).retry_after(left),
         None => missing,
     }
