--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -96,6 +96,10 @@
     };
     let PreparedRequest { token, call: mut request, is_call, identity } = prepared;
     tracker.describe(&request.inbound, &request.cx);
+    let parent = request.parent.clone();
+    if let Some(parent) = &parent {
+        parent.child_may_run();
+    }
     let result = match (await_turn(node, &mut request, is_call).await, token) {
         (Err(refusal), _) => Err(with_retry_after(&request, refusal)),
         // If the dialect names each attempt, a non-idempotent one needs no token.
@@ -110,10 +114,13 @@
         (Ok(()), None) if request.cx.non_idempotent => Err(refuse_with_token(node)),
         (Ok(()), None) => dispatch(node, request).await,
     };
-    if let (Err(refusal), Some(customer)) = (&result, &identity.customer)
-        && refusal.outcome == Outcome::NotRun
-    {
-        node.give_back_usage(&customer.name);
+    if result.as_ref().is_err_and(|refusal| refusal.outcome == Outcome::NotRun) {
+        if let Some(customer) = &identity.customer {
+            node.give_back_usage(&customer.name);
+        }
+        if let Some(parent) = &parent {
+            parent.child_did_not_run();
+        }
     }
     result
 }
@@ -157,13 +164,17 @@
     inbound.origin = Some(node.settings.daemon.service.clone());
     let rules = node.rules().ok_or(Refusal::not_run(Reason::NoConfiguration))?;
     let plan = inbound.plan(&rules.policy)?;
-    let parent = sender_info.name.as_ref().and_then(|name| node.dialect.parent_of(name));
-    let is_call = parent.is_some();
+    let parent_name = sender_info.name.as_ref().and_then(|name| node.dialect.parent_of(name));
+    let is_call = parent_name.is_some();
     refuse_caller_in_stop(node, is_call)?;
-    let parent = parent.and_then(|parent| node.parents.find_named(parent));
+    let parent = parent_name.and_then(|name| node.parents.find_named(name));
+    let sent_by = match (parent_name, &parent) {
+        (Some(_), Some(_)) => SentBy::Upstream,
+        (Some(name), None) => SentBy::Unknown { given_up_at: node.parents.given_up_at(name) },
+        (None, _) => SentBy::Caller,
+    };
     inbound.name = sender_info.name;
     tracker.describe_caller(&inbound);
-    let sent_by = SentBy::new(is_call, parent.is_some());
     let identity = identify(node, &rules, &plan, &mut inbound, sent_by)?;
     tracker.describe_caller(&inbound);
     check_cap(node, &identity)?;
