peers: control frames without end are delayed, then end the connection

Cause: h2 reads pings, settings, window updates and ignored frames as fast as they come.

Change: the stream under HTTP/2 between daemons, in both directions, finds the headers of frames in what is read. Heads, bytes written and time explain control frames; beyond 5,120 that nothing explains reads are delayed, and after 1 s of delays the connection ends with a log line. The decisions are in ControlLimit, a state machine that is given the time.

Ruled out: ending at once, which costs the requests in progress on a peer that was misjudged their outcome; delaying without end, behind which requests and a stop wait; a plain rate, which large bodies and resets exceed.

--- a/lib/benches/pieces.rs
+++ b/lib/benches/pieces.rs
@@ -6,6 +6,8 @@
 use criterion::Criterion;
 use criterion::criterion_group;
 use criterion::criterion_main;
+use endivescale::connection::control_frames::ControlLimit;
+use endivescale::connection::control_frames::FrameReader;
 use endivescale::process::Incarnation;
 use endivescale::process::admission::Admission;
 use endivescale::process::admission::AdmissionConfig;
@@ -101,12 +103,26 @@
     }
 }
 
+fn control_frames(c: &mut Criterion) {
+    const HEAD_LEN: u8 = 200;
+    let (mut reader, mut limit) = (FrameReader::new(0), ControlLimit::new());
+    let mut head = vec![0; 9 + usize::from(HEAD_LEN)];
+    head[..9].copy_from_slice(&[0, 0, HEAD_LEN, 1, 4, 0, 0, 0, 1]);
+    c.bench_function("control frames/head", |b| {
+        b.iter(|| {
+            let counts = reader.read(black_box(&head));
+            limit.record_written(head.len());
+            limit.record_read(counts, Duration::ZERO)
+        });
+    });
+}
+
 criterion_group! {
     name = pieces;
     config = Criterion::default()
         .warm_up_time(Duration::from_millis(300))
         .measurement_time(Duration::from_secs(1))
         .sample_size(20);
-    targets = admission, context, rules
+    targets = admission, context, rules, control_frames
 }
 criterion_main!(pieces);
--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -1,6 +1,7 @@
 //! Listeners, each with an accept loop and a graceful shutdown.
 
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +32,7 @@
 use super::limited::Input;
 use super::limited::LimitedStream;
 use super::limited::ReadLimit;
+use super::peer_stream::PeerStream;
 use super::peers::MAX_STREAMS;
 use super::peers::STREAM_WINDOW_BYTES;
 use super::pipeline;
@@ -190,7 +192,7 @@
             });
         }
         Protocol::Http2 => {
-            let io = TokioIo::new(stream);
+            let io = TokioIo::new(PeerStream::accepted(stream));
             let service = ServiceBuilder::new()
                 .map_request(|req: Request<Incoming>| req.map(body::relay))
                 .service(service);
@@ -210,10 +212,16 @@
     }
 }
 
-/// Calls `on_malformed` if a connection failed because its bytes could not be parsed. Any
-/// other error of a connection is returned to its requests.
+/// Calls `on_malformed` if a connection failed because its bytes could not be parsed, or were
+/// control frames without end. Any other error of a connection is returned to its requests.
 fn report_malformed(result: hyper::Result<()>, on_malformed: &OnMalformed) {
-    if result.is_err_and(|err| err.is_parse() || err.is_parse_too_large()) {
+    if result.is_err_and(|err| err.is_parse() || err.is_parse_too_large() || is_flood(&err)) {
         on_malformed();
     }
 }
+
+/// Whether reading failed because of the bytes read. `h2` keeps only the kind of an error.
+fn is_flood(err: &hyper::Error) -> bool {
+    let cause = std::error::Error::source(err).and_then(|cause| cause.downcast_ref());
+    cause.is_some_and(|cause: &io::Error| cause.kind() == io::ErrorKind::InvalidData)
+}
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -2,9 +2,11 @@
 //! connection pools for requests to peers and to the local upstream.
 
 pub mod body;
+pub mod control_frames;
 pub mod framing_limit;
 pub mod limited;
 pub mod listener;
+mod peer_stream;
 pub mod peers;
 pub mod pipeline;
 pub mod seal;
--- a/lib/src/connection/peers.rs
+++ b/lib/src/connection/peers.rs
@@ -22,6 +22,7 @@
 use tokio::sync::mpsc::unbounded_channel;
 
 use super::body::RelayBody;
+use super::peer_stream::PeerStream;
 use super::seal::Seal;
 use super::seal::SealCheck;
 use super::seal::check_response;
@@ -140,7 +141,7 @@
             .keep_alive_timeout(PING_TIMEOUT)
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(PeerStream::connected(stream)))
             .await
             .context(HandshakeSnafu)?;
         let closed_tx = self.closed_tx.clone();
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -14,6 +14,7 @@
 mod test_config;
 mod test_config_graph;
 mod test_context;
+mod test_control_frames;
 mod test_crash_fleet;
 mod test_crashes;
 mod test_customers;
