pipeline: a caller that reads slowly does not hold up what it has sent

While requests wait behind a response, the writer now reads its body on beside the write, up to 4 MiB and within the memory of pipelined answers (16 MiB together). A body that was read to its end can't break off, so they are passed on then. Without requests that wait, a slow reader holds one buffer as before. Ruled out: a task for each stream that reads ahead, which costs another hop for every part of every stream.

What stays: an answer of more than 4 MiB that breaks off loses what was passed on behind it; requests behind one wait while more than 4 MiB are left, or while their caller reads nothing at all.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -425,15 +425,15 @@
 /// counted.
 const RESERVATION_STEP_BYTES: usize = 64 * 1024;
 
-/// Limit on the memory that all buffered bodies together may hold.
-#[derive(Debug)]
+/// Limit on the memory that all buffered bodies together may hold. Clones share it.
+#[derive(Clone, Debug)]
 pub struct BodyMemory {
     steps: Arc<Semaphore>,
 }
 
 /// The start of a body that is being held.
 #[derive(Default)]
-struct HeldStart {
+pub(crate) struct HeldStart {
     parts: VecDeque<Bytes>,
     /// The part that is being filled.
     last: Option<(BytesMut, OwnedSemaphorePermit)>,
@@ -441,8 +441,23 @@
 }
 
 impl HeldStart {
+    /// Returns how many bytes are held.
+    pub(crate) fn len(&self) -> u64 {
+        self.len
+    }
+
+    /// Removes a part from the front.
+    pub(crate) fn pop(&mut self) -> Option<Bytes> {
+        if self.parts.is_empty() {
+            self.finish_part();
+        }
+        let part = self.parts.pop_front()?;
+        self.len -= part.len() as u64;
+        Some(part)
+    }
+
     /// Appends `data`; returns false if there was no room for all of it.
-    fn push(&mut self, mut data: Bytes, memory: &BodyMemory) -> bool {
+    pub(crate) fn push(&mut self, mut data: Bytes, memory: &BodyMemory) -> bool {
         self.len += data.len() as u64;
         while !data.is_empty() {
             let (mut part, reserved) = match self.last.take() {
@@ -500,6 +515,11 @@
         Self { steps: Arc::new(Semaphore::new(len / RESERVATION_STEP_BYTES)) }
     }
 
+    /// Whether another part of a body can be held.
+    pub(crate) fn has_room(&self) -> bool {
+        self.steps.available_permits() > 0
+    }
+
     /// Reads a body into memory, which stays reserved until the returned bytes are dropped.
     /// Fails if the body is longer than `limit` bytes or if no memory is left for it.
     pub(crate) async fn collect(
--- a/lib/src/connection/pipeline/mod.rs
+++ b/lib/src/connection/pipeline/mod.rs
@@ -7,6 +7,7 @@
 //! Heads and chunk sizes are parsed by `httparse`, as in `hyper`. See
 //! `docs/design/answers.md`.
 
+mod ahead;
 mod body;
 mod encode;
 mod error;
@@ -39,6 +40,7 @@
 pub use self::writer::CutReason;
 use self::writer::WriteError;
 use self::writer::WriterCx;
+use super::body::BodyMemory;
 use super::body::RelayBody;
 use super::listener::OnMalformed;
 
@@ -84,6 +86,8 @@
     pub on_malformed: OnMalformed,
     /// Called when a connection ends because a response to a caller broke off.
     pub on_cut: OnCut,
+    /// Memory for responses that are read ahead because requests behind them wait.
+    pub memory: BodyMemory,
     /// When cancelled, connections close once the requests already read are answered.
     pub stop: CancellationToken,
 }
@@ -122,6 +126,7 @@
         last_announced: &last_announced,
         order: &order,
         on_cut: &cx.on_cut,
+        memory: &cx.memory,
     };
     let written = tokio::select! {
         () = reading => return,
--- a/lib/src/connection/pipeline/order.rs
+++ b/lib/src/connection/pipeline/order.rs
@@ -28,6 +28,8 @@
     front: u64,
     /// Last request that was passed on.
     last_passed: Option<u64>,
+    /// Last request that had to wait.
+    last_waiting: Option<u64>,
     /// Requests whose responses may break off while they are written.
     streaming: Vec<u64>,
     /// Whether the connection ends, so that nothing more is passed on.
@@ -53,6 +55,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Whether a request behind the response at the front has had to wait.
+    pub(super) fn has_waiting(&self) -> bool {
+        let state = self.state.lock();
+        state.last_waiting > Some(state.front)
+    }
+
     /// Records that the connection ends.
     pub(super) fn close(&self) {
         self.state.lock().is_closed = true;
@@ -94,9 +102,11 @@
         let Place { order, number } = &*self.0;
         let mut state = order.state.lock();
         let may_pass = state.may_pass(*number, is_idempotent);
-        if may_pass {
-            state.last_passed = state.last_passed.max(Some(*number));
-        }
+        let last = match may_pass {
+            true => &mut state.last_passed,
+            false => &mut state.last_waiting,
+        };
+        *last = (*last).max(Some(*number));
         may_pass
     }
 
--- a/lib/src/connection/pipeline/writer.rs
+++ b/lib/src/connection/pipeline/writer.rs
@@ -8,7 +8,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 use snafu::ResultExt as _;
 use snafu::Snafu;
@@ -18,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::OnCut;
+use super::ahead::AheadBody;
 use super::encode;
 use super::encode::ResponseFraming;
 use super::error::ReadError;
@@ -25,6 +25,7 @@
 use super::requests::PendingResponse;
 use super::requests::QueuedResponse;
 use crate::connection::body;
+use crate::connection::body::BodyMemory;
 use crate::connection::body::RelayBody;
 use crate::connection::body::RelayError;
 
@@ -98,6 +99,8 @@
     pub(super) last_announced: &'a AtomicBool,
     pub(super) order: &'a Order,
     pub(super) on_cut: &'a OnCut,
+    /// Memory for responses that are read ahead.
+    pub(super) memory: &'a BodyMemory,
 }
 
 /// Writes responses up to the last one, after which the connection can be closed cleanly.
@@ -155,7 +158,7 @@
     cx: &WriterCx<'_>,
     pending: PendingResponse,
 ) -> Result<bool, WriteError> {
-    let WriterCx { closing, last_announced, order, on_cut } = *cx;
+    let WriterCx { closing, last_announced, order, on_cut, memory } = *cx;
     let PendingResponse { task, is_head_method, supports_chunked, in_progress } = pending;
     // The panic itself is logged where it happens.
     let rsp = task.await.unwrap_or_else(|_| unserved_response());
@@ -170,11 +173,12 @@
     // announces that the connection closes.
     let is_last = closing.is_cancelled() && rx.is_empty();
     last_announced.store(is_last, Ordering::Relaxed);
-    let (parts, mut body) = rsp.into_parts();
+    let (parts, body) = rsp.into_parts();
+    let mut body = AheadBody::new(body, memory);
     let mut buf = BytesMut::with_capacity(FLUSH_BYTES);
     encode::head(&mut buf, &parts, framing, is_last);
     let mut out = Output { io, buf, has_begun: false };
-    if let Err(err) = write_body(&mut out, framing, &mut body).await {
+    if let Err(err) = write_body(&mut out, framing, &mut body, order).await {
         let reason = err.cut_reason().filter(|_| !out.has_begun);
         let Some(reason) = reason else {
             // Before the body is dropped, upon which requests behind it could be passed on.
@@ -233,29 +237,42 @@
     }
 }
 
+/// Writes what is buffered. If requests wait behind the response, its body is read on meanwhile,
+/// so that they need not wait for a caller that reads slowly.
+async fn flush_ahead<W: AsyncWrite + Unpin>(
+    out: &mut Output<'_, W>,
+    body: &mut AheadBody<'_>,
+    order: &Order,
+) -> Result<(), WriteError> {
+    match order.has_waiting() {
+        true => body.read_while(out.flush()).await,
+        false => out.flush().await,
+    }
+}
+
 /// Writes the buffered head, then the body. A short response is written in one piece.
 async fn write_body<W: AsyncWrite + Unpin>(
     out: &mut Output<'_, W>,
     framing: ResponseFraming,
-    body: &mut RelayBody,
+    body: &mut AheadBody<'_>,
+    order: &Order,
 ) -> Result<(), WriteError> {
     let mut written = 0;
     loop {
-        let ready = body.frame().now_or_never();
-        let frame = match ready {
-            Some(frame) => frame,
+        let ready = body.next().now_or_never();
+        let data = match ready {
+            Some(data) => data,
             None => {
-                out.flush().await?;
-                body.frame().await
+                flush_ahead(out, body, order).await?;
+                body.next().await
             }
         };
-        let Some(frame) = frame else { break };
-        let frame = frame.context(AnswerSnafu)?;
-        let Some(data) = frame.data_ref() else { continue };
+        let Some(data) = data else { break };
+        let data = data.context(AnswerSnafu)?;
         written += data.len() as u64;
-        encode::data(&mut out.buf, framing, data);
+        encode::data(&mut out.buf, framing, &data);
         if out.buf.len() >= FLUSH_BYTES {
-            out.flush().await?;
+            flush_ahead(out, body, order).await?;
         }
     }
     if let ResponseFraming::Length(stated) = framing
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -240,7 +240,9 @@
         if self.node.settings.adapter.is_some() {
             let node = Arc::clone(&self.node);
             let limits = Arc::new(move || node.connection_limits());
-            let cx = ConnectionCx { limits, on_malformed, on_cut: self.log_cut_responses(), stop };
+            let on_cut = self.log_cut_responses();
+            let memory = self.node.pipelined_memory.clone();
+            let cx = ConnectionCx { limits, on_malformed, on_cut, memory, stop };
             self.callers.spawn(listener::serve_pipelined(listener, service, cx));
             return;
         }
--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use endivescale::connection::body;
+use endivescale::connection::body::BodyMemory;
 use endivescale::connection::body::RelayBody;
 use endivescale::connection::listener;
 use endivescale::connection::listener::Protocol;
@@ -28,6 +29,7 @@
         limits: Arc::new(|| ConnectionLimits::UNTIL_CONFIGURED),
         on_malformed: Arc::new(|| ()),
         on_cut: Arc::new(|_, _| ()),
+        memory: BodyMemory::new(0),
         stop,
     }
 }
