membership: an upstream that takes no upload is suspected

An instance whose upstream hangs and that gets only long uploads was never found: an upload that has not been sent whole at its deadline gave no observation, because its caller may have been slow.

Its sender now tells the two apart (connection/reported.rs): it had more of the body, and the instance took nothing of it for the second half of its time, having taken what buffers hold (256 KiB to 1 MiB). That counts as a timeout. Less is taken of an upload that waits for a slot, and more shows that the upstream reads. At most 128 KiB wait unsent in the owner's socket now, since a socket of 4 MB hides for seconds that an upstream reads. The body of a submission to the daemon's own instance is judged in the same way; there a slow caller passed for a timeout of the instance (by reading, no run).

Before: upstream_that_takes_no_upload_is_lost_by_the_deadline_of_the_third assertion failed: is_lost_by_uploads(hangs).await After: it passes, and so do upstream_that_reads_uploads_slowly_is_not_lost and long_uploads_that_do_not_arrive_in_time_do_not_lose_a_peer, which held before, and the rest of test_peers: two runs of it, three of all uploads. A lower bound of 128 KiB failed: many_uploads_without_end_do_not_lose_a_peer lost the peer in 3 of 7 runs, by uploads that wait for a slot.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -4,7 +4,6 @@
 use std::collections::VecDeque;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::OnceLock;
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
@@ -156,61 +155,6 @@
     fn on_end(&mut self, end: BodyEnd);
 }
 
-/// How a body ended whose reader is another task; unset until then.
-pub(crate) type BodyEndCell = Arc<OnceLock<BodyEnd>>;
-
-/// A body that tells another task how it ended.
-struct ReportedBody {
-    inner: RelayBody,
-    end: BodyEndCell,
-}
-
-/// Returns a body, and where its end is reported once it was read so far.
-pub(crate) fn reported(body: RelayBody) -> (RelayBody, BodyEndCell) {
-    let end = BodyEndCell::default();
-    let body = ReportedBody { inner: body, end: Arc::clone(&end) };
-    body.report_if_whole();
-    (body.boxed_unsync(), end)
-}
-
-impl ReportedBody {
-    fn report_if_whole(&self) {
-        if self.inner.is_end_stream() {
-            self.end.get_or_init(|| BodyEnd::Whole);
-        }
-    }
-}
-
-impl Body for ReportedBody {
-    type Data = Bytes;
-    type Error = RelayError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
-        let frame = ready!(Pin::new(&mut self.inner).poll_frame(cx));
-        match frame {
-            Some(Ok(_)) => self.report_if_whole(),
-            Some(Err(_)) => {
-                self.end.get_or_init(|| BodyEnd::Failed);
-            }
-            None => {
-                self.end.get_or_init(|| BodyEnd::Whole);
-            }
-        }
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
-
 /// Most bytes that a body may still deliver after its deadline: what the buffers of a
 /// connection may have received before it.
 const LATE_BYTES_MAX: usize = 128 * 1024;
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -7,6 +7,7 @@
 pub mod listener;
 pub mod peers;
 pub mod pipeline;
+pub(crate) mod reported;
 pub mod seal;
 mod sock_diag;
 pub mod strip;
--- a/lib/src/connection/peers.rs
+++ b/lib/src/connection/peers.rs
@@ -35,7 +35,7 @@
 /// Longest wait for the response to a ping before the connection is closed.
 const PING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Flow-control window of a stream: most bytes of one unread body that are buffered.
-pub(super) const STREAM_WINDOW_BYTES: u32 = 128 * 1024;
+pub(crate) const STREAM_WINDOW_BYTES: u32 = 128 * 1024;
 /// Flow-control window of a connection: most bytes of all unread responses of one peer that are
 /// buffered.
 const CONNECTION_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
--- a/lib/src/connection/tcp.rs
+++ b/lib/src/connection/tcp.rs
@@ -58,6 +58,22 @@
     Ok(stream)
 }
 
+/// Opens a connection like [`connect`] on which at most about `max_unsent_bytes` wait in the socket
+/// while the remote host takes none, so that its reading shows in the progress of the writer.
+///
+/// # Errors
+///
+/// The same as for [`connect`].
+pub(super) async fn connect_to_slow_reader(
+    address: SocketAddr,
+    max_unsent_bytes: u32,
+) -> Result<TcpStream, ConnectError> {
+    let stream = connect(address).await?;
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_notsent_lowat(max_unsent_bytes).context(FailedSnafu { address })?;
+    Ok(stream)
+}
+
 /// Sets the options with which a connection fails once the remote host has been unresponsive
 /// for some seconds, and disables Nagle's algorithm.
 ///
--- a/lib/src/connection/upstream.rs
+++ b/lib/src/connection/upstream.rs
@@ -81,6 +81,8 @@
 /// Longest unwanted response that is read to its end so that its connection can be reused,
 /// in bytes.
 const MAX_DISCARDED_BYTES: u64 = 4096;
+/// Most bytes of a request that wait in the socket while the upstream reads nothing.
+const MAX_UNSENT_BYTES: u32 = 128 * 1024;
 /// Longest head of a response that is accepted, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Number of interim responses to one request that are accepted.
@@ -190,7 +192,8 @@
     }
 
     async fn connect(&self) -> Result<Connection, UpstreamError> {
-        let stream = tcp::connect(self.address).await.context(ConnectSnafu)?;
+        let stream = tcp::connect_to_slow_reader(self.address, MAX_UNSENT_BYTES).await;
+        let stream = stream.context(ConnectSnafu)?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let limit = ReadLimit::new(Input::Responses);
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends one attempt of a request to one instance and records the result.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,8 +27,12 @@
 use crate::connection::body::RelayBody;
 use crate::connection::body::RelayError;
 use crate::connection::peers::PeerError;
+use crate::connection::peers::STREAM_WINDOW_BYTES;
 use crate::connection::pipeline::Streaming;
 use crate::connection::pipeline::Turn;
+use crate::connection::reported::BodyReport;
+use crate::connection::reported::Unread;
+use crate::connection::reported::reported;
 use crate::connection::strip::strip;
 use crate::process::InstanceId;
 use crate::process::admission::Level;
@@ -62,6 +67,11 @@
 /// Longest response that is held because requests behind it have been passed on, in bytes.
 const MAX_HELD_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
+/// How much of an upload is taken, in bytes, while its upstream reads nothing. Less fits into the
+/// window of its stream and one frame while it waits for a slot; more shows that the upstream has
+/// read.
+const HELD_BYTES: RangeInclusive<u64> = 2 * STREAM_WINDOW_BYTES as u64..=1024 * 1024;
+
 /// Marks a response as an error that the upstream itself has caused.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct UpstreamError;
@@ -136,18 +146,29 @@
     let asked_at = (!is_local && node.settings.customers.withdrawal.is_some()).then(boot_time);
     let wait_deadline = call.wait_deadline(node);
     let sent_at = node.clock.now();
+    let (body, report) = reported(body);
+    let timed_out = || timeout_failure(&report, now);
     let result = match is_local {
         true => {
             let is_detached = cx.non_idempotent;
             let serving = owner::serve(node, cx, &call.inbound, &vm.instance, body);
             // The owner ends other requests itself at their deadline.
             match is_detached {
-                true => timeout_at(wait_deadline, serving).await.map_err(|_| SendFailure::TimedOut),
+                true => timeout_at(wait_deadline, serving).await.map_err(|_| timed_out()),
                 false => Ok(serving.await),
             }
         }
         false => match build_peer_request(node, &cx, &call.inbound, &vm.instance, body) {
-            Ok(req) => send_to_peer(node, vm.peer, req, wait_deadline).await,
+            Ok(req) => match timeout_at(wait_deadline, send_to_peer(node, vm.peer, req)).await {
+                Ok(Ok(rsp)) => Ok(rsp),
+                Ok(Err(err)) => Err(match report.end() {
+                    Some(BodyEnd::Failed) => {
+                        SendFailure::Body(Refusal::unknown(Reason::PeerFailed))
+                    }
+                    _ => SendFailure::Peer(err),
+                }),
+                Err(_) => Err(timed_out()),
+            },
             Err(refusal) => Err(SendFailure::Malformed(refusal)),
         },
     };
@@ -253,9 +274,11 @@
 enum SendFailure {
     Malformed(Refusal),
     Peer(PeerError),
+    /// No response arrived in time, although the request was sent whole or the instance took
+    /// nothing of it for at least half of that time.
     TimedOut,
-    /// The body of the request broke off, or was not sent to its end in time. Neither is a
-    /// failure of the peer; one that reads no more is found by its connection.
+    /// The body of the request broke off, or was not sent to its end in time while it was read.
+    /// Neither is a failure of the instance.
     Body(Refusal),
 }
 
@@ -303,22 +326,22 @@
     node: &Node,
     peer: SocketAddr,
     req: Request<RelayBody>,
-    wait_deadline: Instant,
-) -> Result<Response<RelayBody>, SendFailure> {
+) -> Result<Response<RelayBody>, PeerError> {
     node.metrics.count(Counter::ForwardedToPeer);
-    let (parts, body) = req.into_parts();
-    let (body, body_end) = body::reported(body);
-    let req = Request::from_parts(parts, body);
-    match timeout_at(wait_deadline, node.peers.send(peer, req)).await {
-        Ok(Ok(rsp)) => Ok(rsp.map(body::relay)),
-        Ok(Err(err)) => Err(match body_end.get() {
-            Some(BodyEnd::Failed) => SendFailure::Body(Refusal::unknown(Reason::PeerFailed)),
-            _ => SendFailure::Peer(err),
-        }),
-        Err(_) => Err(match body_end.get() {
-            Some(BodyEnd::Whole) => SendFailure::TimedOut,
-            _ => SendFailure::Body(Refusal::unknown(Reason::DeadlineExceeded)),
-        }),
+    let rsp = node.peers.send(peer, req).await?;
+    Ok(rsp.map(body::relay))
+}
+
+/// Returns the failure of a request, sent at `sent_at`, that has no response at its deadline.
+fn timeout_failure(report: &BodyReport, sent_at: Instant) -> SendFailure {
+    let hangs = |unread: Unread| {
+        let is_held_only = HELD_BYTES.contains(&unread.read_bytes);
+        is_held_only && unread.since - sent_at < unread.since.elapsed()
+    };
+    match report.end() {
+        Some(BodyEnd::Whole) => SendFailure::TimedOut,
+        None if report.unread().is_some_and(hangs) => SendFailure::TimedOut,
+        _ => SendFailure::Body(Refusal::unknown(Reason::DeadlineExceeded)),
     }
 }
 
