admission: the first answer with a level does not close a root

A root kept the levels of a path only from the first answer that carried one, so that this answer alone decided: a request 20 ms later was refused, though another instance had answered without a level just before.

Since open answers of the second before were not kept, two answers could not be compared.

Change: open answers are kept, too, so that the most open level of two windows holds from the start, as it did after the first level. At a root whose answers are over 100 ms apart the open one lasts, as before; such roots let a request through after each such gap anyway.

Before: first_answer_with_a_level_does_not_close_a_root_that_had_an_open_one assertion failed: is_admitted(119, &mut levels) After: it passes, and the red test held 50 of 50 runs, one at a time, beside others' load; before 91 of 92.

No other test changed.

--- a/lib/src/process/admission/path_levels.rs
+++ b/lib/src/process/admission/path_levels.rs
@@ -77,10 +77,9 @@
                 path.current_max = path.current_max.max(level);
                 path.observed_at = now;
             }
-            None if level != Level::OPEN => {
+            None => {
                 self.paths.insert(key.clone(), PathState::new(now, level));
             }
-            None => {}
         }
     }
 
--- a/lib/tests/test_called_paths.rs
+++ b/lib/tests/test_called_paths.rs
@@ -60,6 +60,23 @@
     assert!(levels.check(ms(130), &1, Criticality::Normal, 1, left).is_ok());
 }
 
+/// The first level that a root heard excluded a request, although another instance had just
+/// answered with an open one.
+#[test]
+fn first_answer_with_a_level_does_not_close_a_root_that_had_an_open_one() {
+    let mut levels = PathLevels::default();
+    let is_admitted = |at, levels: &mut PathLevels<u8>| {
+        levels.check(ms(at), &1, Criticality::Deferrable, 1, None).is_ok()
+    };
+    levels.record_answer(ms(0), &1, Some(Level::OPEN));
+    levels.record_answer(ms(99), &1, Some(Level::CLOSED));
+    assert!(is_admitted(119, &mut levels));
+    for at in [150, 200, 255] {
+        levels.record_level(ms(at), &1, Level::CLOSED);
+    }
+    assert!(!is_admitted(260, &mut levels));
+}
+
 /// Requests let through must not bring back the load that the level keeps away.
 #[test]
 fn quiet_root_lets_one_request_through_until_it_is_answered() {
