attempt: an answer that breaks off at its deadline is not tried again

Cause: the owner ends an answer at its deadline, and so does the entry, at about the same time. If the owner's end came first, the entry took it for a failure of the peer (log: sent-elsewhere reason=peer-failed outcome=ran), went on to try the request again, and refused it as expired.

Change: an answer that breaks off once the request's deadline has passed is deadline-exceeded, whoever ended it.

--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -189,7 +189,8 @@
     strip(rsp.headers_mut(), node.dialect.answer_headers());
     let len = rsp.body().size_hint().exact();
     if len.is_some_and(|len| len <= owner::BUFFERING_THRESHOLD_BYTES) {
-        return buffer_response(rsp, call.response_end_deadline(node), outstanding).await;
+        let buffered = buffer_response(rsp, call.response_end_deadline(node), outstanding).await;
+        return buffered.map_err(|err| refuse_broken(&err, call.deadline));
     }
     let Some(turn) = &call.turn else {
         return Ok(
@@ -201,7 +202,10 @@
         return Ok(rsp.map(|body| GuardedBody::new(body, wait_deadline, guard).boxed_unsync()));
     }
     // Few responses are held, and requests that wait would have the size of all their futures.
-    Box::pin(hold_response(node, rsp, call.response_end_deadline(node), outstanding, turn)).await
+    let deadline = call.response_end_deadline(node);
+    Box::pin(hold_response(node, rsp, deadline, outstanding, turn))
+        .await
+        .map_err(|err| refuse_broken(&err, call.deadline))
 }
 
 /// Reads a long response to its end if there is room for it, because requests behind it would be
@@ -212,21 +216,25 @@
     deadline: Instant,
     outstanding: OutstandingCall,
     turn: &Turn,
-) -> Result<Response<RelayBody>, Refusal> {
+) -> Result<Response<RelayBody>, RelayError> {
     let (parts, body) = rsp.into_parts();
     let body = GuardedBody::new(body, deadline, outstanding).boxed_unsync();
-    let body = match node.pipelined_memory.hold(body, MAX_HELD_RESPONSE_BYTES).await {
-        Ok(Held::Whole(body)) => body,
-        Ok(Held::Begun(body)) => GuardedBody::new(body, deadline, turn.stream()).boxed_unsync(),
-        Err(err) => return Err(refuse_broken(&err)),
+    let body = match node.pipelined_memory.hold(body, MAX_HELD_RESPONSE_BYTES).await? {
+        Held::Whole(body) => body,
+        Held::Begun(body) => GuardedBody::new(body, deadline, turn.stream()).boxed_unsync(),
     };
     Ok(Response::from_parts(parts, body))
 }
 
 /// Returns the refusal of a request whose response broke off before any of it was passed on.
-fn refuse_broken(err: &RelayError) -> Refusal {
+///
+/// The owner ends a response at its deadline, too, and the end may arrive before this daemon ends
+/// the wait for it.
+fn refuse_broken(err: &RelayError, request_deadline: Instant) -> Refusal {
+    let is_late = Instant::now() >= request_deadline;
     Refusal::ran(match err {
         RelayError::DeadlineExceeded => Reason::DeadlineExceeded,
+        _ if is_late => Reason::DeadlineExceeded,
         _ => Reason::PeerFailed,
     })
 }
@@ -240,11 +248,11 @@
     rsp: Response<RelayBody>,
     deadline: Instant,
     outstanding: OutstandingCall,
-) -> Result<Response<RelayBody>, Refusal> {
+) -> Result<Response<RelayBody>, RelayError> {
     let (parts, body) = rsp.into_parts();
     let body = GuardedBody::new(body, deadline, outstanding).boxed_unsync();
     let limit = owner::BUFFERING_THRESHOLD_BYTES as usize;
-    let body = body::collect(body, limit).await.map_err(|err| refuse_broken(&err))?;
+    let body = body::collect(body, limit).await?;
     Ok(Response::from_parts(parts, body::full(body)))
 }
 
