pipeline: refused callers that send on in small pieces are read seldom

Cause: behind a refusal the reader discards what its caller goes on sending, up to 8 MiB as fast as it arrives. These callers send pieces of 26 bytes; each was read on its own, at the cost of a full read.

Change: a read that found little waits 10 ms before the next one, and all connections share 4,096 reads a second, beyond which each waits 100 ms. Full reads of one connection go on at once up to 8 MiB, as before, so a caller that looks for its refusal only behind its body still gets it (refusals_of_large_uploads_at_once_are_not_lost, 16 times 4 MiB).

--- a/lib/src/connection/pipeline/mod.rs
+++ b/lib/src/connection/pipeline/mod.rs
@@ -8,6 +8,7 @@
 //! `docs/design/answers.md`.
 
 mod body;
+mod discard;
 mod encode;
 mod error;
 mod framing;
@@ -32,6 +33,8 @@
 use tokio_util::sync::CancellationToken;
 use tower::Service;
 
+pub use self::discard::DiscardLimit;
+pub use self::discard::Discards;
 use self::order::Order;
 pub(crate) use self::order::Streaming;
 pub(crate) use self::order::Turn;
@@ -84,6 +87,8 @@
     pub on_malformed: OnMalformed,
     /// Called when a connection ends because a response to a caller broke off.
     pub on_cut: OnCut,
+    /// Bounds the input that connections discard.
+    pub discards: Discards,
     /// When cancelled, connections close once the requests already read are answered.
     pub stop: CancellationToken,
 }
@@ -131,12 +136,12 @@
         (cx.on_cut)(reason, rx.len());
     }
     if written.is_ok() && to_caller.shutdown().await.is_ok() {
-        linger(&mut from_caller).await;
+        linger(&mut from_caller, &cx.discards).await;
     }
 }
 
 /// Discards input until the caller closes its side of the connection, too.
-async fn linger(from_caller: &mut OwnedReadHalf) {
+async fn linger(from_caller: &mut OwnedReadHalf, discards: &Discards) {
     // A caller that continues to send is disconnected.
-    let _ = timeout(LINGER_TIMEOUT, reader::discard(from_caller)).await;
+    let _ = timeout(LINGER_TIMEOUT, discards.discard(from_caller)).await;
 }
--- a/lib/src/connection/pipeline/reader.rs
+++ b/lib/src/connection/pipeline/reader.rs
@@ -1,12 +1,10 @@
 //! Reads the bytes that a caller sends.
 
-use std::time::Duration;
-
 use bytes::BytesMut;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt as _;
-use tokio::time::sleep;
 
+use super::discard::Discards;
 use super::error::ReadError;
 use super::framing::Decoder;
 use super::framing::Step;
@@ -16,14 +14,6 @@
 /// Buffer space that is reserved for each read, in bytes.
 const READ_BYTES: usize = 8 * 1024;
 
-/// Longest read of input that is discarded, in bytes.
-const DISCARD_READ_BYTES: usize = 16 * 1024;
-/// Input that is discarded as fast as it arrives, in bytes: what the buffers of a connection may
-/// hold when its caller learns that it need not send more.
-const FAST_DISCARD_BYTES: usize = 8 * 1024 * 1024;
-/// Pause after each read of further input that is discarded.
-const DISCARD_PAUSE: Duration = Duration::from_millis(10);
-
 /// Why a request or body could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum ReadFailure {
@@ -80,9 +70,9 @@
     }
 
     /// Discards input until the caller closes the connection.
-    pub(super) async fn wait_closed(&mut self) {
+    pub(super) async fn wait_closed(&mut self, discards: &Discards) {
         self.buf = BytesMut::new();
-        discard(&mut self.io).await;
+        discards.discard(&mut self.io).await;
     }
 
     /// Reads more bytes into the buffer.
@@ -94,16 +84,3 @@
         }
     }
 }
-
-/// Discards input until its sender closes the connection, or it fails. A sender that goes on
-/// sending is slowed down.
-pub(super) async fn discard(io: &mut (impl AsyncRead + Unpin)) {
-    let mut buf = vec![0; DISCARD_READ_BYTES];
-    let mut discarded = 0;
-    while let Ok(len @ 1..) = io.read(&mut buf).await {
-        discarded += len;
-        if discarded > FAST_DISCARD_BYTES {
-            sleep(DISCARD_PAUSE).await;
-        }
-    }
-}
--- a/lib/src/connection/pipeline/requests.rs
+++ b/lib/src/connection/pipeline/requests.rs
@@ -170,9 +170,9 @@
 
     /// Closes the queue of responses, then waits until the caller closes the connection.
     async fn wait_closed(self) {
-        let Self { mut reader, tx, .. } = self;
+        let Self { mut reader, tx, cx, .. } = self;
         drop(tx);
-        reader.wait_closed().await;
+        reader.wait_closed(&cx.discards).await;
     }
 
     /// Reads one request and starts to serve it; returns whether to read more requests.
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -29,6 +29,7 @@
 use crate::connection::listener::OnMalformed;
 use crate::connection::listener::Protocol;
 use crate::connection::pipeline::ConnectionCx;
+use crate::connection::pipeline::Discards;
 use crate::connection::pipeline::OnCut;
 use crate::connection::strip::OnStripped;
 use crate::connection::strip::StripLayer;
@@ -240,7 +241,8 @@
         if self.node.settings.adapter.is_some() {
             let node = Arc::clone(&self.node);
             let limits = Arc::new(move || node.connection_limits());
-            let cx = ConnectionCx { limits, on_malformed, on_cut: self.log_cut_responses(), stop };
+            let (on_cut, discards) = (self.log_cut_responses(), Discards::new());
+            let cx = ConnectionCx { limits, on_malformed, on_cut, discards, stop };
             self.callers.spawn(listener::serve_pipelined(listener, service, cx));
             return;
         }
--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -10,6 +10,8 @@
 use endivescale::connection::listener::Protocol;
 use endivescale::connection::pipeline::ConnectionCx;
 use endivescale::connection::pipeline::ConnectionLimits;
+use endivescale::connection::pipeline::DiscardLimit;
+use endivescale::connection::pipeline::Discards;
 use http::Request;
 use http::Response;
 use tokio::io::AsyncReadExt as _;
@@ -28,6 +30,7 @@
         limits: Arc::new(|| ConnectionLimits::UNTIL_CONFIGURED),
         on_malformed: Arc::new(|| ()),
         on_cut: Arc::new(|_, _| ()),
+        discards: Discards::new(),
         stop,
     }
 }
@@ -104,3 +107,43 @@
     assert!(responses.starts_with("HTTP/1.1 502 "), "{responses}");
     assert!(responses.ends_with("answer"), "{responses}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals_of_large_uploads_at_once_are_not_lost() {
+    const UPLOAD_BYTES: usize = 4 * 1024 * 1024;
+    let listener = listener::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let limits = || ConnectionLimits { body_bytes: 1024, ..ConnectionLimits::UNTIL_CONFIGURED };
+    let cx = ConnectionCx { limits: Arc::new(limits), ..context(CancellationToken::new()) };
+    tokio::spawn(listener::serve_pipelined(listener, service_fn(answer), cx));
+    let uploads = (0..CALLERS).map(|_| async move {
+        let mut caller = TcpStream::connect(address).await.unwrap();
+        let head = format!("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n");
+        caller.write_all(head.as_bytes()).await.unwrap();
+        // These callers look for a response only after the body.
+        caller.write_all(&vec![b'a'; UPLOAD_BYTES]).await.unwrap();
+        let mut response = String::new();
+        timeout(CAP, caller.read_to_string(&mut response)).await.unwrap().unwrap();
+        assert!(response.starts_with("HTTP/1.1 413"), "{response:?}");
+    });
+    futures_util::future::join_all(uploads).await;
+}
+
+#[test]
+fn reads_of_many_connections_that_discard_are_bounded() {
+    const CONNECTIONS: usize = 500;
+    // Half of a processor at 20 microseconds a read.
+    const MAX_READS: u32 = 25_000;
+    for len in [26, 16 * 1024] {
+        let mut limit = DiscardLimit::new();
+        let mut connections = vec![(0_u32, Duration::ZERO); CONNECTIONS];
+        for now in (0..1_000).map(Duration::from_millis) {
+            for (reads, next) in connections.iter_mut().filter(|(_, next)| *next <= now) {
+                *reads += 1;
+                *next = now + limit.pause(len, *reads, now).unwrap_or_default();
+            }
+        }
+        let reads: u32 = connections.iter().map(|(reads, _)| reads).sum();
+        assert!(reads <= MAX_READS, "{reads} reads of {len} bytes in a second");
+    }
+}
