--- a/lib/src/connection/pipeline/mod.rs
+++ b/lib/src/connection/pipeline/mod.rs
@@ -9,6 +9,7 @@
 
 mod ahead;
 mod body;
+mod discard;
 mod encode;
 mod error;
 mod framing;
@@ -33,6 +34,8 @@
 use tokio_util::sync::CancellationToken;
 use tower::Service;
 
+pub use self::discard::DiscardLimit;
+pub use self::discard::Discards;
 use self::order::Order;
 pub(crate) use self::order::Streaming;
 pub(crate) use self::order::Turn;
@@ -88,6 +91,8 @@
     pub on_cut: OnCut,
     /// Memory for responses that are read ahead because requests behind them wait.
     pub memory: BodyMemory,
+    /// Bounds the input that connections discard.
+    pub discards: Discards,
     /// When cancelled, connections close once the requests already read are answered.
     pub stop: CancellationToken,
 }
@@ -136,12 +141,12 @@
         (cx.on_cut)(reason, rx.len());
     }
     if written.is_ok() && to_caller.shutdown().await.is_ok() {
-        linger(&mut from_caller).await;
+        linger(&mut from_caller, &cx.discards).await;
     }
 }
 
 /// Discards input until the caller closes its side of the connection, too.
-async fn linger(from_caller: &mut OwnedReadHalf) {
+async fn linger(from_caller: &mut OwnedReadHalf, discards: &Discards) {
     // A caller that continues to send is disconnected.
-    let _ = timeout(LINGER_TIMEOUT, reader::discard(from_caller)).await;
+    let _ = timeout(LINGER_TIMEOUT, discards.discard(from_caller)).await;
 }
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -29,6 +29,7 @@
 use crate::connection::listener::OnMalformed;
 use crate::connection::listener::Protocol;
 use crate::connection::pipeline::ConnectionCx;
+use crate::connection::pipeline::Discards;
 use crate::connection::pipeline::OnCut;
 use crate::connection::strip::OnStripped;
 use crate::connection::strip::StripLayer;
@@ -240,9 +241,9 @@
         if self.node.settings.adapter.is_some() {
             let node = Arc::clone(&self.node);
             let limits = Arc::new(move || node.connection_limits());
-            let on_cut = self.log_cut_responses();
+            let (on_cut, discards) = (self.log_cut_responses(), Discards::new());
             let memory = self.node.pipelined_memory.clone();
-            let cx = ConnectionCx { limits, on_malformed, on_cut, memory, stop };
+            let cx = ConnectionCx { limits, on_malformed, on_cut, memory, discards, stop };
             self.callers.spawn(listener::serve_pipelined(listener, service, cx));
             return;
         }
