request: an answer that is whole in memory does not break off at its deadline

The entry on the same VM wraps it in a body that fails at the deadline, though nobody is waited for any more.

Change: the owner marks a response whose body is whole in memory, and the entry of the same process puts no deadline on it.

--- a/lib/src/connection/body.rs
+++ b/lib/src/connection/body.rs
@@ -357,6 +357,10 @@
     }
 }
 
+/// Marks a response whose body is whole in memory, so that no deadline bounds the wait for it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WholeInMemory;
+
 /// A body that was read into memory as far as it fits.
 pub enum Held {
     /// The body has ended.
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -26,6 +26,7 @@
 use crate::connection::body::OnEnd;
 use crate::connection::body::RelayBody;
 use crate::connection::body::RelayError;
+use crate::connection::body::WholeInMemory;
 use crate::connection::peers::PeerError;
 use crate::connection::peers::STREAM_WINDOW_BYTES;
 use crate::connection::pipeline::Streaming;
@@ -213,6 +214,9 @@
         let buffered = buffer_response(rsp, call.response_end_deadline(node), outstanding).await;
         return buffered.map_err(|err| refuse_broken(&err, call.deadline));
     }
+    if rsp.extensions().get::<WholeInMemory>().is_some() {
+        return Ok(rsp);
+    }
     let Some(turn) = &call.turn else {
         return Ok(
             rsp.map(|body| GuardedBody::new(body, wait_deadline, outstanding).boxed_unsync())
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -31,6 +31,7 @@
 use crate::connection::body::Held;
 use crate::connection::body::OnEnd;
 use crate::connection::body::RelayBody;
+use crate::connection::body::WholeInMemory;
 use crate::connection::upstream::Lease;
 use crate::process::InstanceId;
 use crate::process::admission::Completion;
@@ -413,6 +414,7 @@
             if is_own_error {
                 parts.headers.insert(UPSTREAM_ERROR, HeaderValue::from_static("1"));
             }
+            parts.extensions.insert(WholeInMemory);
             body
         }
         Ok(Held::Begun(body)) => body,
