connection: the bodies get a folder, one kind a file

Moved, nothing else changed: bodies whose parts another task sends, that end at a deadline, whose start was read, that are held in memory, that report their reader.

--- a/lib/src/connection/reported.rs
+++ b/lib/src/connection/body/reported.rs
@@ -14,9 +14,9 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use super::body::BodyEnd;
-use super::body::RelayBody;
-use super::body::RelayError;
+use super::BodyEnd;
+use super::RelayBody;
+use super::RelayError;
 
 /// How far the reader of a body has come that is another task.
 #[derive(Debug, Default)]
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -9,7 +9,6 @@
 mod peer_stream;
 pub mod peers;
 pub mod pipeline;
-pub(crate) mod reported;
 pub mod seal;
 mod sock_diag;
 pub mod strip;
