soak: a pause ends although a stop waits for the process

A pause of the soak sends SIGCONT to the process that the fleet holds, and a stop takes the process out of the fleet while it waits for its end; a pause that began before went on until the kill.

What froze a process lets it go on now, whoever holds it then. Checks and bounds are as before.

Pauses that begin while a stop waits are still not played.

--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -87,6 +87,19 @@
     child: Child,
 }
 
+/// A process that is frozen.
+#[derive(Debug)]
+pub struct Frozen {
+    pid: Pid,
+}
+
+impl Drop for Frozen {
+    fn drop(&mut self) {
+        // A process that was killed meanwhile need not go on.
+        let _ = kill_process(self.pid, rustix::process::Signal::CONT);
+    }
+}
+
 /// A signal for a child process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Signal {
@@ -148,6 +161,12 @@
         sent.context(SignalSnafu { program: &self.name })
     }
 
+    /// Freezes the process until what this returns is dropped, also if somebody else owns it then.
+    pub fn freeze(&self) -> Result<Frozen, StandInError> {
+        self.signal(Signal::Stop)?;
+        Ok(Frozen { pid: Pid::from_child(&self.child) })
+    }
+
     /// Waits for the process to end by itself, for at most `cap`.
     pub async fn wait(&mut self, cap: Duration) -> Result<ExitStatus, StandInError> {
         let due = Instant::now() + cap;
