request: an answer that nobody reads does not hold its slot

A caller that reads nothing of a streamed answer held a slot and a connection of the instance as long as it liked: the deadline of a body is noticed only by who reads it, and the writer waited for the caller.

The entry drops what is left of a streamed answer 2 s after its deadline, by a timer.

--- a/lib/src/connection/body/mod.rs
+++ b/lib/src/connection/body/mod.rs
@@ -6,6 +6,7 @@
 mod held;
 mod parts;
 mod reported;
+mod unread;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -30,6 +31,7 @@
 pub(crate) use self::reported::BodyReport;
 pub(crate) use self::reported::Unread;
 pub(crate) use self::reported::reported;
+pub(crate) use self::unread::drop_at;
 
 /// Why a relayed body is incomplete.
 ///
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -68,6 +68,10 @@
 /// Longest response that is held because requests behind it have been passed on, in bytes.
 const MAX_HELD_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
+/// How long after its deadline the end of a response that has arrived is kept for a caller that does
+/// not read it.
+const UNREAD_GRACE: Duration = Duration::from_secs(2);
+
 /// How much of an upload is taken, in bytes, while its upstream reads nothing. Less fits into the
 /// window of its stream and one frame while it waits for a slot; more shows that the upstream has
 /// read.
@@ -218,13 +222,11 @@
         return Ok(rsp);
     }
     let Some(turn) = &call.turn else {
-        return Ok(
-            rsp.map(|body| GuardedBody::new(body, wait_deadline, outstanding).boxed_unsync())
-        );
+        return Ok(rsp.map(|body| stream(body, wait_deadline, outstanding)));
     };
     if let Some(streaming) = turn.try_stream() {
         let guard = StreamedCall { _outstanding: outstanding, streaming };
-        return Ok(rsp.map(|body| GuardedBody::new(body, wait_deadline, guard).boxed_unsync()));
+        return Ok(rsp.map(|body| stream(body, wait_deadline, guard)));
     }
     // Few responses are held, and requests that wait would have the size of all their futures.
     let deadline = call.response_end_deadline(node);
@@ -233,6 +235,12 @@
         .map_err(|err| refuse_broken(&err, call.deadline))
 }
 
+/// Relays a response while it arrives, until `deadline`.
+fn stream(body: RelayBody, deadline: Instant, guard: impl OnEnd) -> RelayBody {
+    let body = GuardedBody::new(body, deadline, guard).boxed_unsync();
+    body::drop_at(body, deadline + UNREAD_GRACE)
+}
+
 /// Reads a long response to its end if there is room for it, because requests behind it would be
 /// lost if it broke off. Otherwise nothing more is passed on behind it.
 async fn hold_response(
@@ -246,7 +254,7 @@
     let body = GuardedBody::new(body, deadline, outstanding).boxed_unsync();
     let body = match node.pipelined_memory.hold(body, MAX_HELD_RESPONSE_BYTES).await? {
         Held::Whole(body) => body,
-        Held::Begun(body) => GuardedBody::new(body, deadline, turn.stream()).boxed_unsync(),
+        Held::Begun(body) => stream(body, deadline, turn.stream()),
     };
     Ok(Response::from_parts(parts, body))
 }
