--- a/lib/src/connection/tcp.rs
+++ b/lib/src/connection/tcp.rs
@@ -64,7 +64,7 @@
 /// # Errors
 ///
 /// The same as for [`connect`].
-pub(super) async fn connect_to_slow_reader(
+pub(super) async fn connect_with_unsent_limit(
     address: SocketAddr,
     max_unsent_bytes: u32,
 ) -> Result<TcpStream, ConnectError> {
--- a/lib/src/connection/upstream.rs
+++ b/lib/src/connection/upstream.rs
@@ -192,7 +192,7 @@
     }
 
     async fn connect(&self) -> Result<Connection, UpstreamError> {
-        let stream = tcp::connect_to_slow_reader(self.address, MAX_UNSENT_BYTES).await;
+        let stream = tcp::connect_with_unsent_limit(self.address, MAX_UNSENT_BYTES).await;
         let stream = stream.context(ConnectSnafu)?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
