--- a/lib/src/process/membership/health_record.rs
+++ b/lib/src/process/membership/health_record.rs
@@ -21,7 +21,7 @@
 const RESTART_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Consecutive timeouts after which an instance is suspected.
 const TIMEOUTS_TO_SUSPECT: u32 = 3;
-/// Requests sent within this time of each other meet the same disturbance, so that their timeouts
+/// Requests sent within this time of each other meet the same failure, so that their timeouts
 /// count as one.
 const SAME_MOMENT: Duration = Duration::from_millis(10);
 /// Time for which a reported admission level is used.
