--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -190,6 +190,10 @@
         return 404, {}
 
 
+class Broken(bytes):
+    """The start of an answer that breaks off there, with its connection."""
+
+
 class Instance:
     """One application instance beside a daemon."""
 
@@ -253,6 +257,8 @@
                     return
                 writer.write(rsp)
                 await writer.drain()
+                if isinstance(rsp, Broken):
+                    return
         except (ConnectionError, OSError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -353,6 +359,53 @@
             writer.close()
 
 
+class Kept:
+    """A connection that a client keeps for several exchanges, each of requests sent together."""
+
+    def __init__(self, record, host, port):
+        self.record, self.host, self.port = record, host, port
+        self.reader = self.writer = None
+
+    async def exchange(self, requests, timeout):
+        """Sends requests without bodies together. Each is an entry that gets its status, a target
+        and headers. Requests that get no answer have the status of the connection's end."""
+        ending = "failed"
+        try:
+            if self.writer is None:
+                self.reader, self.writer = await asyncio.wait_for(
+                    asyncio.open_connection(self.host, self.port), 1.0)
+            for _, target, headers in requests:
+                lines = [f"GET {target} HTTP/1.1"] + [f"{key}: {value}" for key, value in headers]
+                self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+            ending = "closed"
+            await asyncio.wait_for(self.read(requests), timeout)
+        except asyncio.TimeoutError:
+            ending = "timeout"
+            self.close()
+        except (asyncio.IncompleteReadError, ConnectionError, OSError):
+            self.close()
+        for entry, *_ in requests:
+            if entry["status"] is None:
+                entry["status"] = ending
+                self.record.write("unanswered", request=entry["name"], ending=ending)
+
+    async def read(self, requests):
+        for entry, *_ in requests:
+            head = await read_head(self.reader)
+            if head is None:
+                raise ConnectionError
+            await read_body(self.reader, head[1])
+            entry["status"] = int(head[0].split(" ")[1])
+            self.record.write("answered", request=entry["name"], status=entry["status"])
+            if head[1].get("connection") == "close":
+                raise ConnectionError
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
+
+
 def render(template, fields):
     """Fills in the deploy file's template as DEPLOY.md tells, as far as this template needs it."""
     def lookup(name):
