review: a case that can't run exits with 2 and ends its processes

Cause: an exception in a case ended Python with 1, which stands for a broken rule, and a case that was ended at its time left its daemons running. Seen in a clone without a build (1 in each of the cases 6 to 8) and with SIGTERM after 8 s (four daemons left). The shared runner of the stand-ins now answers both; what the cases play and check is as before.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -586,9 +586,18 @@
 
 
 def run(main):
-    """Runs a case; ends without waiting for connections that are still open."""
+    """Runs a case and exits with its result, or with 2 if it couldn't run. Connections that are
+    still open are not waited for."""
     loop = asyncio.new_event_loop()
     loop.set_exception_handler(lambda loop, cx: None)
-    code = loop.run_until_complete(main())
+    task = loop.create_task(main())
+    # At the end of its time the case still ends the processes that it has started.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    try:
+        code = loop.run_until_complete(task)
+    except (Exception, asyncio.CancelledError) as err:
+        print(f"the case couldn't run: {err!r}")
+        code = 2
     sys.stdout.flush()
     os._exit(code)
