settings: the memory and descriptors of the VM, and a time for stalled bodies

Cause: no part of a daemon knew the size of its VM, so nothing could bound the sum of what its connections hold.

Nothing uses them yet. docs/design/client-resources.md accounts for what one client can make a daemon hold, and divides the VM.

--- a/lib/src/process/settings/mod.rs
+++ b/lib/src/process/settings/mod.rs
@@ -50,6 +50,8 @@
     pub idempotency: IdempotencySettings,
     /// Limits for single requests.
     pub limits: Limits,
+    /// Size of the VM, which bounds what clients can make the daemon hold.
+    pub resources: ResourceSettings,
     /// Service level objectives: how many requests of each criticality may fail.
     pub objectives: Objectives,
     /// Bound on the repeats that reach the upstreams of the service; `None` for no
@@ -229,6 +231,18 @@
     /// Longest deadline of a request; longer ones are shortened to it.
     #[serde_as(as = "DurationText")]
     pub max_deadline: Duration,
+    /// Longest time for which 64 KiB of a body may be on their way from or to a caller.
+    #[serde_as(as = "DurationText")]
+    pub stall_timeout: Duration,
+}
+
+/// Memory and descriptors that the daemon may use; see `docs/design/client-resources.md`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct ResourceSettings {
+    /// Memory of the VM for this process, in units of 10^6 bytes.
+    pub memory_mb: u64,
+    /// Descriptors that this process may have open.
+    pub descriptors: u32,
 }
 
 impl Settings {
--- a/lib/src/process/settings/reader.rs
+++ b/lib/src/process/settings/reader.rs
@@ -20,6 +20,7 @@
 use super::MetricsSettings;
 use super::Platform;
 use super::RepeatSettings;
+use super::ResourceSettings;
 use super::Settings;
 use super::Stop;
 use super::Upstream;
@@ -36,7 +37,7 @@
 
 /// All sections, as listed in the report of an unknown one.
 const SECTIONS: &str = "daemon, listen, upstream, platform, stop, metrics, log, admission, \
-                        idempotency, limits, objectives, repeats, customers, adapter";
+                        idempotency, limits, resources, objectives, repeats, customers, adapter";
 
 /// Description of a valid name, for problem reports.
 const EXPECTED_NAME: &str = "a name of letters, digits, '-', '_' and '.'";
@@ -50,6 +51,13 @@
 /// first, so that this one need only be high enough.
 const DEFAULT_ADAPTER_CONNECTIONS: u32 = 4_096;
 
+/// Default of `limits.stall_timeout`: longer than any deadline of the deployments.
+const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Default of `resources.memory_mb`: the smallest VM of the deployments.
+const DEFAULT_MEMORY_MB: u64 = 160;
+/// Default of `resources.descriptors`, as for [`DEFAULT_MEMORY_MB`].
+const DEFAULT_DESCRIPTORS: u32 = 4_096;
+
 /// Placeholder for a missing or invalid address.
 const PLACEHOLDER_ADDRESS: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
@@ -70,6 +78,7 @@
         admission: admission(Section::take(&mut file, "admission", &mut problems)),
         idempotency: idempotency(Section::take(&mut file, "idempotency", &mut problems)),
         limits: limits(Section::take(&mut file, "limits", &mut problems)),
+        resources: resources(Section::take(&mut file, "resources", &mut problems)),
         objectives: objectives(Section::take(&mut file, "objectives", &mut problems)),
         repeats: file
             .contains_key("repeats")
@@ -198,11 +207,21 @@
     let limits = Limits {
         head_bytes: section.number_or_default("head_bytes", KIB..=MIB, 64 * KIB),
         max_deadline: section.duration("max_deadline", SECOND..=24 * HOUR, HOUR),
+        stall_timeout: section.duration("stall_timeout", SECOND..=HOUR, DEFAULT_STALL_TIMEOUT),
     };
     section.finish();
     limits
 }
 
+fn resources(mut section: Section<'_>) -> ResourceSettings {
+    let resources = ResourceSettings {
+        memory_mb: section.number_or_default("memory_mb", 64..=1_048_576, DEFAULT_MEMORY_MB),
+        descriptors: section.number_or_default("descriptors", 300..=1_048_576, DEFAULT_DESCRIPTORS),
+    };
+    section.finish();
+    resources
+}
+
 /// Reads the allowed failures per 10,000 requests.
 fn objectives(mut section: Section<'_>) -> Objectives {
     let defaults = Objectives::default();
