connection: what all callers hold is bounded by the memory of the VM

What callers saw: a process ended, since it ran out of memory; and nobody else could connect once a crowd had taken all descriptors.

Cause: each connection was bounded (32 requests, 64 KiB a body, one head), but not the sum over connections, and the number of connections had no bound. While 32 requests were in progress a connection was not read, so that its end was not noticed and the work for callers that were gone went on.

Change: process/resources keeps an account of each connection. It reserves what it may add before each read; a response is read from its owner once there is room. While clients hold more than half of their share, connections with a request in progress are not read. If there is no room, the connection that holds most ends, of the address that holds most. A connection beyond the number ends the longest idle one. Sockets have buffers of a fixed size, which count while they may be full. A connection that is not read is looked at every 0.25 s.

Why this works: what is reserved before it is read cannot overrun, and an ordinary caller with one request is never the one that holds most.

--- a/cli/tests/fake_daemon.rs
+++ b/cli/tests/fake_daemon.rs
@@ -141,6 +141,7 @@
                 },
             }],
             customers: None,
+            clients: None,
             banned: match self.instance == LIMITED_INSTANCE {
                 true => vec![BannedContent {
                     content: "5d41402abc4b2a76".to_owned(),
--- a/lib/src/connection/body/mod.rs
+++ b/lib/src/connection/body/mod.rs
@@ -2,6 +2,7 @@
 //! instead of the whole body.
 
 mod begun;
+mod charged;
 mod guarded;
 mod held;
 mod parts;
@@ -19,6 +20,7 @@
 
 pub(crate) use self::begun::BodyStart;
 pub(crate) use self::begun::read_start;
+pub(crate) use self::charged::charged;
 pub use self::guarded::BodyEnd;
 pub(crate) use self::guarded::GuardedBody;
 pub use self::guarded::OnEnd;
--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -39,6 +39,7 @@
 use super::pipeline::ConnectionCx;
 use super::seal::Sealed;
 use super::tcp;
+use crate::process::resources::Clients;
 
 /// Longest time that a client may take to send the head of an HTTP/1.1 request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -95,7 +96,7 @@
     S::Future: Send,
 {
     let graceful = GracefulShutdown::new();
-    let spawn = |stream| {
+    let spawn = |stream, _| {
         spawn_connection(stream, protocol, service.clone(), &graceful, on_malformed.clone());
     };
     loop {
@@ -104,7 +105,7 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => spawn(stream),
+            Ok((stream, remote)) => spawn(stream, remote),
             Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
         }
     }
@@ -121,17 +122,21 @@
     S: Clone + Send + Sync + 'static,
     S::Future: Send,
 {
+    if let Err(err) = pipeline::prepare(&listener) {
+        spdlog::warn!("event=buffers-unlimited error={err}");
+    }
     let connections = TaskTracker::new();
-    let spawn = |stream| {
-        connections.spawn(pipeline::serve(stream, service.clone(), cx.clone()));
+    let spawn = |stream, remote: SocketAddr| {
+        let client = cx.clients.open(remote.ip());
+        connections.spawn(pipeline::serve(stream, service.clone(), cx.clone(), client));
     };
     loop {
         let accepted = tokio::select! {
             () = cx.stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
+            accepted = accept(&listener, &cx.clients) => accepted,
         };
         match accepted {
-            Ok((stream, _)) => spawn(stream),
+            Ok((stream, remote)) => spawn(stream, remote),
             Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
         }
     }
@@ -141,12 +146,18 @@
     connections.wait().await;
 }
 
+/// Accepts a connection once those that were ended for earlier ones are closed.
+async fn accept(listener: &TcpListener, clients: &Clients) -> io::Result<(TcpStream, SocketAddr)> {
+    clients.wait_acceptable().await;
+    listener.accept().await
+}
+
 /// Accepts the connections that wait for it. Their requests may have been sent already, and
 /// closing the listener would reset them.
-async fn accept_waiting(listener: &TcpListener, spawn: impl Fn(TcpStream)) {
+async fn accept_waiting(listener: &TcpListener, spawn: impl Fn(TcpStream, SocketAddr)) {
     let end = Instant::now() + LAST_ACCEPT_TIME;
-    while let Ok(Ok((stream, _))) = timeout_at(end, listener.accept()).await {
-        spawn(stream);
+    while let Ok(Ok((stream, remote))) = timeout_at(end, listener.accept()).await {
+        spawn(stream, remote);
     }
 }
 
--- a/lib/src/connection/pipeline/body.rs
+++ b/lib/src/connection/pipeline/body.rs
@@ -34,11 +34,13 @@
 
 /// Reads a short body to its end, or the beginning of a long one.
 pub(super) async fn read_beginning<R: AsyncRead + Unpin>(
-    reader: &mut Reader<R>,
+    reader: &mut Reader<'_, R>,
     mut decoder: Decoder,
 ) -> Result<IncomingBody, ReadFailure> {
     let mut buf = BytesMut::new();
     loop {
+        // The buffer may grow to twice of what it holds.
+        reader.keep(2 * buf.len()).await?;
         match reader.read_body(&mut decoder).await? {
             Step::End if buf.is_empty() => return Ok(IncomingBody::Complete(body::empty())),
             Step::End => return Ok(IncomingBody::Complete(body::full(buf.freeze()))),
@@ -58,22 +60,22 @@
     /// the remainder is read and discarded.
     pub(super) async fn relay<R: AsyncRead + Unpin>(
         mut self,
-        reader: &mut Reader<R>,
+        reader: &mut Reader<'_, R>,
         max_bytes: u64,
     ) -> Result<(), ReadFailure> {
+        let pauses = reader.pauses();
         let mut has_consumer = true;
         loop {
             match reader.read_body(&mut self.decoder).await? {
                 Step::End => {
-                    self.tx.finish().await;
-                    return Ok(());
+                    return pauses.run(self.tx.finish()).await;
                 }
                 Step::Data(data) => {
                     self.read_bytes += data.len() as u64;
                     if self.read_bytes > max_bytes {
                         return Err(ReadError::BodyTooLong.into());
                     }
-                    has_consumer = has_consumer && self.tx.send(data).await;
+                    has_consumer = has_consumer && pauses.run(self.tx.send(data)).await?;
                 }
                 Step::NeedInput => {}
             }
--- a/lib/src/connection/pipeline/head.rs
+++ b/lib/src/connection/pipeline/head.rs
@@ -20,6 +20,8 @@
 #[derive(Debug)]
 pub(super) struct Head {
     pub(super) parts: Parts,
+    /// Length of the head as it was sent, in bytes.
+    pub(super) len: usize,
     /// Whether the connection is to be closed after the response.
     pub(super) close_after: bool,
     /// Whether the caller waits for a `100 Continue` response before it sends the body.
@@ -50,6 +52,7 @@
         close_after: is_http_10 || has_token(&parts, &header::CONNECTION, "close"),
         expects_continue: has_token(&parts, &header::EXPECT, "100-continue"),
         parts,
+        len,
     }))
 }
 
--- a/lib/src/connection/pipeline/mod.rs
+++ b/lib/src/connection/pipeline/mod.rs
@@ -15,8 +15,10 @@
 mod framing;
 mod head;
 mod order;
+mod pause;
 mod reader;
 mod requests;
+mod stream;
 mod writer;
 
 use std::convert::Infallible;
@@ -27,8 +29,8 @@
 use http::Request;
 use http::Response;
 use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
@@ -39,13 +41,17 @@
 use self::order::Order;
 pub(crate) use self::order::Streaming;
 pub(crate) use self::order::Turn;
+use self::pause::Pauses;
 use self::requests::RequestLoop;
+use self::stream::ReadHalf;
 pub use self::writer::CutReason;
 use self::writer::WriteError;
 use self::writer::WriterCx;
 use super::body::BodyMemory;
 use super::body::RelayBody;
 use super::listener::OnMalformed;
+use crate::process::resources::ClientConnection;
+use crate::process::resources::Clients;
 
 /// Most pipelined requests of one connection that are served concurrently.
 const MAX_PIPELINED: usize = 32;
@@ -93,35 +99,42 @@
     pub memory: BodyMemory,
     /// Bounds the input that connections discard.
     pub discards: Discards,
+    /// What all connections hold.
+    pub clients: Arc<Clients>,
     /// When cancelled, connections close once the requests already read are answered.
     pub stop: CancellationToken,
 }
 
-/// Serves the requests of one connection until either side closes it.
+/// Prepares a listener for connections that are served here.
+pub(super) fn prepare(listener: &TcpListener) -> std::io::Result<()> {
+    stream::limit_buffers(listener)
+}
+
+/// Serves the requests of one connection until either side closes it, or it has to end because
+/// clients hold too much.
 ///
-/// The requests in progress are dropped if the caller closes the connection.
-pub(super) async fn serve<S>(stream: TcpStream, service: S, cx: ConnectionCx)
-where
+/// The requests in progress are dropped if the connection ends.
+pub(super) async fn serve<S>(
+    stream: TcpStream,
+    service: S,
+    cx: ConnectionCx,
+    client: ClientConnection,
+) where
     S: Service<Request<RelayBody>, Response = Response<RelayBody>, Error = Infallible>,
     S: Clone + Send + Sync + 'static,
     S::Future: Send,
 {
     // Without TCP_NODELAY the connection works, but with a higher latency.
     let _ = stream.set_nodelay(true);
-    let (mut from_caller, mut to_caller) = stream.into_split();
+    let (mut from_caller, mut to_caller) = stream::split(stream);
+    let watched = from_caller.clone();
+    let pauses = Pauses { stream: &watched, account: &client };
     let (tx, mut rx) = mpsc::channel(MAX_PIPELINED);
     let closing = cx.stop.child_token();
     let last_announced = AtomicBool::new(false);
     let order = Arc::<Order>::default();
-    let requests = RequestLoop::new(
-        &mut from_caller,
-        service,
-        &cx,
-        closing.clone(),
-        &last_announced,
-        &order,
-        tx,
-    );
+    let requests =
+        RequestLoop::new(pauses, service, &cx, closing.clone(), &last_announced, &order, tx);
     let reading = async {
         requests.run().await;
         order.close();
@@ -132,9 +145,16 @@
         order: &order,
         on_cut: &cx.on_cut,
         memory: &cx.memory,
+        account: &client,
     };
     let written = tokio::select! {
         () = reading => return,
+        holds_more = client.wait_cut() => {
+            if holds_more {
+                watched.drop_unsent();
+            }
+            return;
+        }
         written = writer::run(&mut to_caller, &mut rx, &writer_cx) => written,
     };
     if let Some(reason) = written.as_ref().err().and_then(WriteError::cut_reason) {
@@ -146,7 +166,7 @@
 }
 
 /// Discards input until the caller closes its side of the connection, too.
-async fn linger(from_caller: &mut OwnedReadHalf, discards: &Discards) {
+async fn linger(from_caller: &mut ReadHalf, discards: &Discards) {
     // A caller that continues to send is disconnected.
     let _ = timeout(LINGER_TIMEOUT, discards.discard(from_caller)).await;
 }
--- a/lib/src/connection/pipeline/reader.rs
+++ b/lib/src/connection/pipeline/reader.rs
@@ -10,6 +10,9 @@
 use super::framing::Step;
 use super::head;
 use super::head::Head;
+use super::pause::Pauses;
+use crate::process::resources::Charge;
+use crate::process::resources::Held;
 
 /// Buffer space that is reserved for each read, in bytes.
 const READ_BYTES: usize = 8 * 1024;
@@ -29,16 +32,69 @@
     }
 }
 
+/// Step in which room for input is reserved, in bytes.
+const INPUT_STEP_BYTES: usize = 16 * 1024;
+
 /// Reads the heads and bodies of requests from a connection.
-#[derive(Debug)]
-pub(super) struct Reader<R> {
+pub(super) struct Reader<'a, R> {
     io: R,
     buf: BytesMut,
+    pauses: Pauses<'a>,
+    /// What is charged for input beyond one read, which is a part of the connection.
+    input: Option<Charge>,
+    /// Bytes of a body that its reader keeps.
+    kept: usize,
 }
 
-impl<R: AsyncRead + Unpin> Reader<R> {
-    pub(super) fn new(io: R) -> Self {
-        Self { io, buf: BytesMut::new() }
+impl<'a, R: AsyncRead + Unpin> Reader<'a, R> {
+    pub(super) fn new(io: R, pauses: Pauses<'a>) -> Self {
+        Self { io, buf: BytesMut::new(), pauses, input: None, kept: 0 }
+    }
+
+    /// Returns what the connection waits with.
+    pub(super) fn pauses(&self) -> Pauses<'a> {
+        self.pauses
+    }
+
+    /// Reserves room for `len` bytes of a body that is kept until it is complete.
+    pub(super) async fn keep(&mut self, len: usize) -> Result<(), ReadFailure> {
+        self.kept = len;
+        self.reserve_input().await
+    }
+
+    /// Releases the room of a request that was read.
+    pub(super) fn end_request(&mut self) {
+        self.kept = 0;
+        if self.buf.is_empty() {
+            self.buf = BytesMut::new();
+        }
+        let len = self.input_len();
+        match &mut self.input {
+            Some(input) if len > 0 => input.shrink(len),
+            _ => self.input = None,
+        }
+    }
+
+    /// Returns how many bytes of input are charged.
+    fn input_len(&self) -> usize {
+        // A buffer may grow to twice of what it holds.
+        self.kept + 2 * self.buf.len()
+    }
+
+    async fn reserve_input(&mut self) -> Result<(), ReadFailure> {
+        let reserved = self.input.as_ref().map_or(0, Charge::bytes);
+        let missing = self.input_len().saturating_sub(reserved);
+        if missing == 0 {
+            return Ok(());
+        }
+        let missing = missing.next_multiple_of(INPUT_STEP_BYTES);
+        let Pauses { account, .. } = self.pauses;
+        let more = self.pauses.run(account.reserve(Held::Input, missing)).await?;
+        match &mut self.input {
+            Some(input) => input.merge(more),
+            None => self.input = Some(more),
+        }
+        Ok(())
     }
 
     /// Waits until the first byte of a request has arrived.
@@ -72,11 +128,13 @@
     /// Discards input until the caller closes the connection.
     pub(super) async fn wait_closed(&mut self, discards: &Discards) {
         self.buf = BytesMut::new();
+        self.input = None;
         discards.discard(&mut self.io).await;
     }
 
     /// Reads more bytes into the buffer.
     async fn fill(&mut self) -> Result<(), ReadFailure> {
+        self.reserve_input().await?;
         self.buf.reserve(READ_BYTES);
         match self.io.read_buf(&mut self.buf).await {
             Ok(1..) => Ok(()),
--- a/lib/src/connection/pipeline/requests.rs
+++ b/lib/src/connection/pipeline/requests.rs
@@ -10,8 +10,9 @@
 use http::Method;
 use http::Request;
 use http::Response;
+use hyper::body::Body as _;
 use parking_lot::Mutex;
-use tokio::io::AsyncRead;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -32,13 +33,28 @@
 use super::head::Head;
 use super::order::Order;
 use super::order::Turn;
+use super::pause::Pauses;
 use super::reader::ReadFailure;
 use super::reader::Reader;
+use super::stream::ReadHalf;
+use super::stream::SOCKET_BUFFER_BYTES;
 use crate::connection::body::RelayBody;
+use crate::connection::peers::STREAM_WINDOW_BYTES;
+use crate::process::resources::Account;
+use crate::process::resources::Charge;
+use crate::process::resources::Held;
+use crate::process::resources::RequestGuard;
 
 /// Factor by which an idle connection stays open longer than callers are told, so that it is
 /// not closed while a request is in transit.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.25;
+/// Memory that a request in progress takes beside its head and body, in bytes: its task, its place
+/// in queues, and its stream to another daemon.
+const REQUEST_BYTES: usize = 24 * 1024;
+/// Copies of the head of a request in progress: decoded, as it is sent on, and in buffers.
+const HEAD_COPIES: usize = 4;
+/// Memory that the part of a long body takes which is on its way, in bytes.
+const STREAMED_BODY_BYTES: usize = STREAM_WINDOW_BYTES as usize + SOCKET_BUFFER_BYTES;
 /// Time for which a connection that is told to close still takes a request.
 const ARRIVAL_TIME: Duration = Duration::from_millis(50);
 
@@ -60,21 +76,30 @@
     /// Whether the caller supports the chunked transfer coding.
     pub(super) supports_chunked: bool,
     pub(super) in_progress: InProgressGuard,
+    /// What is charged for the request until its response has been written.
+    pub(super) _charge: Charge,
 }
 
 /// Counts a request as in progress until its response has been written.
-pub(super) struct InProgressGuard(Arc<Activity>);
+pub(super) struct InProgressGuard {
+    activity: Arc<Activity>,
+    _request: RequestGuard,
+}
 
 impl Drop for InProgressGuard {
     fn drop(&mut self) {
-        self.0.record_end();
-        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+        self.activity.record_end();
+        if self.activity.in_progress.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.activity.idle.notify_one();
+        }
     }
 }
 
 /// Requests in progress on a connection, and how long it has been idle.
 struct Activity {
     in_progress: AtomicUsize,
+    /// Wakes the reader when no request is in progress any more.
+    idle: Notify,
     /// When the last response had been written or the last request read to its end, whichever
     /// was later; the start of the connection before the first request.
     last_end: Mutex<Instant>,
@@ -82,30 +107,48 @@
 
 impl Activity {
     fn new() -> Self {
-        Self { in_progress: AtomicUsize::new(0), last_end: Mutex::new(Instant::now()) }
+        let (in_progress, last_end) = (AtomicUsize::new(0), Mutex::new(Instant::now()));
+        Self { in_progress, idle: Notify::new(), last_end }
     }
 
     fn record_end(&self) {
         *self.last_end.lock() = Instant::now();
     }
 
-    fn begin(self: &Arc<Self>) -> InProgressGuard {
+    fn begin(self: &Arc<Self>, account: &Account) -> InProgressGuard {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
-        InProgressGuard(Arc::clone(self))
+        InProgressGuard { activity: Arc::clone(self), _request: account.begin_request() }
+    }
+
+    /// Returns when the last response had been written or the last request read to its end.
+    fn last_end(&self) -> Instant {
+        *self.last_end.lock()
+    }
+
+    fn is_idle(&self) -> bool {
+        self.in_progress.load(Ordering::Relaxed) == 0
+    }
+
+    /// Waits until no request is in progress.
+    async fn wait_idle(&self) {
+        while !self.is_idle() {
+            self.idle.notified().await;
+        }
     }
 
     /// Returns since when no request is in progress; now if one is.
     fn idle_since(&self) -> Instant {
         match self.in_progress.load(Ordering::Relaxed) {
-            0 => *self.last_end.lock(),
+            0 => self.last_end(),
             _ => Instant::now(),
         }
     }
 }
 
 /// Reads the requests of one connection and starts to serve them.
-pub(super) struct RequestLoop<'a, R, S> {
-    reader: Reader<R>,
+pub(super) struct RequestLoop<'a, S> {
+    reader: Reader<'a, ReadHalf>,
+    pauses: Pauses<'a>,
     service: S,
     cx: &'a ConnectionCx,
     /// Cancelled when no more requests are read because the connection is to be closed.
@@ -119,15 +162,14 @@
     activity: Arc<Activity>,
 }
 
-impl<'a, R, S> RequestLoop<'a, R, S>
+impl<'a, S> RequestLoop<'a, S>
 where
-    R: AsyncRead + Unpin,
     S: Service<Request<RelayBody>, Response = Response<RelayBody>, Error = Infallible>,
     S: Clone + Send + Sync + 'static,
     S::Future: Send,
 {
     pub(super) fn new(
-        io: R,
+        pauses: Pauses<'a>,
         service: S,
         cx: &'a ConnectionCx,
         closing: CancellationToken,
@@ -136,7 +178,8 @@
         tx: mpsc::Sender<QueuedResponse>,
     ) -> Self {
         Self {
-            reader: Reader::new(io),
+            reader: Reader::new(pauses.stream.clone(), pauses),
+            pauses,
             service,
             cx,
             closing,
@@ -157,9 +200,7 @@
                 Ok(false) => return self.wait_closed().await,
                 Err(ReadFailure::Closed) => return,
                 Err(ReadFailure::Rejected(err)) => {
-                    if err.is_callers_fault() {
-                        (self.cx.on_malformed)();
-                    }
+                    self.report(err);
                     // The send fails only if the writer has ended, which closes the connection.
                     let _ = self.tx.send(QueuedResponse::Rejection(err)).await;
                     return self.wait_closed().await;
@@ -168,6 +209,25 @@
         }
     }
 
+    fn report(&self, err: ReadError) {
+        match err {
+            err if err.is_callers_fault() => (self.cx.on_malformed)(),
+            _ => {}
+        }
+    }
+
+    /// Waits until the connection may be read although requests are in progress on it.
+    async fn wait_read_ahead(&self) {
+        if self.activity.is_idle() {
+            return;
+        }
+        tokio::select! {
+            biased;
+            () = self.pauses.account.wait_read_ahead() => {}
+            () = self.activity.wait_idle() => {}
+        }
+    }
+
     /// Closes the queue of responses, then waits until the caller closes the connection.
     async fn wait_closed(self) {
         let Self { mut reader, tx, cx, .. } = self;
@@ -177,7 +237,9 @@
 
     /// Reads one request and starts to serve it; returns whether to read more requests.
     async fn serve_next(&mut self) -> Result<bool, ReadFailure> {
-        let Ok(permit) = self.tx.clone().reserve_owned().await else { return Ok(false) };
+        let permit = self.pauses.run(self.tx.clone().reserve_owned()).await?;
+        let Ok(permit) = permit else { return Ok(false) };
+        self.pauses.run(self.wait_read_ahead()).await?;
         tokio::select! {
             // A request that has arrived before the connection closes is answered.
             biased;
@@ -193,7 +255,7 @@
         }
         let limits = (self.cx.limits)();
         let stop = self.cx.stop.clone();
-        let (head, incoming) = tokio::select! {
+        let (head, incoming, charge) = tokio::select! {
             biased;
             read = self.read_request(&limits) => read?,
             () = wait_arrival_end(&stop) => return Err(ReadError::Stopping.into()),
@@ -208,7 +270,8 @@
             IncomingBody::Complete(body) => (body, None),
             IncomingBody::Streamed(body, remainder) => (body, Some(remainder)),
         };
-        permit.send(QueuedResponse::Pending(self.start(head, body)));
+        permit.send(QueuedResponse::Pending(self.start(head, body, charge)));
+        self.reader.end_request();
         if let Some(remainder) = remainder {
             let relayed = remainder.relay(&mut self.reader, limits.body_bytes).await;
             if !self.is_relayed_whole(relayed)? {
@@ -228,8 +291,8 @@
     /// The request gets the response of its task and no rejection, which would be a second one.
     fn is_relayed_whole(&self, relayed: Result<(), ReadFailure>) -> Result<bool, ReadFailure> {
         match relayed {
-            Err(ReadFailure::Rejected(_)) => {
-                (self.cx.on_malformed)();
+            Err(ReadFailure::Rejected(err)) => {
+                self.report(err);
                 self.closing.cancel();
                 Ok(false)
             }
@@ -237,11 +300,12 @@
         }
     }
 
-    /// Reads the head of a request and a short body, or the beginning of a long one.
+    /// Reads the head of a request and a short body, or the beginning of a long one, and reserves
+    /// what it takes while it is in progress.
     async fn read_request(
         &mut self,
         limits: &ConnectionLimits,
-    ) -> Result<(Head, IncomingBody), ReadFailure> {
+    ) -> Result<(Head, IncomingBody, Charge), ReadFailure> {
         let head = timeout(limits.head_timeout, self.reader.read_head(limits.head_bytes)).await;
         let head = head.unwrap_or(Err(ReadError::HeadTimeout.into()))?;
         let framing = framing::from_headers(&head.parts.headers)?;
@@ -252,7 +316,15 @@
             self.tx.send(QueuedResponse::Continue).await.map_err(|_| ReadFailure::Closed)?;
         }
         let incoming = body::read_beginning(&mut self.reader, Decoder::new(framing)).await?;
-        Ok((head, incoming))
+        let body_len = match &incoming {
+            IncomingBody::Complete(body) => body.size_hint().lower() as usize,
+            IncomingBody::Streamed(body, _) => {
+                body.size_hint().lower() as usize + STREAMED_BODY_BYTES
+            }
+        };
+        let len = REQUEST_BYTES + HEAD_COPIES * head.len + body_len;
+        let charge = self.pauses.run(self.pauses.account.reserve(Held::Requests, len)).await?;
+        Ok((head, incoming, charge))
     }
 
     /// Returns whether a request arrives although the connection is told to close.
@@ -268,12 +340,13 @@
     }
 
     /// Starts a task that serves a request.
-    fn start(&mut self, head: Head, body: RelayBody) -> PendingResponse {
-        let in_progress = self.activity.begin();
+    fn start(&mut self, head: Head, body: RelayBody, charge: Charge) -> PendingResponse {
+        let in_progress = self.activity.begin(self.pauses.account);
         let is_head_method = head.parts.method == Method::HEAD;
         let supports_chunked = head.parts.version == http::Version::HTTP_11;
         let mut req = Request::from_parts(head.parts, body);
         req.extensions_mut().insert(Turn::new(self.order, self.started));
+        req.extensions_mut().insert(self.pauses.account.clone());
         self.started += 1;
         let mut service = self.service.clone();
         let task = tokio::spawn(async move {
@@ -287,6 +360,7 @@
             is_head_method,
             supports_chunked,
             in_progress,
+            _charge: charge,
         }
     }
 }
@@ -309,8 +383,8 @@
 ///
 /// Of the idle timeouts in force during the wait, the longest applies, because callers may
 /// already use a new one or still use an old one.
-async fn wait_for_request<R: AsyncRead + Unpin>(
-    reader: &mut Reader<R>,
+async fn wait_for_request(
+    reader: &mut Reader<'_, ReadHalf>,
     activity: &Activity,
     cx: &ConnectionCx,
 ) -> Result<WaitOutcome, ReadFailure> {
--- a/lib/src/connection/pipeline/writer.rs
+++ b/lib/src/connection/pipeline/writer.rs
@@ -1,5 +1,6 @@
 //! Writes the responses of a connection in the order of its requests.
 
+use std::pin::pin;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
@@ -24,10 +25,13 @@
 use super::order::Order;
 use super::requests::PendingResponse;
 use super::requests::QueuedResponse;
+use super::stream::SOCKET_BUFFER_BYTES;
 use crate::connection::body;
 use crate::connection::body::BodyMemory;
 use crate::connection::body::RelayBody;
 use crate::connection::body::RelayError;
+use crate::process::resources::Account;
+use crate::process::resources::Held;
 
 /// Number of buffered bytes of a response from which on they are written to the connection
 /// while more of the body is available.
@@ -101,6 +105,23 @@
     pub(super) on_cut: &'a OnCut,
     /// Memory for responses that are read ahead.
     pub(super) memory: &'a BodyMemory,
+    pub(super) account: &'a Account,
+}
+
+impl WriterCx<'_> {
+    /// Writes bytes. While the caller does not take them, the buffer of the socket is full.
+    async fn write<W: AsyncWrite + Unpin>(
+        &self,
+        io: &mut W,
+        bytes: &[u8],
+    ) -> Result<(), WriteError> {
+        let mut writing = pin!(io.write_all(bytes));
+        if let Some(written) = writing.as_mut().now_or_never() {
+            return written.context(ConnectionSnafu);
+        }
+        let _unsent = self.account.charge(Held::Socket, SOCKET_BUFFER_BYTES);
+        writing.await.context(ConnectionSnafu)
+    }
 }
 
 /// Writes responses up to the last one, after which the connection can be closed cleanly.
@@ -112,9 +133,9 @@
     while let Some(queued) = rx.recv().await {
         match queued {
             QueuedResponse::Continue => {
-                io.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.context(ConnectionSnafu)?;
+                cx.write(io, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
             }
-            QueuedResponse::Rejection(err) => return write_rejection(io, err).await,
+            QueuedResponse::Rejection(err) => return write_rejection(io, cx, err).await,
             QueuedResponse::Pending(pending) => {
                 let is_last = write_response(io, rx, cx, pending).await?;
                 if is_last {
@@ -129,6 +150,7 @@
 
 async fn write_rejection<W: AsyncWrite + Unpin>(
     io: &mut W,
+    cx: &WriterCx<'_>,
     err: ReadError,
 ) -> Result<(), WriteError> {
     let mut rsp = Response::new(body::empty());
@@ -136,19 +158,20 @@
     if let Some(seconds) = err.retry_after_seconds() {
         rsp.headers_mut().insert(header::RETRY_AFTER, seconds.into());
     }
-    write_empty(io, rsp, true).await
+    write_empty(io, cx, rsp, true).await
 }
 
 /// Writes a response without a body.
 async fn write_empty<W: AsyncWrite + Unpin>(
     io: &mut W,
+    cx: &WriterCx<'_>,
     rsp: Response<RelayBody>,
     is_last: bool,
 ) -> Result<(), WriteError> {
     let (parts, _) = rsp.into_parts();
     let mut buf = BytesMut::new();
     encode::head(&mut buf, &parts, ResponseFraming::Length(0), is_last);
-    io.write_all(&buf).await.context(ConnectionSnafu)
+    cx.write(io, &buf).await
 }
 
 /// Writes one response; returns whether it is the last one on the connection.
@@ -158,8 +181,8 @@
     cx: &WriterCx<'_>,
     pending: PendingResponse,
 ) -> Result<bool, WriteError> {
-    let WriterCx { closing, last_announced, order, on_cut, memory } = *cx;
-    let PendingResponse { task, is_head_method, supports_chunked, in_progress } = pending;
+    let WriterCx { closing, last_announced, order, on_cut, memory, .. } = *cx;
+    let PendingResponse { task, is_head_method, supports_chunked, in_progress, _charge } = pending;
     // The panic itself is logged where it happens.
     let rsp = task.await.unwrap_or_else(|_| unserved_response());
     if rsp.headers().get(header::CONNECTION).is_some_and(|value| value == "close") {
@@ -177,7 +200,7 @@
     let mut body = AheadBody::new(body, memory);
     let mut buf = BytesMut::with_capacity(FLUSH_BYTES);
     encode::head(&mut buf, &parts, framing, is_last);
-    let mut out = Output { io, buf, has_begun: false };
+    let mut out = Output { io, cx, buf, has_begun: false };
     if let Err(err) = write_body(&mut out, framing, &mut body, order).await {
         let reason = err.cut_reason().filter(|_| !out.has_begun);
         let Some(reason) = reason else {
@@ -189,7 +212,7 @@
         on_cut(reason, 0);
         let mut rsp = Response::new(body::empty());
         *rsp.status_mut() = reason.status();
-        write_empty(out.io, rsp, is_last).await?;
+        write_empty(out.io, cx, rsp, is_last).await?;
     }
     drop(in_progress);
     Ok(is_last)
@@ -220,6 +243,7 @@
 /// Buffered bytes of one response, and the connection that they are written to.
 struct Output<'a, W> {
     io: &'a mut W,
+    cx: &'a WriterCx<'a>,
     buf: BytesMut,
     /// Whether a part of the response may have been written.
     has_begun: bool,
@@ -231,7 +255,7 @@
             return Ok(());
         }
         self.has_begun = true;
-        self.io.write_all(&self.buf).await.context(ConnectionSnafu)?;
+        self.cx.write(self.io, &self.buf).await?;
         self.buf.clear();
         Ok(())
     }
--- a/lib/src/operators/status.rs
+++ b/lib/src/operators/status.rs
@@ -115,6 +115,35 @@
         table
     }
 
+    /// Lists what clients make the daemons hold.
+    fn clients_table(&self) -> Table {
+        let mut table = Table::new(&[
+            "INSTANCE",
+            "CONNECTIONS",
+            "HELD MB",
+            "IDLE",
+            "INPUT",
+            "REQUESTS",
+            "RESPONSES",
+            "SOCKETS",
+        ]);
+        for daemon in self.reports() {
+            let Some(clients) = &daemon.clients else { continue };
+            let held = &clients.held;
+            table.push(vec![
+                daemon.instance.to_string(),
+                format!("{}/{}", clients.connections, clients.max_connections),
+                format!("{}/{}", megabytes(held.total()), megabytes(clients.max_bytes)),
+                megabytes(held.connections),
+                megabytes(held.input),
+                megabytes(held.requests),
+                megabytes(held.responses),
+                megabytes(held.sockets),
+            ]);
+        }
+        table
+    }
+
     fn banned_table(&self) -> Table {
         let mut table = Table::new(&["INSTANCE", "CONTENT", "FOR"]);
         for daemon in self.reports() {
@@ -174,6 +203,10 @@
     }
 }
 
+fn megabytes(bytes: usize) -> String {
+    format!("{:.1}", bytes as f64 / 1e6)
+}
+
 fn uptime(daemon: &StatusReport) -> String {
     let seconds = daemon.uptime.as_secs();
     let rounded = match seconds {
@@ -212,6 +245,10 @@
         if !banned.is_empty() {
             write!(f, "\nRequests that have crashed upstreams and are not run:\n{banned}")?;
         }
+        let clients = self.clients_table();
+        if !clients.is_empty() {
+            write!(f, "\nHeld for clients:\n{clients}")?;
+        }
         let peers = self.peers_table();
         if self.with_peers && !peers.is_empty() {
             write!(f, "\nPeers:\n{peers}")?;
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -47,6 +47,7 @@
 use crate::process::metrics::Metrics;
 use crate::process::metrics::StatsdError;
 use crate::process::node::Node;
+use crate::process::resources::CutCause;
 use crate::process::routing::Place;
 use crate::process::settings::Settings;
 use crate::process::settings::SettingsChange;
@@ -190,6 +191,7 @@
             internal: JoinSet::new(),
             background: JoinSet::new(),
         };
+        daemon.log_cut_clients();
         daemon.serve_callers(listeners.caller);
         daemon.serve_peers(listeners.peer);
         if let Some(upstream) = listeners.upstream {
@@ -243,7 +245,8 @@
             let limits = Arc::new(move || node.connection_limits());
             let (on_cut, discards) = (self.log_cut_responses(), Discards::new());
             let memory = self.node.pipelined_memory.clone();
-            let cx = ConnectionCx { limits, on_malformed, on_cut, memory, discards, stop };
+            let clients = Arc::clone(&self.node.clients);
+            let cx = ConnectionCx { limits, on_malformed, on_cut, memory, discards, clients, stop };
             self.callers.spawn(listener::serve_pipelined(listener, service, cx));
             return;
         }
@@ -300,6 +303,20 @@
         Arc::new(move || node.metrics.count(Counter::MalformedInput))
     }
 
+    /// Reports the connections of callers that are ended.
+    fn log_cut_clients(&self) {
+        let node = Arc::downgrade(&self.node);
+        self.node.clients.report_to(Box::new(move |cut, cause| {
+            let Some(node) = node.upgrade() else { return };
+            node.metrics.count(match cause {
+                CutCause::Memory => Counter::ClientsCutForMemory,
+                CutCause::Connections => Counter::ClientsCutForConnections,
+            });
+            let decision = Decision::ClientCut { cut, cause };
+            node.decisions.write(node.clock.now(), None, &decision);
+        }));
+    }
+
     fn log_cut_responses(&self) -> OnCut {
         let node = Arc::clone(&self.node);
         Arc::new(move |reason, behind| {
--- a/lib/src/process/log/decision.rs
+++ b/lib/src/process/log/decision.rs
@@ -20,6 +20,8 @@
 use crate::process::crashes::BanNotice;
 use crate::process::crashes::Suspect;
 use crate::process::membership::Listing;
+use crate::process::resources::ClientCut;
+use crate::process::resources::CutCause;
 use crate::request::Context;
 use crate::request::Outcome;
 use crate::request::Refusal;
@@ -219,6 +221,13 @@
         /// Whether another daemon has told of it.
         is_told: bool,
     },
+    /// The connection of a caller was ended.
+    ClientCut {
+        /// The connection, and what it held.
+        cut: ClientCut,
+        /// Why it was ended.
+        cause: CutCause,
+    },
     /// The local upstream has said in an answer that it is leaving.
     UpstreamLeaving {
         /// The instance.
@@ -248,7 +257,7 @@
 }
 
 /// Kinds of decisions, by event name. Each kind has a rate limit of its own.
-const KINDS: [&str; 15] = [
+const KINDS: [&str; 16] = [
     "refused",
     "sent-elsewhere",
     "not-repeated",
@@ -264,6 +273,7 @@
     "content-banned",
     "sent",
     "foreign-answer",
+    "client-cut",
 ];
 
 impl Decision<'_> {
@@ -285,6 +295,7 @@
             Self::ContentBanned { .. } => 12,
             Self::Sent { .. } => 13,
             Self::ForeignAnswer { .. } => 14,
+            Self::ClientCut { .. } => 15,
         }
     }
 }
@@ -349,6 +360,9 @@
                 let from = if *is_told { "peer" } else { "here" };
                 write!(f, "content={} times={} from={from}", ban.content, ban.level)
             }
+            Self::ClientCut { cut, cause } => {
+                write!(f, "client={} reason={} held={}", cut.address, cause.as_str(), cut.held)
+            }
             Self::RateLimitMalformed { instance } | Self::UpstreamLeaving { instance } => {
                 write!(f, "instance={instance}")
             }
--- a/lib/src/process/metrics/counter.rs
+++ b/lib/src/process/metrics/counter.rs
@@ -79,6 +79,10 @@
     /// Requests of callers and upstreams from which reserved `endivescale-` headers
     /// were removed.
     StrippedHeaders = "input.stripped-headers";
+    /// Connections of callers that were ended because memory was short.
+    ClientsCutForMemory = "clients.cut-for-memory";
+    /// Connections of callers that were ended because there were too many.
+    ClientsCutForConnections = "clients.cut-for-connections";
     /// Times that a peer stopped responding.
     PeersLost = "peers.lost";
     /// Times that a lost peer responded again.
--- a/lib/src/process/mod.rs
+++ b/lib/src/process/mod.rs
@@ -14,6 +14,7 @@
 pub mod metrics;
 pub mod node;
 pub mod repeats;
+pub mod resources;
 pub mod routing;
 pub mod settings;
 pub mod status;
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -81,6 +81,8 @@
 use super::repeats::PathRoom;
 use super::repeats::RepeatAccount;
 use super::repeats::RepeatBound;
+use super::resources::Clients;
+use super::resources::ResourcePlan;
 use super::routing::Place;
 use super::routing::Router;
 use super::settings::IdempotencySettings;
@@ -106,13 +108,6 @@
     pub plan: PlanKey,
 }
 
-/// Memory that all buffered responses of the upstream may hold together, in bytes.
-const RESPONSE_MEMORY_BYTES: usize = 16 * 1024 * 1024;
-
-/// Memory that all responses together may hold which are read whole because requests behind
-/// them have been passed on, and bodies that are read while their requests wait, in bytes.
-const PIPELINED_MEMORY_BYTES: usize = 16 * 1024 * 1024;
-
 /// State that all requests of one daemon share.
 #[derive(Debug)]
 pub struct Node {
@@ -159,6 +154,8 @@
     /// Limits the memory of responses with pipelined requests behind them, and of bodies of
     /// requests that wait for such.
     pub(crate) pipelined_memory: BodyMemory,
+    /// What callers' connections hold.
+    pub clients: Arc<Clients>,
     /// Whether new requests are accepted, and which are in progress.
     pub lifecycle: Arc<Lifecycle>,
     /// When daemons that stop have ended, and how long the upstream runs requests.
@@ -198,6 +195,7 @@
         };
         let connections = settings.upstream.connections as usize;
         let upstream = UpstreamPool::new(settings.upstream.address, connections);
+        let plan = ResourcePlan::new(&settings.resources);
         let (peers, ended_peers) = PeerPool::new();
         let burn = Mutex::new(BurnTracker::new(place.instance.clone(), settings.objectives));
         Arc::new(Self {
@@ -223,8 +221,9 @@
             upstream,
             crash_watch: CrashWatch::new(clock),
             customers: Customers::new(rand::random()),
-            response_memory: BodyMemory::new(RESPONSE_MEMORY_BYTES),
-            pipelined_memory: BodyMemory::new(PIPELINED_MEMORY_BYTES),
+            response_memory: BodyMemory::new(plan.response_bytes),
+            pipelined_memory: BodyMemory::new(plan.pipelined_bytes),
+            clients: Clients::new(plan),
             lifecycle: Arc::default(),
             stops: Stops::default(),
             metrics,
--- a/lib/src/process/node/operated.rs
+++ b/lib/src/process/node/operated.rs
@@ -18,6 +18,7 @@
 use crate::process::status::AdmissionStatus;
 use crate::process::status::BannedContent;
 use crate::process::status::CauseOfRefusal;
+use crate::process::status::ClientsStatus;
 use crate::process::status::CustomerStatus;
 use crate::process::status::CustomersStatus;
 use crate::process::status::DrainReport;
@@ -62,6 +63,7 @@
             refusals: refusal_causes(&self.burn()),
             banned: self.banned_contents(),
             customers: self.customer_statuses(),
+            clients: Some(self.clients_status()),
         }
     }
 
@@ -73,6 +75,9 @@
         let mut counters = self.metrics.snapshot();
         let config = self.config.counters.snapshot();
         counters.extend(config.into_iter().map(|(name, value)| (format!("config.{name}"), value)));
+        let ClientsStatus { connections, held, .. } = self.clients_status();
+        let gauges = [("clients.connections", connections), ("clients.held-bytes", held.total())];
+        counters.extend(gauges.map(|(name, value)| (name.to_owned(), value as u64)));
         counters
     }
 
@@ -108,6 +113,17 @@
         }
     }
 
+    fn clients_status(&self) -> ClientsStatus {
+        let (held, connections) = self.clients.usage();
+        let plan = self.clients.plan();
+        ClientsStatus {
+            connections,
+            max_connections: plan.client_connections,
+            held,
+            max_bytes: plan.client_bytes,
+        }
+    }
+
     fn rules_status(&self) -> Option<RulesStatus> {
         let active = self.config.rules.borrow().clone()?;
         Some(RulesStatus { version: active.version(), rules: active.policy.len() })
--- a/lib/src/process/status/mod.rs
+++ b/lib/src/process/status/mod.rs
@@ -16,6 +16,7 @@
 pub use self::report::AdmissionStatus;
 pub use self::report::BannedContent;
 pub use self::report::CauseOfRefusal;
+pub use self::report::ClientsStatus;
 pub use self::report::CustomerStatus;
 pub use self::report::CustomersStatus;
 pub use self::report::DrainReport;
--- a/lib/src/process/status/report.rs
+++ b/lib/src/process/status/report.rs
@@ -18,6 +18,7 @@
 use crate::process::burn::CauseReport;
 use crate::process::burn::Fault;
 use crate::process::burn::Role;
+use crate::process::resources::HeldBytes;
 use crate::request::Outcome;
 use crate::version::Criticality;
 
@@ -64,6 +65,22 @@
     /// Customers; `None` if the rules name none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub customers: Option<CustomersStatus>,
+    /// What clients make the daemon hold; `None` from daemons that do not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub clients: Option<ClientsStatus>,
+}
+
+/// What clients make the daemon hold; see `docs/design/client-resources.md`.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClientsStatus {
+    /// Connections of callers.
+    pub connections: usize,
+    /// Most connections of callers.
+    pub max_connections: usize,
+    /// Bytes that these hold, by kind.
+    pub held: HeldBytes,
+    /// Most bytes that these may hold.
+    pub max_bytes: usize,
 }
 
 /// Customers that the rules name, and their usage at this daemon.
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -23,7 +23,7 @@
 use crate::connection::body::BodyEnd;
 use crate::connection::body::BodyReport;
 use crate::connection::body::GuardedBody;
-use crate::connection::body::Held;
+use crate::connection::body::Held as HeldBody;
 use crate::connection::body::OnEnd;
 use crate::connection::body::RelayBody;
 use crate::connection::body::RelayError;
@@ -44,6 +44,8 @@
 use crate::process::membership::Vm;
 use crate::process::metrics::Counter;
 use crate::process::node::Node;
+use crate::process::resources::Account;
+use crate::process::resources::Held;
 use crate::process::routing::Router;
 use crate::request::CONFIRMED;
 use crate::request::CONTEXT;
@@ -68,6 +70,10 @@
 /// Longest response that is held because requests behind it have been passed on, in bytes.
 const MAX_HELD_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
 
+/// Memory that the part of a long response takes which is on its way, in bytes: what its stream
+/// may buffer, and what waits to be written.
+const STREAMED_RESPONSE_BYTES: usize = STREAM_WINDOW_BYTES as usize + 16 * 1024;
+
 /// How long after its deadline the end of a response that has arrived is kept for a caller that does
 /// not read it.
 const UNREAD_GRACE: Duration = Duration::from_secs(2);
@@ -215,7 +221,8 @@
     strip(rsp.headers_mut(), node.dialect.answer_headers());
     let len = rsp.body().size_hint().exact();
     if len.is_some_and(|len| len <= owner::BUFFERING_THRESHOLD_BYTES) {
-        let buffered = buffer_response(rsp, call.response_end_deadline(node), outstanding).await;
+        let deadline = call.response_end_deadline(node);
+        let buffered = buffer_response(rsp, deadline, outstanding, call.client.as_ref()).await;
         return buffered.map_err(|err| refuse_broken(&err, call.deadline));
     }
     if rsp.extensions().get::<WholeInMemory>().is_some() {
@@ -224,17 +231,28 @@
     let Some(turn) = &call.turn else {
         return Ok(rsp.map(|body| stream(body, wait_deadline, outstanding)));
     };
+    let client = call.client.as_ref();
     if let Some(streaming) = turn.try_stream() {
         let guard = StreamedCall { _outstanding: outstanding, streaming };
-        return Ok(rsp.map(|body| stream(body, wait_deadline, guard)));
+        return Ok(rsp.map(|body| charge_stream(stream(body, wait_deadline, guard), client)));
     }
     // Few responses are held, and requests that wait would have the size of all their futures.
     let deadline = call.response_end_deadline(node);
-    Box::pin(hold_response(node, rsp, deadline, outstanding, turn))
+    Box::pin(hold_response(node, rsp, deadline, outstanding, turn, client))
         .await
         .map_err(|err| refuse_broken(&err, call.deadline))
 }
 
+/// Charges the part of a long response that is on its way to its caller.
+fn charge_stream(body: RelayBody, client: Option<&Account>) -> RelayBody {
+    match client {
+        Some(client) => {
+            body::charged(body, client.charge(Held::Responses, STREAMED_RESPONSE_BYTES))
+        }
+        None => body,
+    }
+}
+
 /// Relays a response while it arrives, until `deadline`.
 fn stream(body: RelayBody, deadline: Instant, guard: impl OnEnd) -> RelayBody {
     let body = GuardedBody::new(body, deadline, guard).boxed_unsync();
@@ -249,12 +267,13 @@
     deadline: Instant,
     outstanding: OutstandingCall,
     turn: &Turn,
+    client: Option<&Account>,
 ) -> Result<Response<RelayBody>, RelayError> {
     let (parts, body) = rsp.into_parts();
     let body = GuardedBody::new(body, deadline, outstanding).boxed_unsync();
     let body = match node.pipelined_memory.hold(body, MAX_HELD_RESPONSE_BYTES).await? {
-        Held::Whole(body) => body,
-        Held::Begun(body) => stream(body, deadline, turn.stream()),
+        HeldBody::Whole(body) => body,
+        HeldBody::Begun(body) => charge_stream(stream(body, deadline, turn.stream()), client),
     };
     Ok(Response::from_parts(parts, body))
 }
@@ -272,7 +291,7 @@
     })
 }
 
-/// Reads a short response to its end.
+/// Reads a short response to its end, once there is room for it.
 ///
 /// A response that breaks off once its head was passed on ends the caller's connection, and
 /// with it the pipelined requests behind it. It may also have to wait there for others, past
@@ -281,12 +300,26 @@
     rsp: Response<RelayBody>,
     deadline: Instant,
     outstanding: OutstandingCall,
+    client: Option<&Account>,
 ) -> Result<Response<RelayBody>, RelayError> {
     let (parts, body) = rsp.into_parts();
+    let len = body.size_hint().lower() as usize;
+    let charge = match client.filter(|_| len > 0) {
+        Some(client) => {
+            let reserving = timeout_at(deadline, client.reserve(Held::Responses, len));
+            Some(reserving.await.map_err(|_| RelayError::DeadlineExceeded)?)
+        }
+        None => None,
+    };
     let body = GuardedBody::new(body, deadline, outstanding).boxed_unsync();
     let limit = owner::BUFFERING_THRESHOLD_BYTES as usize;
     let body = body::collect(body, limit).await?;
-    Ok(Response::from_parts(parts, body::full(body)))
+    let body = body::full(body);
+    let body = match charge {
+        Some(charge) => body::charged(body, charge),
+        None => body,
+    };
+    Ok(Response::from_parts(parts, body))
 }
 
 /// Why no response was received from a peer.
--- a/lib/src/request/serve/call.rs
+++ b/lib/src/request/serve/call.rs
@@ -26,6 +26,7 @@
 use crate::process::node::Node;
 use crate::process::node::PathKey;
 use crate::process::node::RequestHandle;
+use crate::process::resources::Account;
 use crate::process::routing::NoRoute;
 use crate::process::routing::Pick;
 use crate::process::routing::Work;
@@ -99,6 +100,8 @@
     /// Place among the requests of its connection; `None` if the next of these is read only
     /// after the response.
     pub(super) turn: Option<Turn>,
+    /// What the connection of its caller holds, if that is limited.
+    pub(super) client: Option<Account>,
     /// Records how far the request has come.
     pub(super) request: RequestHandle,
 }
--- a/lib/src/request/serve/entry.rs
+++ b/lib/src/request/serve/entry.rs
@@ -35,6 +35,7 @@
 use crate::process::node::Node;
 use crate::process::node::PathKey;
 use crate::process::node::RequestHandle;
+use crate::process::resources::Account;
 use crate::request::Context;
 use crate::request::Outcome;
 use crate::request::Reason;
@@ -157,6 +158,7 @@
     tracker: &mut RequestTracker,
 ) -> Result<PreparedRequest, Refusal> {
     let turn = req.extensions_mut().remove::<Turn>();
+    let client = req.extensions_mut().remove::<Account>();
     let (mut inbound, body) = Inbound::read(req, node.settings.limits.head_bytes as usize)?;
     let token = take_token(&mut inbound.headers)?;
     let sender_info = node.dialect.take_sender_info(&mut inbound.headers)?;
@@ -187,6 +189,7 @@
     call.set_customer(identity.customer.as_deref());
     call.key = identity.key;
     call.turn = turn;
+    call.client = client;
     if !rules.policy.customers().is_empty() {
         call.cx.hash = node.rank_usage(identity.customer.as_deref(), call.cx.hash);
     }
@@ -277,6 +280,7 @@
         key: None,
         parent: None,
         turn: None,
+        client: None,
         request,
     }
 }
--- a/lib/src/request/serve/outbound.rs
+++ b/lib/src/request/serve/outbound.rs
@@ -150,6 +150,7 @@
         key: None,
         parent,
         turn: None,
+        client: None,
         request,
     }
 }
--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -13,6 +13,9 @@
 use endivescale::connection::pipeline::ConnectionLimits;
 use endivescale::connection::pipeline::DiscardLimit;
 use endivescale::connection::pipeline::Discards;
+use endivescale::process::resources::Clients;
+use endivescale::process::resources::ResourcePlan;
+use endivescale::process::settings::ResourceSettings;
 use http::Request;
 use http::Response;
 use tokio::io::AsyncReadExt as _;
@@ -23,6 +26,7 @@
 use tokio_util::sync::CancellationToken;
 use tower::service_fn;
 
+const RESOURCES: ResourceSettings = ResourceSettings { memory_mb: 160, descriptors: 4_100 };
 const CALLERS: usize = 16;
 const CAP: Duration = Duration::from_secs(10);
 
@@ -33,6 +37,7 @@
         on_cut: Arc::new(|_, _| ()),
         memory: BodyMemory::new(0),
         discards: Discards::new(),
+        clients: Clients::new(ResourcePlan::new(&RESOURCES)),
         stop,
     }
 }
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -82,7 +82,7 @@
 refused! {
     unknown_section: "[stop]" => "[halt]\n[stop]",
         "halt: unknown key; expected one of daemon, listen, upstream, platform, stop, metrics, \
-         log, admission, idempotency, limits, objectives, repeats, customers, adapter";
+         log, admission, idempotency, limits, resources, objectives, repeats, customers, adapter";
     wrong_type: "slots = 40" => "slots = \"forty\"",
         "upstream.slots: \"forty\" cannot be used; expected a whole number from 1 to 100000";
     host_name_in_place_of_address: "127.0.0.1:8500" => "platform:8500",
--- a/lib/testutils/src/process.rs
+++ b/lib/testutils/src/process.rs
@@ -13,7 +13,10 @@
 
 use parking_lot::Mutex;
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::kill_process;
+use rustix::process::prlimit;
 use snafu::ResultExt;
 use tokio::time::Instant;
 
@@ -161,6 +164,14 @@
         sent.context(SignalSnafu { program: &self.name })
     }
 
+    /// Limits the descriptors that the process may have open.
+    pub fn limit_descriptors(&self, count: u64) -> Result<(), StandInError> {
+        let limit = Rlimit { current: Some(count), maximum: Some(count) };
+        let set = prlimit(Some(Pid::from_child(&self.child)), Resource::Nofile, limit);
+        set.map_err(std::io::Error::from).context(StartSnafu { program: &self.name })?;
+        Ok(())
+    }
+
     /// Freezes the process until what this returns is dropped, also if somebody else owns it then.
     pub fn freeze(&self) -> Result<Frozen, StandInError> {
         self.signal(Signal::Stop)?;
