owner: requests of another daemon hold at most what all leave free

What callers saw: a crowd at one entry ended the process at the owner.

Cause: the owner bounded its queue by a number of requests, whatever their heads and bodies take: 3,000 slots and heads of 14 KB came to 262 MB.

Change: an account of each sender. It may hold as much as all senders leave free of their share, so that one alone gets half of it and there is always room for one that holds little. A request beyond that is refused as not run, before it waits for a slot, and may be tried elsewhere.

--- a/lib/src/connection/pipeline/mod.rs
+++ b/lib/src/connection/pipeline/mod.rs
@@ -42,6 +42,8 @@
 pub(crate) use self::order::Streaming;
 pub(crate) use self::order::Turn;
 use self::pause::Pauses;
+pub(crate) use self::requests::HEAD_COPIES;
+pub(crate) use self::requests::REQUEST_BYTES;
 use self::requests::RequestLoop;
 use self::stream::ReadHalf;
 pub use self::writer::CutReason;
--- a/lib/src/operators/status.rs
+++ b/lib/src/operators/status.rs
@@ -126,6 +126,7 @@
             "REQUESTS",
             "RESPONSES",
             "SOCKETS",
+            "OF DAEMONS MB",
         ]);
         for daemon in self.reports() {
             let Some(clients) = &daemon.clients else { continue };
@@ -139,6 +140,11 @@
                 megabytes(held.requests),
                 megabytes(held.responses),
                 megabytes(held.sockets),
+                format!(
+                    "{}/{}",
+                    megabytes(clients.sender_bytes),
+                    megabytes(clients.max_sender_bytes)
+                ),
             ]);
         }
         table
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -83,6 +83,7 @@
 use super::repeats::RepeatBound;
 use super::resources::Clients;
 use super::resources::ResourcePlan;
+use super::resources::Senders;
 use super::routing::Place;
 use super::routing::Router;
 use super::settings::IdempotencySettings;
@@ -156,6 +157,8 @@
     pub(crate) pipelined_memory: BodyMemory,
     /// What callers' connections hold.
     pub clients: Arc<Clients>,
+    /// What requests of other daemons hold.
+    pub(crate) senders: Arc<Senders>,
     /// Whether new requests are accepted, and which are in progress.
     pub lifecycle: Arc<Lifecycle>,
     /// When daemons that stop have ended, and how long the upstream runs requests.
@@ -224,6 +227,7 @@
             response_memory: BodyMemory::new(plan.response_bytes),
             pipelined_memory: BodyMemory::new(plan.pipelined_bytes),
             clients: Clients::new(plan),
+            senders: Senders::new(plan.sender_bytes),
             lifecycle: Arc::default(),
             stops: Stops::default(),
             metrics,
--- a/lib/src/process/node/operated.rs
+++ b/lib/src/process/node/operated.rs
@@ -75,8 +75,12 @@
         let mut counters = self.metrics.snapshot();
         let config = self.config.counters.snapshot();
         counters.extend(config.into_iter().map(|(name, value)| (format!("config.{name}"), value)));
-        let ClientsStatus { connections, held, .. } = self.clients_status();
-        let gauges = [("clients.connections", connections), ("clients.held-bytes", held.total())];
+        let ClientsStatus { connections, held, sender_bytes, .. } = self.clients_status();
+        let gauges = [
+            ("clients.connections", connections),
+            ("clients.held-bytes", held.total()),
+            ("senders.held-bytes", sender_bytes),
+        ];
         counters.extend(gauges.map(|(name, value)| (name.to_owned(), value as u64)));
         counters
     }
@@ -115,12 +119,15 @@
 
     fn clients_status(&self) -> ClientsStatus {
         let (held, connections) = self.clients.usage();
+        let (sender_bytes, max_sender_bytes) = self.senders.usage();
         let plan = self.clients.plan();
         ClientsStatus {
             connections,
             max_connections: plan.client_connections,
             held,
             max_bytes: plan.client_bytes,
+            sender_bytes,
+            max_sender_bytes,
         }
     }
 
--- a/lib/src/process/resources/mod.rs
+++ b/lib/src/process/resources/mod.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod ledger;
 mod plan;
+mod senders;
 
 pub use self::account::Account;
 pub use self::account::Charge;
@@ -19,3 +20,5 @@
 pub use self::ledger::HeldBytes;
 pub use self::ledger::Ledger;
 pub use self::plan::ResourcePlan;
+pub use self::senders::SenderCharge;
+pub use self::senders::Senders;
--- a/lib/src/process/status/report.rs
+++ b/lib/src/process/status/report.rs
@@ -81,6 +81,10 @@
     pub held: HeldBytes,
     /// Most bytes that these may hold.
     pub max_bytes: usize,
+    /// Bytes that requests of other daemons hold.
+    pub sender_bytes: usize,
+    /// Most bytes that these may hold.
+    pub max_sender_bytes: usize,
 }
 
 /// Customers that the rules name, and their usage at this daemon.
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -3,9 +3,11 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::Request;
 use http::Response;
+use hyper::body::Body as _;
 
 use super::at_most_once;
 use super::attempt::read_header;
@@ -21,6 +23,9 @@
 use super::usage_report;
 use crate::connection::body;
 use crate::connection::body::RelayBody;
+use crate::connection::peers::STREAM_WINDOW_BYTES;
+use crate::connection::pipeline::HEAD_COPIES;
+use crate::connection::pipeline::REQUEST_BYTES;
 use crate::process::InstanceId;
 use crate::process::burn::Role;
 use crate::process::node::End;
@@ -44,6 +49,9 @@
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
 
+/// Delay after which a request is tried again that found no room for it.
+const HELD_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Serves one request of another daemon.
 ///
 /// # Errors
@@ -102,7 +110,27 @@
     if let Some(known) = known_limit {
         node.adopt_rate_limit(&instance, known);
     }
-    Ok(owner::serve(node, cx, &inbound, &instance, incoming).await)
+    let (sender, len) = (cx.sender, held_bytes(&inbound, &incoming));
+    let Some(mut charge) = node.senders.try_charge(sender, len) else {
+        return Err(Refusal::not_run(Reason::Overloaded).retry_after(HELD_RETRY_AFTER));
+    };
+    let rsp = owner::serve(node, cx, &inbound, &instance, incoming).await;
+    charge.replace(body_bytes(rsp.body()));
+    Ok(rsp.map(|body| body::charged(body, charge)))
+}
+
+/// Returns what a request of another daemon takes until it is answered.
+fn held_bytes(inbound: &Inbound, body: &RelayBody) -> usize {
+    let headers = inbound.headers.iter();
+    let headers: usize = headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
+    let head_len = headers + inbound.path.as_str().len();
+    REQUEST_BYTES + HEAD_COPIES * head_len + body_bytes(body)
+}
+
+/// Returns how much of a body is buffered at most while nobody reads it.
+fn body_bytes(body: &RelayBody) -> usize {
+    let window = u64::from(STREAM_WINDOW_BYTES);
+    body.size_hint().exact().map_or(window, |len| len.min(window)) as usize
 }
 
 /// Serves a request with an idempotency token that this daemon issued.
