pipeline: bodies and responses that do not move end

What callers saw: 3,000 connections with 60 KB of a body that never ended stayed for good, since no deadline runs before a short body is whole.

Cause: reading a body and writing a response had no time of their own.

Change: 64 KiB of a body, or its rest, must arrive within limits.stall_timeout (30 s), and a write must end within it. A request that was not passed on is answered 408. A caller that has filled its socket's buffer while nothing is read, and got no response for that time, ends, too: the kernel cannot tell that it has gone.

--- a/lib/src/connection/pipeline/body.rs
+++ b/lib/src/connection/pipeline/body.rs
@@ -6,6 +6,7 @@
 use super::error::ReadError;
 use super::framing::Decoder;
 use super::framing::Step;
+use super::pace::Pace;
 use super::reader::ReadFailure;
 use super::reader::Reader;
 use crate::connection::body;
@@ -36,12 +37,13 @@
 pub(super) async fn read_beginning<R: AsyncRead + Unpin>(
     reader: &mut Reader<'_, R>,
     mut decoder: Decoder,
+    pace: &mut Pace,
 ) -> Result<IncomingBody, ReadFailure> {
     let mut buf = BytesMut::new();
     loop {
         // The buffer may grow to twice of what it holds.
         reader.keep(2 * buf.len()).await?;
-        match reader.read_body(&mut decoder).await? {
+        match pace.read(reader.read_body(&mut decoder)).await? {
             Step::End if buf.is_empty() => return Ok(IncomingBody::Complete(body::empty())),
             Step::End => return Ok(IncomingBody::Complete(body::full(buf.freeze()))),
             Step::Data(data) => buf.extend_from_slice(&data),
@@ -62,11 +64,12 @@
         mut self,
         reader: &mut Reader<'_, R>,
         max_bytes: u64,
+        pace: &mut Pace,
     ) -> Result<(), ReadFailure> {
         let pauses = reader.pauses();
         let mut has_consumer = true;
         loop {
-            match reader.read_body(&mut self.decoder).await? {
+            match pace.read(reader.read_body(&mut self.decoder)).await? {
                 Step::End => {
                     return pauses.run(self.tx.finish()).await;
                 }
@@ -75,7 +78,9 @@
                     if self.read_bytes > max_bytes {
                         return Err(ReadError::BodyTooLong.into());
                     }
-                    has_consumer = has_consumer && pauses.run(self.tx.send(data)).await?;
+                    pace.record(data.len());
+                    has_consumer =
+                        has_consumer && pace.pause(pauses.run(self.tx.send(data))).await?;
                 }
                 Step::NeedInput => {}
             }
--- a/lib/src/connection/pipeline/error.rs
+++ b/lib/src/connection/pipeline/error.rs
@@ -21,6 +21,9 @@
     /// The head did not arrive in time.
     #[snafu(display("the head did not arrive in time"))]
     HeadTimeout,
+    /// The body stalled.
+    #[snafu(display("the body did not arrive in time"))]
+    BodyTimeout,
     /// The daemon stops, and the request has not arrived whole.
     #[snafu(display("the daemon stops before the request has arrived whole"))]
     Stopping,
@@ -36,7 +39,7 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::HeadTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::HeadTimeout | Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -45,7 +48,11 @@
     pub(super) fn retry_after_seconds(self) -> Option<u64> {
         match self {
             Self::Stopping => Some(STOPPING_RETRY_AFTER_SECONDS),
-            Self::Malformed | Self::HeadTooLong | Self::BodyTooLong | Self::HeadTimeout => None,
+            Self::Malformed
+            | Self::HeadTooLong
+            | Self::BodyTooLong
+            | Self::HeadTimeout
+            | Self::BodyTimeout => None,
         }
     }
 
--- a/lib/src/connection/pipeline/mod.rs
+++ b/lib/src/connection/pipeline/mod.rs
@@ -15,6 +15,7 @@
 mod framing;
 mod head;
 mod order;
+mod pace;
 mod pause;
 mod reader;
 mod requests;
@@ -42,6 +43,7 @@
 pub(crate) use self::order::Streaming;
 pub(crate) use self::order::Turn;
 use self::pause::Pauses;
+use self::requests::Activity;
 pub(crate) use self::requests::HEAD_COPIES;
 pub(crate) use self::requests::REQUEST_BYTES;
 use self::requests::RequestLoop;
@@ -103,6 +105,8 @@
     pub discards: Discards,
     /// What all connections hold.
     pub clients: Arc<Clients>,
+    /// Longest time for which a part of a body may be on its way.
+    pub stall_timeout: Duration,
     /// When cancelled, connections close once the requests already read are answered.
     pub stop: CancellationToken,
 }
@@ -130,7 +134,13 @@
     let _ = stream.set_nodelay(true);
     let (mut from_caller, mut to_caller) = stream::split(stream);
     let watched = from_caller.clone();
-    let pauses = Pauses { stream: &watched, account: &client };
+    let activity = Arc::new(Activity::new());
+    let pauses = Pauses {
+        stream: &watched,
+        account: &client,
+        activity: &activity,
+        stall_timeout: cx.stall_timeout,
+    };
     let (tx, mut rx) = mpsc::channel(MAX_PIPELINED);
     let closing = cx.stop.child_token();
     let last_announced = AtomicBool::new(false);
@@ -148,6 +158,7 @@
         on_cut: &cx.on_cut,
         memory: &cx.memory,
         account: &client,
+        stall_timeout: cx.stall_timeout,
     };
     let written = tokio::select! {
         () = reading => return,
@@ -159,6 +170,10 @@
         }
         written = writer::run(&mut to_caller, &mut rx, &writer_cx) => written,
     };
+    if matches!(written, Err(WriteError::Stalled)) {
+        client.cut_stalled();
+        watched.drop_unsent();
+    }
     if let Some(reason) = written.as_ref().err().and_then(WriteError::cut_reason) {
         (cx.on_cut)(reason, rx.len());
     }
--- a/lib/src/connection/pipeline/requests.rs
+++ b/lib/src/connection/pipeline/requests.rs
@@ -33,6 +33,7 @@
 use super::head::Head;
 use super::order::Order;
 use super::order::Turn;
+use super::pace::Pace;
 use super::pause::Pauses;
 use super::reader::ReadFailure;
 use super::reader::Reader;
@@ -96,7 +97,7 @@
 }
 
 /// Requests in progress on a connection, and how long it has been idle.
-struct Activity {
+pub(super) struct Activity {
     in_progress: AtomicUsize,
     /// Wakes the reader when no request is in progress any more.
     idle: Notify,
@@ -106,7 +107,7 @@
 }
 
 impl Activity {
-    fn new() -> Self {
+    pub(super) fn new() -> Self {
         let (in_progress, last_end) = (AtomicUsize::new(0), Mutex::new(Instant::now()));
         Self { in_progress, idle: Notify::new(), last_end }
     }
@@ -121,7 +122,7 @@
     }
 
     /// Returns when the last response had been written or the last request read to its end.
-    fn last_end(&self) -> Instant {
+    pub(super) fn last_end(&self) -> Instant {
         *self.last_end.lock()
     }
 
@@ -159,7 +160,7 @@
     /// Number of requests that were started.
     started: u64,
     tx: mpsc::Sender<QueuedResponse>,
-    activity: Arc<Activity>,
+    activity: &'a Arc<Activity>,
 }
 
 impl<'a, S> RequestLoop<'a, S>
@@ -187,7 +188,7 @@
             order,
             started: 0,
             tx,
-            activity: Arc::new(Activity::new()),
+            activity: pauses.activity,
         }
     }
 
@@ -211,6 +212,7 @@
 
     fn report(&self, err: ReadError) {
         match err {
+            ReadError::BodyTimeout => self.pauses.account.cut_stalled(),
             err if err.is_callers_fault() => (self.cx.on_malformed)(),
             _ => {}
         }
@@ -243,7 +245,7 @@
         tokio::select! {
             // A request that has arrived before the connection closes is answered.
             biased;
-            wait = wait_for_request(&mut self.reader, &self.activity, self.cx) => match wait? {
+            wait = wait_for_request(&mut self.reader, self.activity, self.cx) => match wait? {
                 WaitOutcome::Request => {}
                 WaitOutcome::Idle => return Ok(false),
             },
@@ -255,9 +257,10 @@
         }
         let limits = (self.cx.limits)();
         let stop = self.cx.stop.clone();
+        let mut pace = Pace::new(self.cx.stall_timeout);
         let (head, incoming, charge) = tokio::select! {
             biased;
-            read = self.read_request(&limits) => read?,
+            read = self.read_request(&limits, &mut pace) => read?,
             () = wait_arrival_end(&stop) => return Err(ReadError::Stopping.into()),
         };
         // The previous response may have been announced as the last one in the meantime. This
@@ -273,7 +276,7 @@
         permit.send(QueuedResponse::Pending(self.start(head, body, charge)));
         self.reader.end_request();
         if let Some(remainder) = remainder {
-            let relayed = remainder.relay(&mut self.reader, limits.body_bytes).await;
+            let relayed = remainder.relay(&mut self.reader, limits.body_bytes, &mut pace).await;
             if !self.is_relayed_whole(relayed)? {
                 return Ok(false);
             }
@@ -305,6 +308,7 @@
     async fn read_request(
         &mut self,
         limits: &ConnectionLimits,
+        pace: &mut Pace,
     ) -> Result<(Head, IncomingBody, Charge), ReadFailure> {
         let head = timeout(limits.head_timeout, self.reader.read_head(limits.head_bytes)).await;
         let head = head.unwrap_or(Err(ReadError::HeadTimeout.into()))?;
@@ -315,7 +319,9 @@
         if head.expects_continue {
             self.tx.send(QueuedResponse::Continue).await.map_err(|_| ReadFailure::Closed)?;
         }
-        let incoming = body::read_beginning(&mut self.reader, Decoder::new(framing)).await?;
+        // The time of a body begins behind its head.
+        *pace = Pace::new(self.cx.stall_timeout);
+        let incoming = body::read_beginning(&mut self.reader, Decoder::new(framing), pace).await?;
         let body_len = match &incoming {
             IncomingBody::Complete(body) => body.size_hint().lower() as usize,
             IncomingBody::Streamed(body, _) => {
--- a/lib/src/connection/pipeline/stream.rs
+++ b/lib/src/connection/pipeline/stream.rs
@@ -54,6 +54,13 @@
         }
     }
 
+    /// Whether the caller has sent at least `len` bytes that were not read.
+    pub(super) fn has_unread(&self, len: usize) -> bool {
+        let mut buf = vec![0; len];
+        let peeked = self.0.peek(&mut buf).now_or_never();
+        peeked.is_some_and(|peeked| peeked.is_ok_and(|peeked| peeked == len))
+    }
+
     /// Lets the end of the connection drop what its buffers hold, by a reset.
     pub(super) fn drop_unsent(&self) {
         // Without the option the kernel goes on sending for a while.
--- a/lib/src/connection/pipeline/writer.rs
+++ b/lib/src/connection/pipeline/writer.rs
@@ -3,6 +3,7 @@
 use std::pin::pin;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use futures_util::FutureExt as _;
@@ -15,6 +16,7 @@
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt as _;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use super::OnCut;
@@ -43,6 +45,9 @@
     /// The connection to the caller failed.
     #[snafu(display("the connection to the caller failed"))]
     Connection { source: std::io::Error },
+    /// The caller took nothing for too long.
+    #[snafu(display("the caller does not read the response"))]
+    Stalled,
     /// The body of the response failed.
     #[snafu(display("the response body failed"))]
     Answer { source: RelayError },
@@ -86,7 +91,7 @@
     /// Returns why the response broke off; `None` if its caller closed the connection.
     pub(super) fn cut_reason(&self) -> Option<CutReason> {
         match self {
-            Self::Connection { .. } => None,
+            Self::Connection { .. } | Self::Stalled => None,
             Self::Answer { source: RelayError::DeadlineExceeded } => Some(CutReason::Deadline),
             Self::Answer { .. } => Some(CutReason::Sender),
             Self::Length { .. } => Some(CutReason::Length),
@@ -106,6 +111,8 @@
     /// Memory for responses that are read ahead.
     pub(super) memory: &'a BodyMemory,
     pub(super) account: &'a Account,
+    /// Longest time that one write may take.
+    pub(super) stall_timeout: Duration,
 }
 
 impl WriterCx<'_> {
@@ -120,7 +127,8 @@
             return written.context(ConnectionSnafu);
         }
         let _unsent = self.account.charge(Held::Socket, SOCKET_BUFFER_BYTES);
-        writing.await.context(ConnectionSnafu)
+        let written = timeout(self.stall_timeout, writing).await;
+        written.map_err(|_| WriteError::Stalled)?.context(ConnectionSnafu)
     }
 }
 
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -246,7 +246,17 @@
             let (on_cut, discards) = (self.log_cut_responses(), Discards::new());
             let memory = self.node.pipelined_memory.clone();
             let clients = Arc::clone(&self.node.clients);
-            let cx = ConnectionCx { limits, on_malformed, on_cut, memory, discards, clients, stop };
+            let stall_timeout = self.node.settings.limits.stall_timeout;
+            let cx = ConnectionCx {
+                limits,
+                on_malformed,
+                on_cut,
+                memory,
+                discards,
+                clients,
+                stall_timeout,
+                stop,
+            };
             self.callers.spawn(listener::serve_pipelined(listener, service, cx));
             return;
         }
@@ -311,6 +321,7 @@
             node.metrics.count(match cause {
                 CutCause::Memory => Counter::ClientsCutForMemory,
                 CutCause::Connections => Counter::ClientsCutForConnections,
+                CutCause::Stalled => Counter::ClientsCutStalled,
             });
             let decision = Decision::ClientCut { cut, cause };
             node.decisions.write(node.clock.now(), None, &decision);
--- a/lib/src/process/metrics/counter.rs
+++ b/lib/src/process/metrics/counter.rs
@@ -83,6 +83,8 @@
     ClientsCutForMemory = "clients.cut-for-memory";
     /// Connections of callers that were ended because there were too many.
     ClientsCutForConnections = "clients.cut-for-connections";
+    /// Connections of callers that were ended because they stalled.
+    ClientsCutStalled = "clients.cut-stalled";
     /// Times that a peer stopped responding.
     PeersLost = "peers.lost";
     /// Times that a lost peer responded again.
--- a/lib/src/process/resources/account.rs
+++ b/lib/src/process/resources/account.rs
@@ -45,6 +45,11 @@
         self.signal.holds_more.load(Ordering::Relaxed)
     }
 
+    /// Records that the connection ends because its client stalls.
+    pub fn cut_stalled(&self) {
+        self.clients.cut_stalled(self.id);
+    }
+
     /// Records that a request began, until what this returns is dropped.
     pub fn begin_request(&self) -> RequestGuard {
         self.clients.update(|ledger| ledger.begin_request(self.id));
--- a/lib/src/process/resources/clients.rs
+++ b/lib/src/process/resources/clients.rs
@@ -32,6 +32,8 @@
     Memory,
     /// There were too many connections.
     Connections,
+    /// The client did not take a response, or did not go on sending a body.
+    Stalled,
 }
 
 impl CutCause {
@@ -40,6 +42,7 @@
         match self {
             Self::Memory => "memory",
             Self::Connections => "connections",
+            Self::Stalled => "stalled",
         }
     }
 }
@@ -199,6 +202,12 @@
         f(&mut self.state.lock().ledger);
     }
 
+    /// Records that a connection ends because its client stalls.
+    pub(super) fn cut_stalled(&self, id: AccountId) {
+        let cut = self.state.lock().ledger.cut(id);
+        self.report([cut], CutCause::Stalled);
+    }
+
     /// Wakes one that waits for what there may be again. It wakes the next one in turn.
     fn wake(&self, ledger: &Ledger) {
         if ledger.has_room(1) {
--- a/lib/src/process/resources/ledger.rs
+++ b/lib/src/process/resources/ledger.rs
@@ -233,7 +233,8 @@
         Some(self.cut(id))
     }
 
-    fn cut(&mut self, id: AccountId) -> ClientCut {
+    /// Marks a connection as one that ends for another reason.
+    pub fn cut(&mut self, id: AccountId) -> ClientCut {
         let entry = &mut self.entries[&id];
         let cut = ClientCut { account: id, address: entry.address, held: entry.held };
         if !entry.is_cut {
--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -38,6 +38,7 @@
         memory: BodyMemory::new(0),
         discards: Discards::new(),
         clients: Clients::new(ResourcePlan::new(&RESOURCES)),
+        stall_timeout: CAP,
         stop,
     }
 }
