peers: unread bodies on a connection between daemons hold up no others

What callers saw: 60 uploads that stalled at one entry kept all other uploads from there to the owner waiting, and the slots of the first for ever.

Cause: the flow-control windows of a connection (2 MiB for requests, 8 MiB for responses) were smaller than what its streams may leave unread, so that streams nobody reads used them up.

Change: a connection's window is as large as the share of the VM that all such bodies may hold. The memory is bounded by the accounts, not by the window. Heads on listeners served by hyper are bounded by four times limits.head_bytes, or 16 KiB for operators and readiness, in place of 2 MiB.

--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -35,6 +35,7 @@
 use super::peer_stream::PeerStream;
 use super::peers::MAX_STREAMS;
 use super::peers::STREAM_WINDOW_BYTES;
+use super::peers::connection_window;
 use super::pipeline;
 use super::pipeline::ConnectionCx;
 use super::seal::Sealed;
@@ -43,12 +44,6 @@
 
 /// Longest time that a client may take to send the head of an HTTP/1.1 request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest request head that is read, in bytes. A head that exceeds the limit of the
-/// settings is rejected later, with a response that states the reason.
-const MAX_HEAD_BYTES: u32 = 2 * 1024 * 1024;
-/// Flow-control window of a peer's connection: most bytes of its unread request bodies that are
-/// buffered. One daemon has such a connection from each other one that sends to it.
-const REQUESTS_WINDOW_BYTES: u32 = 2 * 1024 * 1024;
 /// Pause after a failed accept, to avoid a busy loop when file descriptors run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// Time for which a listener that is told to close still accepts connections.
@@ -71,6 +66,18 @@
     Http2,
 }
 
+/// What the connections of a listener are, and how many there may be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Accepted {
+    /// Protocol that they speak.
+    pub protocol: Protocol,
+    /// Longest head of a request that is read, in bytes. A head that exceeds the limit of the
+    /// settings is rejected later, with a response that states the reason.
+    pub max_head_bytes: usize,
+    /// What the unread bodies of all requests may hold, in bytes.
+    pub max_unread: usize,
+}
+
 /// Binds a TCP listener to `address`.
 ///
 /// # Errors
@@ -86,7 +93,7 @@
 /// Accepts connections until `stop` is cancelled, then waits for the requests in progress.
 pub async fn serve<S>(
     listener: TcpListener,
-    protocol: Protocol,
+    accepted: Accepted,
     service: S,
     stop: CancellationToken,
     on_malformed: OnMalformed,
@@ -97,14 +104,15 @@
 {
     let graceful = GracefulShutdown::new();
     let spawn = |stream, _| {
-        spawn_connection(stream, protocol, service.clone(), &graceful, on_malformed.clone());
+        let (service, on_malformed) = (service.clone(), on_malformed.clone());
+        spawn_connection(stream, accepted, service, &graceful, on_malformed);
     };
     loop {
-        let accepted = tokio::select! {
+        let connected = tokio::select! {
             () = stop.cancelled() => break,
-            accepted = listener.accept() => accepted,
+            connected = listener.accept() => connected,
         };
-        match accepted {
+        match connected {
             Ok((stream, remote)) => spawn(stream, remote),
             Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
         }
@@ -163,7 +171,7 @@
 
 fn spawn_connection<S>(
     stream: TcpStream,
-    protocol: Protocol,
+    accepted: Accepted,
     service: S,
     graceful: &GracefulShutdown,
     on_malformed: OnMalformed,
@@ -172,6 +180,7 @@
     S: Clone + Send + Sync + 'static,
     S::Future: Send,
 {
+    let Accepted { protocol, max_head_bytes, max_unread, .. } = accepted;
     // The connection works without these options, but an unresponsive peer is detected late.
     let _ = match protocol {
         Protocol::Http1 => stream.set_nodelay(true),
@@ -191,7 +200,7 @@
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
-                .max_buf_size(MAX_HEAD_BYTES as usize)
+                .max_buf_size(max_head_bytes)
                 .serve_connection(io, service);
             let connection = graceful.watch(connection);
             tokio::spawn(async move {
@@ -211,9 +220,9 @@
             let connection = http2::Builder::new(TokioExecutor::new())
                 .timer(TokioTimer::new())
                 .max_concurrent_streams(MAX_STREAMS)
-                .max_header_list_size(MAX_HEAD_BYTES)
+                .max_header_list_size(u32::try_from(max_head_bytes).unwrap_or(u32::MAX))
                 .initial_stream_window_size(STREAM_WINDOW_BYTES)
-                .initial_connection_window_size(REQUESTS_WINDOW_BYTES)
+                .initial_connection_window_size(connection_window(max_unread))
                 .serve_connection(io, service);
             let connection = graceful.watch(connection);
             tokio::spawn(async move {
--- a/lib/src/connection/peers.rs
+++ b/lib/src/connection/peers.rs
@@ -36,9 +36,6 @@
 const PING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Flow-control window of a stream: most bytes of one unread body that are buffered.
 pub(crate) const STREAM_WINDOW_BYTES: u32 = 128 * 1024;
-/// Flow-control window of a connection: most bytes of all unread responses of one peer that are
-/// buffered.
-const CONNECTION_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
 /// Most requests in progress on one peer connection.
 pub(super) const MAX_STREAMS: u32 = 4096;
 
@@ -96,6 +93,16 @@
     }
 }
 
+/// Largest flow-control window that HTTP/2 allows, in bytes.
+const MAX_WINDOW_BYTES: u32 = (1 << 31) - 1;
+
+/// Returns the flow-control window of a connection on which `max_unread` bytes may be unread.
+pub(super) fn connection_window(max_unread: usize) -> u32 {
+    u32::try_from(max_unread)
+        .unwrap_or(MAX_WINDOW_BYTES)
+        .clamp(STREAM_WINDOW_BYTES, MAX_WINDOW_BYTES)
+}
+
 type Sender = http2::SendRequest<RelayBody>;
 
 /// Open connections to peers, by address.
@@ -104,16 +111,22 @@
     connections: Mutex<IndexMap<SocketAddr, Sender>>,
     /// Number of requests sealed so far.
     sealed: AtomicU64,
+    /// Flow-control window of a connection, in bytes.
+    window: u32,
     closed_tx: UnboundedSender<SocketAddr>,
 }
 
 impl PeerPool {
     /// Creates an empty pool, and a channel that receives the peer address of every
     /// connection that closes.
-    pub fn new() -> (Self, UnboundedReceiver<SocketAddr>) {
+    ///
+    /// `max_unread` is what all unread responses together may hold, in bytes. The window of a
+    /// connection is no smaller, so that responses which nobody reads never hold up others.
+    pub fn new(max_unread: usize) -> (Self, UnboundedReceiver<SocketAddr>) {
         let (closed_tx, closed_rx) = unbounded_channel();
         let (connections, sealed) = (Mutex::default(), AtomicU64::new(0));
-        (Self { connections, sealed, closed_tx }, closed_rx)
+        let window = connection_window(max_unread);
+        (Self { connections, sealed, window, closed_tx }, closed_rx)
     }
 
     fn open_connection(&self, address: SocketAddr) -> Option<Sender> {
@@ -133,7 +146,7 @@
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
-            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .initial_connection_window_size(self.window)
             .handshake(TokioIo::new(PeerStream::connected(stream)))
             .await
             .context(HandshakeSnafu)?;
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -25,6 +25,7 @@
 use crate::connection::body;
 use crate::connection::body::RelayBody;
 use crate::connection::listener;
+use crate::connection::listener::Accepted;
 use crate::connection::listener::BindError;
 use crate::connection::listener::OnMalformed;
 use crate::connection::listener::Protocol;
@@ -66,6 +67,11 @@
 /// removed.
 static UPSTREAM_HEADERS: [HeaderName; 3] = [request::CONTEXT, request::TOKEN, request::DEADLINE_MS];
 
+/// Factor by which a head may exceed the limit of the settings and is still refused with a reason.
+const HEAD_SLACK: usize = 4;
+/// Longest head of an operator's request or of a readiness check, in bytes.
+const INTERNAL_HEAD_BYTES: usize = 16 * 1024;
+
 /// Interval at which counters are sent to statsd.
 const METRICS_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -260,7 +266,8 @@
             self.callers.spawn(listener::serve_pipelined(listener, service, cx));
             return;
         }
-        self.callers.spawn(listener::serve(listener, Protocol::Http1, service, stop, on_malformed));
+        let accepted = self.accepted(Protocol::Http1);
+        self.callers.spawn(listener::serve(listener, accepted, service, stop, on_malformed));
     }
 
     fn serve_peers(&mut self, listener: TcpListener) {
@@ -268,7 +275,8 @@
         let service = service_fn(move |req| serve::serve_peer(Arc::clone(&node), req));
         let stop = self.stop_peers.clone();
         let malformed = self.count_malformed();
-        self.peers.spawn(listener::serve(listener, Protocol::Http2, service, stop, malformed));
+        let accepted = self.accepted(Protocol::Http2);
+        self.peers.spawn(listener::serve(listener, accepted, service, stop, malformed));
     }
 
     fn serve_upstream(&mut self, listener: TcpListener) {
@@ -278,7 +286,8 @@
             .service(service_fn(move |req| serve::serve_upstream(Arc::clone(&node), req)));
         let stop = self.stop_internal.clone();
         let malformed = self.count_malformed();
-        self.internal.spawn(listener::serve(listener, Protocol::Http1, service, stop, malformed));
+        let accepted = self.accepted(Protocol::Http1);
+        self.internal.spawn(listener::serve(listener, accepted, service, stop, malformed));
     }
 
     fn serve_operators(&mut self, listener: TcpListener) {
@@ -289,7 +298,8 @@
         });
         let stop = self.stop_internal.clone();
         let malformed = self.count_malformed();
-        self.internal.spawn(listener::serve(listener, Protocol::Http1, service, stop, malformed));
+        let accepted = self.accepted_internal();
+        self.internal.spawn(listener::serve(listener, accepted, service, stop, malformed));
     }
 
     /// Serves the platform's readiness checks, which fail while the daemon
@@ -305,7 +315,21 @@
         });
         let stop = self.stop_internal.clone();
         let malformed = self.count_malformed();
-        self.internal.spawn(listener::serve(listener, Protocol::Http1, service, stop, malformed));
+        let accepted = self.accepted_internal();
+        self.internal.spawn(listener::serve(listener, accepted, service, stop, malformed));
+    }
+
+    /// Returns what a listener accepts that reads requests for upstreams.
+    fn accepted(&self, protocol: Protocol) -> Accepted {
+        let max_head_bytes = HEAD_SLACK * self.node.settings.limits.head_bytes as usize;
+        let max_unread = self.node.clients.plan().sender_bytes;
+        Accepted { protocol, max_head_bytes, max_unread }
+    }
+
+    /// Returns what the listeners of operators and readiness checks accept.
+    fn accepted_internal(&self) -> Accepted {
+        let max_head_bytes = INTERNAL_HEAD_BYTES;
+        Accepted { protocol: Protocol::Http1, max_head_bytes, max_unread: 0 }
     }
 
     fn count_malformed(&self) -> OnMalformed {
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -199,7 +199,7 @@
         let connections = settings.upstream.connections as usize;
         let upstream = UpstreamPool::new(settings.upstream.address, connections);
         let plan = ResourcePlan::new(&settings.resources);
-        let (peers, ended_peers) = PeerPool::new();
+        let (peers, ended_peers) = PeerPool::new(plan.client_bytes);
         let burn = Mutex::new(BurnTracker::new(place.instance.clone(), settings.objectives));
         Arc::new(Self {
             incarnation,
--- a/lib/tests/test_control_frames.rs
+++ b/lib/tests/test_control_frames.rs
@@ -17,6 +17,7 @@
 use endivescale::connection::control_frames::NextRead;
 use endivescale::connection::control_frames::PREFACE_BYTES;
 use endivescale::connection::listener;
+use endivescale::connection::listener::Accepted;
 use endivescale::connection::listener::Protocol;
 use endivescale::connection::peers::PeerPool;
 use endivescale_testutils::process::wait_until;
@@ -198,7 +199,8 @@
         }
     });
     let stop = CancellationToken::new();
-    listener::serve(listener, Protocol::Http2, service, stop, Arc::new(|| ())).await;
+    let accepted = Accepted { protocol: Protocol::Http2, max_head_bytes: 64 * 1024, max_unread: 0 };
+    listener::serve(listener, accepted, service, stop, Arc::new(|| ())).await;
 }
 
 async fn send(pool: Arc<PeerPool>, addr: SocketAddr, path: &'static str, len: usize) {
@@ -216,7 +218,7 @@
     let (server_addr, addr) = (server.local_addr().unwrap(), front.local_addr().unwrap());
     let started = Arc::<AtomicUsize>::default();
     tokio::spawn(serve(server, started.clone()));
-    let pool = Arc::new(PeerPool::new().0);
+    let pool = Arc::new(PeerPool::new(1 << 20).0);
     let first = tokio::spawn(send(pool.clone(), addr, "/", 0));
     let (from_client, to_client) = front.accept().await.unwrap().0.into_split();
     let (from_server, to_server) = TcpStream::connect(server_addr).await.unwrap().into_split();
--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -8,6 +8,7 @@
 use endivescale::connection::body::BodyMemory;
 use endivescale::connection::body::RelayBody;
 use endivescale::connection::listener;
+use endivescale::connection::listener::Accepted;
 use endivescale::connection::listener::Protocol;
 use endivescale::connection::pipeline::ConnectionCx;
 use endivescale::connection::pipeline::ConnectionLimits;
@@ -91,7 +92,9 @@
 async fn requests_that_arrived_before_a_listener_of_the_own_interface_closes_are_answered() {
     check_waiting_requests(|listener, stop| {
         let on_malformed = Arc::new(|| ());
-        listener::serve(listener, Protocol::Http1, service_fn(answer), stop, on_malformed)
+        let accepted =
+            Accepted { protocol: Protocol::Http1, max_head_bytes: 64 * 1024, max_unread: 0 };
+        listener::serve(listener, accepted, service_fn(answer), stop, on_malformed)
     })
     .await;
 }
--- a/lib/tests/test_seal.rs
+++ b/lib/tests/test_seal.rs
@@ -121,7 +121,7 @@
         let server = http2::Builder::new(TokioExecutor::new());
         let _ = server.serve_connection(TokioIo::new(stream), service).await;
     });
-    let (pool, _closed_rx) = PeerPool::new();
+    let (pool, _closed_rx) = PeerPool::new(1 << 20);
     let send =
         || pool.send(addr, Request::post("http://board.example/").body(body::empty()).unwrap());
     send().await.unwrap();
