body: a response that nobody reads ends after limits.stall_timeout

What callers saw: after a crowd with long pipelined responses, others got none: the upstream's slots stayed held until 2 s after the deadline.

Cause: a long response behind a slower one waits for its turn unread, and holds its slot. The slower one may need that slot.

Change: the timer that drops a response 2 s after its deadline also drops one that was left unread for limits.stall_timeout. Waiting for the sender does not count. Its caller gets 504 in its place, as nothing of it was written.

Evidence: long_unread_responses failed on this change (connections open after 30 s), and holds.

--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -229,12 +229,12 @@
         return Ok(rsp);
     }
     let Some(turn) = &call.turn else {
-        return Ok(rsp.map(|body| stream(body, wait_deadline, outstanding)));
+        return Ok(rsp.map(|body| stream(node, body, wait_deadline, outstanding)));
     };
     let client = call.client.as_ref();
     if let Some(streaming) = turn.try_stream() {
         let guard = StreamedCall { _outstanding: outstanding, streaming };
-        return Ok(rsp.map(|body| charge_stream(stream(body, wait_deadline, guard), client)));
+        return Ok(rsp.map(|body| charge_stream(stream(node, body, wait_deadline, guard), client)));
     }
     // Few responses are held, and requests that wait would have the size of all their futures.
     let deadline = call.response_end_deadline(node);
@@ -254,9 +254,9 @@
 }
 
 /// Relays a response while it arrives, until `deadline`.
-fn stream(body: RelayBody, deadline: Instant, guard: impl OnEnd) -> RelayBody {
+fn stream(node: &Node, body: RelayBody, deadline: Instant, guard: impl OnEnd) -> RelayBody {
     let body = GuardedBody::new(body, deadline, guard).boxed_unsync();
-    body::drop_at(body, deadline + UNREAD_GRACE)
+    body::drop_at(body, deadline + UNREAD_GRACE, node.settings.limits.stall_timeout)
 }
 
 /// Reads a long response to its end if there is room for it, because requests behind it would be
@@ -273,7 +273,7 @@
     let body = GuardedBody::new(body, deadline, outstanding).boxed_unsync();
     let body = match node.pipelined_memory.hold(body, MAX_HELD_RESPONSE_BYTES).await? {
         HeldBody::Whole(body) => body,
-        HeldBody::Begun(body) => charge_stream(stream(body, deadline, turn.stream()), client),
+        HeldBody::Begun(body) => charge_stream(stream(node, body, deadline, turn.stream()), client),
     };
     Ok(Response::from_parts(parts, body))
 }
