listener: connections of daemons, operators and readiness checks are bounded

What callers saw: 500 idle connections at the port for daemons took all descriptors, and nobody else could connect.

Cause: no listener had a bound on its connections.

Change: each has a number of places from resources.descriptors. A new connection beyond it ends the oldest that has sent no request, else the oldest.

--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -38,6 +38,8 @@
 use super::peers::connection_window;
 use super::pipeline;
 use super::pipeline::ConnectionCx;
+use super::places::Place;
+use super::places::Places;
 use super::seal::Sealed;
 use super::tcp;
 use crate::process::resources::Clients;
@@ -71,6 +73,8 @@
 pub struct Accepted {
     /// Protocol that they speak.
     pub protocol: Protocol,
+    /// Most of them at a time. One more ends the oldest that has sent no request.
+    pub max_connections: usize,
     /// Longest head of a request that is read, in bytes. A head that exceeds the limit of the
     /// settings is rejected later, with a response that states the reason.
     pub max_head_bytes: usize,
@@ -103,9 +107,10 @@
     S::Future: Send,
 {
     let graceful = GracefulShutdown::new();
-    let spawn = |stream, _| {
+    let places = Places::new(accepted.max_connections);
+    let spawn = |stream, remote| {
         let (service, on_malformed) = (service.clone(), on_malformed.clone());
-        spawn_connection(stream, accepted, service, &graceful, on_malformed);
+        spawn_connection(stream, accepted, service, &graceful, places.take(remote), on_malformed);
     };
     loop {
         let connected = tokio::select! {
@@ -174,6 +179,7 @@
     accepted: Accepted,
     service: S,
     graceful: &GracefulShutdown,
+    place: Place,
     on_malformed: OnMalformed,
 ) where
     S: Service<Request<RelayBody>, Response = Response<RelayBody>, Error = Infallible>,
@@ -191,7 +197,9 @@
             let limit = ReadLimit::new(Input::Requests);
             let io = TokioIo::new(LimitedStream::new(stream, limit.clone()));
             let requests = limit.clone();
+            let served = place.clone();
             let to_relay = move |req: Request<Incoming>| {
+                served.record_request();
                 requests.start_body(req.headers());
                 req.map(|body| body::relay(requests.count(body)))
             };
@@ -204,7 +212,7 @@
                 .serve_connection(io, service);
             let connection = graceful.watch(connection);
             tokio::spawn(async move {
-                let result = connection.await;
+                let Some(result) = until_cut(connection, &place).await else { return };
                 match limit.is_exceeded() {
                     true => on_malformed(),
                     false => report_malformed(result, &on_malformed),
@@ -213,8 +221,12 @@
         }
         Protocol::Http2 => {
             let io = TokioIo::new(PeerStream::accepted(stream));
+            let served = place.clone();
             let service = ServiceBuilder::new()
-                .map_request(|req: Request<Incoming>| req.map(body::relay))
+                .map_request(move |req: Request<Incoming>| {
+                    served.record_request();
+                    req.map(body::relay)
+                })
                 .service(service);
             let service = TowerToHyperService::new(Sealed::new(service));
             let connection = http2::Builder::new(TokioExecutor::new())
@@ -226,12 +238,24 @@
                 .serve_connection(io, service);
             let connection = graceful.watch(connection);
             tokio::spawn(async move {
-                report_malformed(connection.await, &on_malformed);
+                let Some(result) = until_cut(connection, &place).await else { return };
+                report_malformed(result, &on_malformed);
             });
         }
     }
 }
 
+/// Serves a connection until it ends, or has to make room for another; `None` in that case.
+async fn until_cut<T>(connection: impl Future<Output = T>, place: &Place) -> Option<T> {
+    let ended = tokio::select! {
+        result = connection => Some(result),
+        () = place.cut.cancelled() => None,
+    };
+    // Its place is free.
+    place.cut.cancel();
+    ended
+}
+
 /// Calls `on_malformed` if a connection failed because its bytes could not be parsed, or were
 /// control frames without end. Any other error of a connection is returned to its requests.
 fn report_malformed(result: hyper::Result<()>, on_malformed: &OnMalformed) {
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -9,6 +9,7 @@
 mod peer_stream;
 pub mod peers;
 pub mod pipeline;
+mod places;
 pub mod seal;
 mod sock_diag;
 pub mod strip;
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -246,6 +246,7 @@
             .service(service_fn(move |req| serve::serve_caller(Arc::clone(&node), req)));
         let stop = self.stop_callers.clone();
         let on_malformed = self.count_malformed();
+        let plan = *self.node.clients.plan();
         if self.node.settings.adapter.is_some() {
             let node = Arc::clone(&self.node);
             let limits = Arc::new(move || node.connection_limits());
@@ -266,7 +267,7 @@
             self.callers.spawn(listener::serve_pipelined(listener, service, cx));
             return;
         }
-        let accepted = self.accepted(Protocol::Http1);
+        let accepted = self.accepted(Protocol::Http1, plan.client_connections / 2);
         self.callers.spawn(listener::serve(listener, accepted, service, stop, on_malformed));
     }
 
@@ -275,7 +276,7 @@
         let service = service_fn(move |req| serve::serve_peer(Arc::clone(&node), req));
         let stop = self.stop_peers.clone();
         let malformed = self.count_malformed();
-        let accepted = self.accepted(Protocol::Http2);
+        let accepted = self.accepted(Protocol::Http2, self.node.clients.plan().peer_connections);
         self.peers.spawn(listener::serve(listener, accepted, service, stop, malformed));
     }
 
@@ -286,7 +287,8 @@
             .service(service_fn(move |req| serve::serve_upstream(Arc::clone(&node), req)));
         let stop = self.stop_internal.clone();
         let malformed = self.count_malformed();
-        let accepted = self.accepted(Protocol::Http1);
+        let connections = self.node.clients.plan().client_connections / 2;
+        let accepted = self.accepted(Protocol::Http1, connections);
         self.internal.spawn(listener::serve(listener, accepted, service, stop, malformed));
     }
 
@@ -320,16 +322,17 @@
     }
 
     /// Returns what a listener accepts that reads requests for upstreams.
-    fn accepted(&self, protocol: Protocol) -> Accepted {
+    fn accepted(&self, protocol: Protocol, max_connections: usize) -> Accepted {
         let max_head_bytes = HEAD_SLACK * self.node.settings.limits.head_bytes as usize;
         let max_unread = self.node.clients.plan().sender_bytes;
-        Accepted { protocol, max_head_bytes, max_unread }
+        Accepted { protocol, max_connections, max_head_bytes, max_unread }
     }
 
     /// Returns what the listeners of operators and readiness checks accept.
     fn accepted_internal(&self) -> Accepted {
+        let max_connections = self.node.clients.plan().internal_connections;
         let max_head_bytes = INTERNAL_HEAD_BYTES;
-        Accepted { protocol: Protocol::Http1, max_head_bytes, max_unread: 0 }
+        Accepted { protocol: Protocol::Http1, max_connections, max_head_bytes, max_unread: 0 }
     }
 
     fn count_malformed(&self) -> OnMalformed {
--- a/lib/tests/test_control_frames.rs
+++ b/lib/tests/test_control_frames.rs
@@ -199,7 +199,12 @@
         }
     });
     let stop = CancellationToken::new();
-    let accepted = Accepted { protocol: Protocol::Http2, max_head_bytes: 64 * 1024, max_unread: 0 };
+    let accepted = Accepted {
+        protocol: Protocol::Http2,
+        max_connections: 100,
+        max_head_bytes: 64 * 1024,
+        max_unread: 0,
+    };
     listener::serve(listener, accepted, service, stop, Arc::new(|| ())).await;
 }
 
--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -92,8 +92,12 @@
 async fn requests_that_arrived_before_a_listener_of_the_own_interface_closes_are_answered() {
     check_waiting_requests(|listener, stop| {
         let on_malformed = Arc::new(|| ());
-        let accepted =
-            Accepted { protocol: Protocol::Http1, max_head_bytes: 64 * 1024, max_unread: 0 };
+        let accepted = Accepted {
+            protocol: Protocol::Http1,
+            max_connections: CALLERS,
+            max_head_bytes: 64 * 1024,
+            max_unread: 0,
+        };
         listener::serve(listener, accepted, service_fn(answer), stop, on_malformed)
     })
     .await;
