exchange: a status that is none of an answer is not passed on

Cause: http takes every status from 100 to 999, and hyper takes 101 for final though nobody asked for an upgrade. 000, 099, 1000 and words are refused by hyper and were 502 before.

Change: the owner takes a status outside 200 to 599 for an answer that cannot be believed, also where it says that the request was not run: outcome unknown, the connection is closed, line unusable-status. The entry checks the same, since a daemon of an earlier build passes such answers on.

Ruled out: the platform's store and other daemons' reports reach no caller. Not tried: an early answer to an upload that is still being sent; it takes the same way through send_once.

--- a/lib/src/process/log/bound.rs
+++ b/lib/src/process/log/bound.rs
@@ -5,7 +5,7 @@
 /// Maximum number of lines of one kind per second, for requests that must run at most once and
 /// for others each.
 ///
-/// With 16 kinds and about 200 bytes a line, a daemon writes at most 120 KB/s, a
+/// With 17 kinds and about 200 bytes a line, a daemon writes at most 120 KB/s, a
 /// hundredth of what a disk can write.
 pub(crate) const MAX_LINES_PER_SECOND: u32 = 20;
 
--- a/lib/src/process/log/decision.rs
+++ b/lib/src/process/log/decision.rs
@@ -221,6 +221,13 @@
         /// Whether another daemon has told of it.
         is_told: bool,
     },
+    /// The status of the upstream's answer is none of an answer.
+    UnusableStatus {
+        /// The status.
+        status: StatusCode,
+        /// The connection.
+        connection: ConnectionUse,
+    },
     /// The connection of a caller was ended.
     ClientCut {
         /// The connection, and what it held.
@@ -257,7 +264,7 @@
 }
 
 /// Kinds of decisions, by event name. Each kind has a rate limit of its own.
-const KINDS: [&str; 16] = [
+const KINDS: [&str; 17] = [
     "refused",
     "sent-elsewhere",
     "not-repeated",
@@ -274,6 +281,7 @@
     "sent",
     "foreign-answer",
     "client-cut",
+    "unusable-status",
 ];
 
 impl Decision<'_> {
@@ -296,6 +304,7 @@
             Self::Sent { .. } => 13,
             Self::ForeignAnswer { .. } => 14,
             Self::ClientCut { .. } => 15,
+            Self::UnusableStatus { .. } => 16,
         }
     }
 }
@@ -325,7 +334,8 @@
             Self::Sent { instance, connection, sender } => {
                 write!(f, "instance={instance} {connection} sender={sender}")
             }
-            Self::ForeignAnswer { status, connection } => {
+            Self::ForeignAnswer { status, connection }
+            | Self::UnusableStatus { status, connection } => {
                 write!(f, "status={} {connection}", status.as_u16())
             }
             Self::Cancelled { role, after } => {
--- a/lib/src/request/dialect/mod.rs
+++ b/lib/src/request/dialect/mod.rs
@@ -81,6 +81,8 @@
     Misdirected,
     /// The answer belongs to another request, or does not say to which.
     Foreign,
+    /// Its status is none of an answer, so that nothing else in it can be believed.
+    Unusable,
 }
 
 /// Which request the upstream names in its answer.
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -17,6 +17,7 @@
 
 use super::call::Call;
 use super::config_transfer;
+use super::exchange::is_final;
 use super::owner;
 use super::stop_notice;
 use crate::connection::body;
@@ -214,6 +215,10 @@
         }
         return Err(refusal);
     }
+    // A daemon of an earlier build passes on what its upstream sends.
+    if !is_final(rsp.status()) {
+        return Err(Refusal::unknown(Reason::UpstreamFailed));
+    }
     call.record_response_level(node, path_level.unwrap_or(Level::OPEN));
     if rsp.headers().contains_key(UPSTREAM_ERROR) {
         rsp.extensions_mut().insert(UpstreamError);
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -187,6 +187,13 @@
                 exchange.complete(Completion::Failed);
                 return Err(Refusal::unknown(Reason::UpstreamFailed));
             }
+            ResponseClass::Unusable => {
+                let (status, connection) = (rsp.status(), lease.connection());
+                let decision = Decision::UnusableStatus { status, connection };
+                node.decisions.write(node.clock.now(), Some(&exchange.subject()), &decision);
+                exchange.complete(Completion::Failed);
+                return Err(Refusal::unknown(Reason::UpstreamFailed));
+            }
             ResponseClass::Foreign => {
                 let (status, connection) = (rsp.status(), lease.connection());
                 let decision = Decision::ForeignAnswer { status, connection };
@@ -279,11 +286,20 @@
     Ok((rsp, lease, exchange))
 }
 
+/// Whether a status is one of a final response. `http` also takes those beyond 599, which RFC 9110
+/// does not know, and `hyper` takes 101 for final although no upgrade was asked for.
+pub(super) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Classifies the upstream's response to a request.
 ///
 /// A refusal counts as not run only if no call made on behalf of the request may
 /// have run, because the effects of such calls are effects of the request.
 fn classify_response(node: &Node, rsp: &Response<Incoming>, exchange: &Exchange) -> ResponseClass {
+    if !is_final(rsp.status()) {
+        return ResponseClass::Unusable;
+    }
     let parent = exchange.parent.parent();
     let echo = node.dialect.echo(rsp.headers(), parent.name.as_ref());
     let class = node.dialect.classify_response(rsp.status(), rsp.headers());
@@ -302,8 +318,8 @@
     let is_late = match class {
         ResponseClass::Answered | ResponseClass::Shed | ResponseClass::Contradicted => false,
         ResponseClass::Foreign => true,
-        // Another instance has answered.
-        ResponseClass::Misdirected => return,
+        // Another instance has answered, or nobody that could be believed.
+        ResponseClass::Misdirected | ResponseClass::Unusable => return,
     };
     let notice = node.dialect.upstream_notice(rsp.headers());
     node.record_upstream_notice(&exchange.instance, &notice, is_late);
