pipeline: a pause counts a socket's buffer only once bytes have come

Cause: from half of the clients' share on, each connection with a request in progress paused and was charged 64 KiB for the buffer of its socket, although nothing was in it. So 800 sound callers came to 52 MB more, the bound was reached, and connections ended.

Change: the buffer counts once bytes have arrived. Reading ahead stops at three quarters of the share in place of half.

--- a/lib/src/connection/pipeline/pause.rs
+++ b/lib/src/connection/pipeline/pause.rs
@@ -42,9 +42,13 @@
         if let Some(waited) = waiting.as_mut().now_or_never() {
             return Ok(waited);
         }
-        let _unread = self.account.charge(Held::Socket, SOCKET_BUFFER_BYTES);
+        let mut unread = None;
         let paused_at = Instant::now();
         loop {
+            // What has arrived may be all that fits.
+            if unread.is_none() && self.stream.has_unread(1) {
+                unread = Some(self.account.charge(Held::Socket, SOCKET_BUFFER_BYTES));
+            }
             tokio::select! {
                 biased;
                 waited = &mut waiting => return Ok(waited),
--- a/lib/src/connection/pipeline/requests.rs
+++ b/lib/src/connection/pipeline/requests.rs
@@ -51,7 +51,7 @@
 const IDLE_TIMEOUT_FACTOR: f64 = 1.25;
 /// Memory that a request in progress takes beside its head and body, in bytes: its task, its place
 /// in queues, and its stream to another daemon.
-pub(crate) const REQUEST_BYTES: usize = 24 * 1024;
+pub(crate) const REQUEST_BYTES: usize = 12 * 1024;
 /// Copies of the head of a request in progress: decoded, as it is sent on, and in buffers.
 pub(crate) const HEAD_COPIES: usize = 4;
 /// Memory that the part of a long body takes which is on its way, in bytes.
--- a/lib/src/process/resources/ledger.rs
+++ b/lib/src/process/resources/ledger.rs
@@ -193,7 +193,7 @@
 
     /// Whether connections with a request in progress may be read.
     pub fn may_read_ahead(&self) -> bool {
-        self.held <= self.max_bytes / 2
+        self.held <= self.max_bytes / 4 * 3
     }
 
     /// Whether there are so many connections, those that are about to end included, that no more
