owner: unread bodies of one daemon are bounded by the window of its connection

Cause: made the window of a connection as large as the share of all requests, so that unread streams could not use it up. h2 allows 256 bytes of bookkeeping for each small frame, up to half of the window.

Change: the window is a sixth of the share (4 MB at 160 MB), and what a sender's requests may leave unread is bounded by it: one more is refused as not run, in place of holding up those that are read. Responses have a window of a quarter of the clients' share. The state machines of accounts get tests of their own.

--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -78,8 +78,8 @@
     /// Longest head of a request that is read, in bytes. A head that exceeds the limit of the
     /// settings is rejected later, with a response that states the reason.
     pub max_head_bytes: usize,
-    /// What the unread bodies of all requests may hold, in bytes.
-    pub max_unread: usize,
+    /// What the unread bodies of the requests on a connection of HTTP/2 may hold, in bytes.
+    pub window: usize,
 }
 
 /// Binds a TCP listener to `address`.
@@ -186,7 +186,7 @@
     S: Clone + Send + Sync + 'static,
     S::Future: Send,
 {
-    let Accepted { protocol, max_head_bytes, max_unread, .. } = accepted;
+    let Accepted { protocol, max_head_bytes, window, .. } = accepted;
     // The connection works without these options, but an unresponsive peer is detected late.
     let _ = match protocol {
         Protocol::Http1 => stream.set_nodelay(true),
@@ -234,7 +234,7 @@
                 .max_concurrent_streams(MAX_STREAMS)
                 .max_header_list_size(u32::try_from(max_head_bytes).unwrap_or(u32::MAX))
                 .initial_stream_window_size(STREAM_WINDOW_BYTES)
-                .initial_connection_window_size(connection_window(max_unread))
+                .initial_connection_window_size(connection_window(window))
                 .serve_connection(io, service);
             let connection = graceful.watch(connection);
             tokio::spawn(async move {
--- a/lib/src/connection/peers.rs
+++ b/lib/src/connection/peers.rs
@@ -96,11 +96,9 @@
 /// Largest flow-control window that HTTP/2 allows, in bytes.
 const MAX_WINDOW_BYTES: u32 = (1 << 31) - 1;
 
-/// Returns the flow-control window of a connection on which `max_unread` bytes may be unread.
-pub(super) fn connection_window(max_unread: usize) -> u32 {
-    u32::try_from(max_unread)
-        .unwrap_or(MAX_WINDOW_BYTES)
-        .clamp(STREAM_WINDOW_BYTES, MAX_WINDOW_BYTES)
+/// Returns the flow-control window of a connection on which so many bytes may be unread.
+pub(super) fn connection_window(bytes: usize) -> u32 {
+    u32::try_from(bytes).unwrap_or(MAX_WINDOW_BYTES).clamp(STREAM_WINDOW_BYTES, MAX_WINDOW_BYTES)
 }
 
 type Sender = http2::SendRequest<RelayBody>;
@@ -120,12 +118,11 @@
     /// Creates an empty pool, and a channel that receives the peer address of every
     /// connection that closes.
     ///
-    /// `max_unread` is what all unread responses together may hold, in bytes. The window of a
-    /// connection is no smaller, so that responses which nobody reads never hold up others.
-    pub fn new(max_unread: usize) -> (Self, UnboundedReceiver<SocketAddr>) {
+    /// `window` is what the unread responses of one connection may hold, in bytes.
+    pub fn new(window: usize) -> (Self, UnboundedReceiver<SocketAddr>) {
         let (closed_tx, closed_rx) = unbounded_channel();
         let (connections, sealed) = (Mutex::default(), AtomicU64::new(0));
-        let window = connection_window(max_unread);
+        let window = connection_window(window);
         (Self { connections, sealed, window, closed_tx }, closed_rx)
     }
 
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -324,15 +324,15 @@
     /// Returns what a listener accepts that reads requests for upstreams.
     fn accepted(&self, protocol: Protocol, max_connections: usize) -> Accepted {
         let max_head_bytes = HEAD_SLACK * self.node.settings.limits.head_bytes as usize;
-        let max_unread = self.node.clients.plan().sender_bytes;
-        Accepted { protocol, max_connections, max_head_bytes, max_unread }
+        let window = self.node.clients.plan().request_window;
+        Accepted { protocol, max_connections, max_head_bytes, window }
     }
 
     /// Returns what the listeners of operators and readiness checks accept.
     fn accepted_internal(&self) -> Accepted {
         let max_connections = self.node.clients.plan().internal_connections;
         let max_head_bytes = INTERNAL_HEAD_BYTES;
-        Accepted { protocol: Protocol::Http1, max_connections, max_head_bytes, max_unread: 0 }
+        Accepted { protocol: Protocol::Http1, max_connections, max_head_bytes, window: 0 }
     }
 
     fn count_malformed(&self) -> OnMalformed {
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -199,7 +199,7 @@
         let connections = settings.upstream.connections as usize;
         let upstream = UpstreamPool::new(settings.upstream.address, connections);
         let plan = ResourcePlan::new(&settings.resources);
-        let (peers, ended_peers) = PeerPool::new(plan.client_bytes);
+        let (peers, ended_peers) = PeerPool::new(plan.response_window);
         let burn = Mutex::new(BurnTracker::new(place.instance.clone(), settings.objectives));
         Arc::new(Self {
             incarnation,
@@ -227,7 +227,7 @@
             response_memory: BodyMemory::new(plan.response_bytes),
             pipelined_memory: BodyMemory::new(plan.pipelined_bytes),
             clients: Clients::new(plan),
-            senders: Senders::new(plan.sender_bytes),
+            senders: Senders::new(plan.sender_bytes, plan.request_window),
             lifecycle: Arc::default(),
             stops: Stops::default(),
             metrics,
--- a/lib/src/process/resources/mod.rs
+++ b/lib/src/process/resources/mod.rs
@@ -20,5 +20,6 @@
 pub use self::ledger::HeldBytes;
 pub use self::ledger::Ledger;
 pub use self::plan::ResourcePlan;
+pub use self::senders::HeldOfSender;
 pub use self::senders::SenderCharge;
 pub use self::senders::Senders;
--- a/lib/src/process/resources/plan.rs
+++ b/lib/src/process/resources/plan.rs
@@ -18,6 +18,12 @@
     pub client_bytes: usize,
     /// Memory for requests of other daemons, in bytes.
     pub sender_bytes: usize,
+    /// Most bytes of bodies that one daemon's requests leave unread: the flow-control window of its
+    /// connection. Small frames of a body take far more memory than their bytes, which `h2`
+    /// bounds by the half of the window.
+    pub request_window: usize,
+    /// The same for the responses of one daemon.
+    pub response_window: usize,
     /// Memory for the upstream's responses that are buffered, in bytes.
     pub response_bytes: usize,
     /// Memory for bodies that are held because of pipelined requests, in bytes.
@@ -37,10 +43,13 @@
         let percent = memory.saturating_mul(10_000);
         let descriptors = settings.descriptors as usize - RESERVED_DESCRIPTORS;
         let client_bytes = percent.saturating_mul(40);
+        let sender_bytes = percent.saturating_mul(15);
         let body_bytes = percent.saturating_mul(10).min(MAX_BODY_BYTES);
         Self {
             client_bytes,
-            sender_bytes: percent.saturating_mul(15),
+            sender_bytes,
+            request_window: sender_bytes / 6,
+            response_window: client_bytes / 4,
             response_bytes: body_bytes,
             pipelined_bytes: body_bytes,
             client_connections: (descriptors / 2).min(client_bytes / BYTES_PER_CONNECTION),
--- a/lib/src/process/resources/senders.rs
+++ b/lib/src/process/resources/senders.rs
@@ -14,30 +14,54 @@
 #[derive(Debug)]
 pub struct Senders {
     max_bytes: usize,
+    /// Most bytes of bodies of one daemon that nobody reads: the window of its connection. Beyond
+    /// it, bodies that nobody reads would hold up those that are read.
+    max_unread: usize,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     held: usize,
-    by_sender: IndexMap<Incarnation, usize>,
+    by_sender: IndexMap<Incarnation, HeldOfSender>,
+}
+
+/// What a request or all requests of one daemon hold, in bytes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HeldOfSender {
+    /// Heads, tasks and responses.
+    pub other: usize,
+    /// Bodies, as far as they may be unread.
+    pub unread: usize,
+}
+
+impl HeldOfSender {
+    fn total(self) -> usize {
+        self.other + self.unread
+    }
 }
 
 impl Senders {
     /// Creates an account of which nothing is used.
-    pub fn new(max_bytes: usize) -> Arc<Self> {
-        Arc::new(Self { max_bytes, state: Mutex::default() })
+    pub fn new(max_bytes: usize, max_unread: usize) -> Arc<Self> {
+        Arc::new(Self { max_bytes, max_unread, state: Mutex::default() })
     }
 
     /// Charges a request to the daemon that sent it; `None` if it holds too much.
-    pub fn try_charge(self: &Arc<Self>, sender: Incarnation, bytes: usize) -> Option<SenderCharge> {
+    pub fn try_charge(
+        self: &Arc<Self>,
+        sender: Incarnation,
+        held: HeldOfSender,
+    ) -> Option<SenderCharge> {
         let mut state = self.state.lock();
         let of_sender = state.by_sender.get(&sender).copied().unwrap_or_default();
-        if of_sender + bytes > self.max_bytes.saturating_sub(state.held) {
+        let free = self.max_bytes.saturating_sub(state.held);
+        let has_room = of_sender.total() + held.total() <= free;
+        if !has_room || of_sender.unread + held.unread > self.max_unread {
             return None;
         }
-        state.add(sender, bytes);
-        Some(SenderCharge { senders: Arc::clone(self), sender, bytes })
+        state.add(sender, held);
+        Some(SenderCharge { senders: Arc::clone(self), sender, held })
     }
 
     /// Returns the bytes held, and their limit.
@@ -47,41 +71,45 @@
 }
 
 impl State {
-    fn add(&mut self, sender: Incarnation, bytes: usize) {
-        self.held += bytes;
-        *self.by_sender.entry(sender).or_default() += bytes;
+    fn add(&mut self, sender: Incarnation, held: HeldOfSender) {
+        self.held += held.total();
+        let of_sender = self.by_sender.entry(sender).or_default();
+        of_sender.other += held.other;
+        of_sender.unread += held.unread;
     }
 
-    fn remove(&mut self, sender: Incarnation, bytes: usize) {
-        self.held -= bytes;
+    fn remove(&mut self, sender: Incarnation, held: HeldOfSender) {
+        self.held -= held.total();
         let Some(of_sender) = self.by_sender.get_mut(&sender) else { return };
-        *of_sender -= bytes;
-        if *of_sender == 0 {
+        of_sender.other -= held.other;
+        of_sender.unread -= held.unread;
+        if of_sender.total() == 0 {
             self.by_sender.swap_remove(&sender);
         }
     }
 }
 
-/// Bytes that are charged to a daemon until this is dropped.
+/// What is charged to a daemon until this is dropped.
 #[derive(Debug)]
 pub struct SenderCharge {
     senders: Arc<Senders>,
     sender: Incarnation,
-    bytes: usize,
+    held: HeldOfSender,
 }
 
 impl SenderCharge {
-    /// Charges `bytes` in place of what is charged so far.
-    pub fn replace(&mut self, bytes: usize) {
+    /// Charges the response in place of its request.
+    pub fn answer(&mut self, response_bytes: usize) {
+        let held = HeldOfSender { other: response_bytes, unread: 0 };
         let mut state = self.senders.state.lock();
-        state.add(self.sender, bytes);
-        state.remove(self.sender, self.bytes);
-        self.bytes = bytes;
+        state.add(self.sender, held);
+        state.remove(self.sender, self.held);
+        self.held = held;
     }
 }
 
 impl Drop for SenderCharge {
     fn drop(&mut self) {
-        self.senders.state.lock().remove(self.sender, self.bytes);
+        self.senders.state.lock().remove(self.sender, self.held);
     }
 }
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -31,6 +31,7 @@
 use crate::process::node::End;
 use crate::process::node::Node;
 use crate::process::node::RequestHandle;
+use crate::process::resources::HeldOfSender;
 use crate::request::CONTEXT;
 use crate::request::CRASHES;
 use crate::request::Context;
@@ -110,21 +111,21 @@
     if let Some(known) = known_limit {
         node.adopt_rate_limit(&instance, known);
     }
-    let (sender, len) = (cx.sender, held_bytes(&inbound, &incoming));
-    let Some(mut charge) = node.senders.try_charge(sender, len) else {
+    let held = held_by(&inbound, &incoming);
+    let Some(mut charge) = node.senders.try_charge(cx.sender, held) else {
         return Err(Refusal::not_run(Reason::Overloaded).retry_after(HELD_RETRY_AFTER));
     };
     let rsp = owner::serve(node, cx, &inbound, &instance, incoming).await;
-    charge.replace(body_bytes(rsp.body()));
+    charge.answer(body_bytes(rsp.body()));
     Ok(rsp.map(|body| body::charged(body, charge)))
 }
 
 /// Returns what a request of another daemon takes until it is answered.
-fn held_bytes(inbound: &Inbound, body: &RelayBody) -> usize {
+fn held_by(inbound: &Inbound, body: &RelayBody) -> HeldOfSender {
     let headers = inbound.headers.iter();
     let headers: usize = headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
     let head_len = headers + inbound.path.as_str().len();
-    REQUEST_BYTES + HEAD_COPIES * head_len + body_bytes(body)
+    HeldOfSender { other: REQUEST_BYTES + HEAD_COPIES * head_len, unread: body_bytes(body) }
 }
 
 /// Returns how much of a body is buffered at most while nobody reads it.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -41,6 +41,7 @@
 mod test_repeat_chain;
 mod test_repeats;
 mod test_request_memory;
+mod test_resources;
 mod test_retries;
 mod test_retry_bound;
 mod test_roster;
--- a/lib/tests/test_control_frames.rs
+++ b/lib/tests/test_control_frames.rs
@@ -203,7 +203,7 @@
         protocol: Protocol::Http2,
         max_connections: 100,
         max_head_bytes: 64 * 1024,
-        max_unread: 0,
+        window: 0,
     };
     listener::serve(listener, accepted, service, stop, Arc::new(|| ())).await;
 }
--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -96,7 +96,7 @@
             protocol: Protocol::Http1,
             max_connections: CALLERS,
             max_head_bytes: 64 * 1024,
-            max_unread: 0,
+            window: 0,
         };
         listener::serve(listener, accepted, service_fn(answer), stop, on_malformed)
     })
