upstream: a connection remembers hashes of refused requests

Cause, by reading: each connection to the upstream kept the names of up to 32 requests that it had refused, and callers choose a name as long as a head: 16 KiB each, 80 MB over 160 connections. No test reaches it, since refusals are quick and so few connections are in use at once: suspected, not shown.

Change: it keeps 8 bytes for each. An equal hash of another name only keeps that request off the connection.

--- a/lib/src/connection/upstream.rs
+++ b/lib/src/connection/upstream.rs
@@ -5,6 +5,7 @@
 //! is sent again on a connection that it was refused on. See `docs/design/answers.md`.
 
 use std::fmt;
+use std::hash::Hasher as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
@@ -22,6 +23,7 @@
 use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use siphasher::sip::SipHasher13;
 use snafu::ResultExt as _;
 use snafu::Snafu;
 use tokio::sync::Notify;
@@ -125,14 +127,22 @@
     sender: Sender,
     /// The last request that was sent on the connection.
     last_use: ConnectionUse,
-    refused: Vec<RequestName>,
+    /// Hashes of their names, which callers choose as long as they like. One that is equal by
+    /// chance only keeps another request off the connection.
+    refused: Vec<u64>,
     /// Limits the reading from the connection.
     limit: ReadLimit,
 }
 
+fn hash_name(name: &RequestName) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_str().as_bytes());
+    hasher.finish()
+}
+
 impl Connection {
     fn has_refused(&self, name: Option<&RequestName>) -> bool {
-        name.is_some_and(|name| self.refused.contains(name))
+        name.is_some_and(|name| self.refused.contains(&hash_name(name)))
     }
 }
 
@@ -311,7 +321,7 @@
         if is_long || refused.len() >= MAX_REFUSED_NAMES {
             return;
         }
-        refused.extend(name.cloned());
+        refused.extend(name.map(hash_name));
         tokio::spawn(async move {
             if rsp.into_body().collect().await.is_ok() {
                 self.release();
