pipeline: short chunks of an upload no longer end a connection between daemons

What callers saw: while a dozen uploads in chunks of 8 bytes waited for a slot, a request that ran meanwhile between the same two daemons got 502.

Cause: each chunk became a frame of its own. h2 counts 256 bytes of bookkeeping for each small frame that nobody has read yet, and ends the connection (ENHANCE_YOUR_CALM) once they come to half of its window: one caller could end it for all requests of its entry.

Change: parts that have arrived together are joined, up to 4 KiB.

Open: chunks that arrive one in a packet are still frames of their own.

--- a/lib/src/connection/pipeline/reader.rs
+++ b/lib/src/connection/pipeline/reader.rs
@@ -1,5 +1,6 @@
 //! Reads the bytes that a caller sends.
 
+use bytes::Bytes;
 use bytes::BytesMut;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt as _;
@@ -32,6 +33,8 @@
     }
 }
 
+/// Length from which a part of a body is passed on by itself, in bytes.
+const SHORT_PART_BYTES: usize = 4 * 1024;
 /// Step in which room for input is reserved, in bytes.
 const INPUT_STEP_BYTES: usize = 16 * 1024;
 
@@ -120,11 +123,30 @@
         loop {
             match decoder.step(&mut self.buf)? {
                 Step::NeedInput => self.fill().await?,
-                step => return Ok(step),
+                Step::Data(data) => return self.join_parts(data, decoder).map(Step::Data),
+                Step::End => return Ok(Step::End),
             }
         }
     }
 
+    /// Joins short parts of a body that have arrived together.
+    ///
+    /// Each part becomes a frame between daemons, which takes far more memory than a few bytes. The
+    /// connection that carries them would end for all requests on it.
+    fn join_parts(&mut self, first: Bytes, decoder: &mut Decoder) -> Result<Bytes, ReadFailure> {
+        if first.len() >= SHORT_PART_BYTES {
+            return Ok(first);
+        }
+        let mut joined = BytesMut::from(first);
+        while joined.len() < SHORT_PART_BYTES {
+            match decoder.step(&mut self.buf)? {
+                Step::Data(data) => joined.extend_from_slice(&data),
+                Step::NeedInput | Step::End => break,
+            }
+        }
+        Ok(joined.freeze())
+    }
+
     /// Discards input until the caller closes the connection.
     pub(super) async fn wait_closed(&mut self, discards: &Discards) {
         self.buf = BytesMut::new();
