pipeline: nothing more is passed on behind a connection that is ended

By reading: a connection that is ended for memory or descriptors dropped its responses without closing its order first, so that a request behind a streamed response could be passed on in the moment before its task was ended. The order is closed first, as where the writer ends. No test brings this moment about.

--- a/lib/src/connection/pipeline/mod.rs
+++ b/lib/src/connection/pipeline/mod.rs
@@ -163,6 +163,8 @@
     let written = tokio::select! {
         () = reading => return,
         holds_more = client.wait_cut() => {
+            // Before the responses are dropped, upon which requests behind them could be passed on.
+            order.close();
             if holds_more {
                 watched.drop_unsent();
             }
