--- a/cli/tests/fake_daemon.rs
+++ b/cli/tests/fake_daemon.rs
@@ -19,10 +19,12 @@
 use endivescale::process::burn::Objectives;
 use endivescale::process::burn::Origin;
 use endivescale::process::burn::Role;
+use endivescale::process::resources::HeldBytes;
 use endivescale::process::status;
 use endivescale::process::status::AdmissionStatus;
 use endivescale::process::status::BannedContent;
 use endivescale::process::status::CauseOfRefusal;
+use endivescale::process::status::ClientsStatus;
 use endivescale::process::status::DrainReport;
 use endivescale::process::status::OperatorApi;
 use endivescale::process::status::PeerStanding;
@@ -94,6 +96,22 @@
 /// Name of the instance whose upstream states a limit on the rate of requests.
 pub(crate) const LIMITED_INSTANCE: &str = "submission-limited";
 
+/// What the clients of [`LIMITED_INSTANCE`] hold.
+const CLIENTS: ClientsStatus = ClientsStatus {
+    connections: 120,
+    max_connections: 1_950,
+    held: HeldBytes {
+        connections: 1_966_080,
+        input: 0,
+        requests: 24_000_000,
+        responses: 512_000,
+        sockets: 0,
+    },
+    max_bytes: 64_000_000,
+    sender_bytes: 0,
+    max_sender_bytes: 24_000_000,
+};
+
 impl OperatorApi for FakeDaemon {
     fn status(&self) -> StatusReport {
         let queue = |criticality, waiting| QueueStatus { criticality, waiting };
@@ -141,7 +159,7 @@
                 },
             }],
             customers: None,
-            clients: None,
+            clients: (self.instance == LIMITED_INSTANCE).then_some(CLIENTS),
             banned: match self.instance == LIMITED_INSTANCE {
                 true => vec![BannedContent {
                     content: "5d41402abc4b2a76".to_owned(),
--- a/cli/tests/test_status_command.rs
+++ b/cli/tests/test_status_command.rs
@@ -59,6 +59,18 @@
     assert!(row.contains(" 31/40, 33.2/s "), "{row}");
 }
 
+#[test]
+fn what_clients_hold_is_shown_against_its_bounds() {
+    let address = FakeDaemon::start(LIMITED_INSTANCE, 7);
+    let output = endivescale(&["status", &address.to_string()]).text(&[(address, "ADDRESS")]);
+    let rows = output.lines().skip_while(|line| *line != "Held for clients:").skip(1);
+    let rows: Vec<_> = rows.take(2).collect();
+    assert_snapshot!(rows.join("\n"), @r"
+    INSTANCE            CONNECTIONS  HELD MB    IDLE  INPUT  REQUESTS  RESPONSES  SOCKETS  OF DAEMONS MB
+    submission-limited  120/1950     26.5/64.0  2.0   0.0    24.0      0.5        0.0      0.0/24.0
+    ");
+}
+
 #[test]
 fn status_as_json() {
     let address = FakeDaemon::start("submission-a", 7);
