listener: clearer names for its options and its connections

ListenerOptions and AcceptedConnections in place of Accepted and Places, which read like the places of daemons in routing. No change of behaviour.

--- a/lib/src/connection/places.rs
+++ b/lib/src/connection/accepted.rs
@@ -1,4 +1,4 @@
-//! Places for the connections of a listener whose clients have no account.
+//! The connections of a listener whose clients have no account, which are bounded in number.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -13,9 +13,9 @@
 use crate::process::log::LineAction;
 use crate::process::log::LineRateLimit;
 
-/// A connection that has a place.
+/// A connection among those of its listener.
 #[derive(Clone, Debug)]
-pub(super) struct Place {
+pub(super) struct AcceptedConnection {
     remote: SocketAddr,
     /// Cancelled when the connection has to make room for another.
     pub(super) cut: CancellationToken,
@@ -23,7 +23,7 @@
     has_served: Arc<AtomicBool>,
 }
 
-impl Place {
+impl AcceptedConnection {
     fn new(remote: SocketAddr) -> Self {
         Self { remote, cut: CancellationToken::new(), has_served: Arc::default() }
     }
@@ -40,36 +40,36 @@
 
 /// The connections of one listener, the oldest first.
 ///
-/// If all places are taken, a new connection gets that of the oldest one without a request, or
-/// of the oldest one.
+/// If there are as many as may be, a new connection ends the oldest one without a request, or the
+/// oldest one.
 #[derive(Debug)]
-pub(super) struct Places {
+pub(super) struct AcceptedConnections {
     max: usize,
-    taken: Mutex<VecDeque<Place>>,
+    open: Mutex<VecDeque<AcceptedConnection>>,
     lines: Mutex<LineRateLimit>,
     created: Instant,
 }
 
-impl Places {
+impl AcceptedConnections {
     pub(super) fn new(max: usize) -> Self {
-        Self { max, taken: Mutex::default(), lines: Mutex::default(), created: Instant::now() }
+        Self { max, open: Mutex::default(), lines: Mutex::default(), created: Instant::now() }
     }
 
-    /// Takes a place for a new connection.
-    pub(super) fn take(&self, remote: SocketAddr) -> Place {
-        let place = Place::new(remote);
-        let mut taken = self.taken.lock();
+    /// Adds a new connection.
+    pub(super) fn add(&self, remote: SocketAddr) -> AcceptedConnection {
+        let connection = AcceptedConnection::new(remote);
+        let mut open = self.open.lock();
         // The tokens of connections that have ended are cancelled, too.
-        taken.retain(|place| !place.cut.is_cancelled());
-        if taken.len() >= self.max {
-            let unserved = taken.iter().position(|place| !place.has_served());
-            if let Some(ended) = taken.remove(unserved.unwrap_or(0)) {
+        open.retain(|connection| !connection.cut.is_cancelled());
+        if open.len() >= self.max {
+            let unserved = open.iter().position(|connection| !connection.has_served());
+            if let Some(ended) = open.remove(unserved.unwrap_or(0)) {
                 ended.cut.cancel();
                 self.report(ended.remote);
             }
         }
-        taken.push_back(place.clone());
-        place
+        open.push_back(connection.clone());
+        connection
     }
 
     fn report(&self, remote: SocketAddr) {
--- a/lib/src/connection/listener.rs
+++ b/lib/src/connection/listener.rs
@@ -27,6 +27,8 @@
 use tower::Service;
 use tower::ServiceBuilder;
 
+use super::accepted::AcceptedConnection;
+use super::accepted::AcceptedConnections;
 use super::body;
 use super::body::RelayBody;
 use super::limited::Input;
@@ -38,8 +40,6 @@
 use super::peers::connection_window;
 use super::pipeline;
 use super::pipeline::ConnectionCx;
-use super::places::Place;
-use super::places::Places;
 use super::seal::Sealed;
 use super::tcp;
 use crate::process::resources::Clients;
@@ -70,7 +70,7 @@
 
 /// What the connections of a listener are, and how many there may be.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Accepted {
+pub struct ListenerOptions {
     /// Protocol that they speak.
     pub protocol: Protocol,
     /// Most of them at a time. One more ends the oldest that has sent no request.
@@ -97,7 +97,7 @@
 /// Accepts connections until `stop` is cancelled, then waits for the requests in progress.
 pub async fn serve<S>(
     listener: TcpListener,
-    accepted: Accepted,
+    options: ListenerOptions,
     service: S,
     stop: CancellationToken,
     on_malformed: OnMalformed,
@@ -107,10 +107,10 @@
     S::Future: Send,
 {
     let graceful = GracefulShutdown::new();
-    let places = Places::new(accepted.max_connections);
+    let open = AcceptedConnections::new(options.max_connections);
     let spawn = |stream, remote| {
         let (service, on_malformed) = (service.clone(), on_malformed.clone());
-        spawn_connection(stream, accepted, service, &graceful, places.take(remote), on_malformed);
+        spawn_connection(stream, options, service, &graceful, open.add(remote), on_malformed);
     };
     loop {
         let connected = tokio::select! {
@@ -176,17 +176,17 @@
 
 fn spawn_connection<S>(
     stream: TcpStream,
-    accepted: Accepted,
+    options: ListenerOptions,
     service: S,
     graceful: &GracefulShutdown,
-    place: Place,
+    accepted: AcceptedConnection,
     on_malformed: OnMalformed,
 ) where
     S: Service<Request<RelayBody>, Response = Response<RelayBody>, Error = Infallible>,
     S: Clone + Send + Sync + 'static,
     S::Future: Send,
 {
-    let Accepted { protocol, max_head_bytes, window, .. } = accepted;
+    let ListenerOptions { protocol, max_head_bytes, window, .. } = options;
     // The connection works without these options, but an unresponsive peer is detected late.
     let _ = match protocol {
         Protocol::Http1 => stream.set_nodelay(true),
@@ -197,7 +197,7 @@
             let limit = ReadLimit::new(Input::Requests);
             let io = TokioIo::new(LimitedStream::new(stream, limit.clone()));
             let requests = limit.clone();
-            let served = place.clone();
+            let served = accepted.clone();
             let to_relay = move |req: Request<Incoming>| {
                 served.record_request();
                 requests.start_body(req.headers());
@@ -212,7 +212,7 @@
                 .serve_connection(io, service);
             let connection = graceful.watch(connection);
             tokio::spawn(async move {
-                let Some(result) = until_cut(connection, &place).await else { return };
+                let Some(result) = until_cut(connection, &accepted).await else { return };
                 match limit.is_exceeded() {
                     true => on_malformed(),
                     false => report_malformed(result, &on_malformed),
@@ -221,7 +221,7 @@
         }
         Protocol::Http2 => {
             let io = TokioIo::new(PeerStream::accepted(stream));
-            let served = place.clone();
+            let served = accepted.clone();
             let service = ServiceBuilder::new()
                 .map_request(move |req: Request<Incoming>| {
                     served.record_request();
@@ -238,7 +238,7 @@
                 .serve_connection(io, service);
             let connection = graceful.watch(connection);
             tokio::spawn(async move {
-                let Some(result) = until_cut(connection, &place).await else { return };
+                let Some(result) = until_cut(connection, &accepted).await else { return };
                 report_malformed(result, &on_malformed);
             });
         }
@@ -246,13 +246,16 @@
 }
 
 /// Serves a connection until it ends, or has to make room for another; `None` in that case.
-async fn until_cut<T>(connection: impl Future<Output = T>, place: &Place) -> Option<T> {
+async fn until_cut<T>(
+    connection: impl Future<Output = T>,
+    accepted: &AcceptedConnection,
+) -> Option<T> {
     let ended = tokio::select! {
         result = connection => Some(result),
-        () = place.cut.cancelled() => None,
+        () = accepted.cut.cancelled() => None,
     };
-    // Its place is free.
-    place.cut.cancel();
+    // It no longer counts.
+    accepted.cut.cancel();
     ended
 }
 
--- a/lib/src/connection/mod.rs
+++ b/lib/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Network connections: listeners for callers, peers, the local upstream and operators, and
 //! connection pools for requests to peers and to the local upstream.
 
+mod accepted;
 pub mod body;
 pub mod control_frames;
 pub mod framing_limit;
@@ -9,7 +10,6 @@
 mod peer_stream;
 pub mod peers;
 pub mod pipeline;
-mod places;
 pub mod seal;
 mod sock_diag;
 pub mod strip;
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -25,8 +25,8 @@
 use crate::connection::body;
 use crate::connection::body::RelayBody;
 use crate::connection::listener;
-use crate::connection::listener::Accepted;
 use crate::connection::listener::BindError;
+use crate::connection::listener::ListenerOptions;
 use crate::connection::listener::OnMalformed;
 use crate::connection::listener::Protocol;
 use crate::connection::pipeline::ConnectionCx;
@@ -267,8 +267,8 @@
             self.callers.spawn(listener::serve_pipelined(listener, service, cx));
             return;
         }
-        let accepted = self.accepted(Protocol::Http1, plan.client_connections / 2);
-        self.callers.spawn(listener::serve(listener, accepted, service, stop, on_malformed));
+        let options = self.listener_options(Protocol::Http1, plan.client_connections / 2);
+        self.callers.spawn(listener::serve(listener, options, service, stop, on_malformed));
     }
 
     fn serve_peers(&mut self, listener: TcpListener) {
@@ -276,8 +276,9 @@
         let service = service_fn(move |req| serve::serve_peer(Arc::clone(&node), req));
         let stop = self.stop_peers.clone();
         let malformed = self.count_malformed();
-        let accepted = self.accepted(Protocol::Http2, self.node.clients.plan().peer_connections);
-        self.peers.spawn(listener::serve(listener, accepted, service, stop, malformed));
+        let options =
+            self.listener_options(Protocol::Http2, self.node.clients.plan().peer_connections);
+        self.peers.spawn(listener::serve(listener, options, service, stop, malformed));
     }
 
     fn serve_upstream(&mut self, listener: TcpListener) {
@@ -288,8 +289,8 @@
         let stop = self.stop_internal.clone();
         let malformed = self.count_malformed();
         let connections = self.node.clients.plan().client_connections / 2;
-        let accepted = self.accepted(Protocol::Http1, connections);
-        self.internal.spawn(listener::serve(listener, accepted, service, stop, malformed));
+        let options = self.listener_options(Protocol::Http1, connections);
+        self.internal.spawn(listener::serve(listener, options, service, stop, malformed));
     }
 
     fn serve_operators(&mut self, listener: TcpListener) {
@@ -300,8 +301,8 @@
         });
         let stop = self.stop_internal.clone();
         let malformed = self.count_malformed();
-        let accepted = self.accepted_internal();
-        self.internal.spawn(listener::serve(listener, accepted, service, stop, malformed));
+        let options = self.internal_listener_options();
+        self.internal.spawn(listener::serve(listener, options, service, stop, malformed));
     }
 
     /// Serves the platform's readiness checks, which fail while the daemon
@@ -317,22 +318,22 @@
         });
         let stop = self.stop_internal.clone();
         let malformed = self.count_malformed();
-        let accepted = self.accepted_internal();
-        self.internal.spawn(listener::serve(listener, accepted, service, stop, malformed));
+        let options = self.internal_listener_options();
+        self.internal.spawn(listener::serve(listener, options, service, stop, malformed));
     }
 
-    /// Returns what a listener accepts that reads requests for upstreams.
-    fn accepted(&self, protocol: Protocol, max_connections: usize) -> Accepted {
+    /// Returns the options of a listener for requests to upstreams.
+    fn listener_options(&self, protocol: Protocol, max_connections: usize) -> ListenerOptions {
         let max_head_bytes = HEAD_SLACK * self.node.settings.limits.head_bytes as usize;
         let window = self.node.clients.plan().request_window;
-        Accepted { protocol, max_connections, max_head_bytes, window }
+        ListenerOptions { protocol, max_connections, max_head_bytes, window }
     }
 
-    /// Returns what the listeners of operators and readiness checks accept.
-    fn accepted_internal(&self) -> Accepted {
+    /// Returns the options of the listeners of operators and readiness checks.
+    fn internal_listener_options(&self) -> ListenerOptions {
         let max_connections = self.node.clients.plan().internal_connections;
         let max_head_bytes = INTERNAL_HEAD_BYTES;
-        Accepted { protocol: Protocol::Http1, max_connections, max_head_bytes, window: 0 }
+        ListenerOptions { protocol: Protocol::Http1, max_connections, max_head_bytes, window: 0 }
     }
 
     fn count_malformed(&self) -> OnMalformed {
--- a/lib/tests/test_control_frames.rs
+++ b/lib/tests/test_control_frames.rs
@@ -17,7 +17,7 @@
 use endivescale::connection::control_frames::NextRead;
 use endivescale::connection::control_frames::PREFACE_BYTES;
 use endivescale::connection::listener;
-use endivescale::connection::listener::Accepted;
+use endivescale::connection::listener::ListenerOptions;
 use endivescale::connection::listener::Protocol;
 use endivescale::connection::peers::PeerPool;
 use endivescale_testutils::process::wait_until;
@@ -199,13 +199,13 @@
         }
     });
     let stop = CancellationToken::new();
-    let accepted = Accepted {
+    let options = ListenerOptions {
         protocol: Protocol::Http2,
         max_connections: 100,
         max_head_bytes: 64 * 1024,
         window: 0,
     };
-    listener::serve(listener, accepted, service, stop, Arc::new(|| ())).await;
+    listener::serve(listener, options, service, stop, Arc::new(|| ())).await;
 }
 
 async fn send(pool: Arc<PeerPool>, addr: SocketAddr, path: &'static str, len: usize) {
--- a/lib/tests/test_listener.rs
+++ b/lib/tests/test_listener.rs
@@ -8,7 +8,7 @@
 use endivescale::connection::body::BodyMemory;
 use endivescale::connection::body::RelayBody;
 use endivescale::connection::listener;
-use endivescale::connection::listener::Accepted;
+use endivescale::connection::listener::ListenerOptions;
 use endivescale::connection::listener::Protocol;
 use endivescale::connection::pipeline::ConnectionCx;
 use endivescale::connection::pipeline::ConnectionLimits;
@@ -92,13 +92,13 @@
 async fn requests_that_arrived_before_a_listener_of_the_own_interface_closes_are_answered() {
     check_waiting_requests(|listener, stop| {
         let on_malformed = Arc::new(|| ());
-        let accepted = Accepted {
+        let options = ListenerOptions {
             protocol: Protocol::Http1,
             max_connections: CALLERS,
             max_head_bytes: 64 * 1024,
             window: 0,
         };
-        listener::serve(listener, accepted, service_fn(answer), stop, on_malformed)
+        listener::serve(listener, options, service_fn(answer), stop, on_malformed)
     })
     .await;
 }
