deploy: settings without a field of the platform keep their defaults

A part of the bound on repeats that is not set is 0, as docs/settings.md says; without both there is no bound.

--- a/lib/src/process/settings/reader.rs
+++ b/lib/src/process/settings/reader.rs
@@ -80,9 +80,7 @@
         limits: limits(Section::take(&mut file, "limits", &mut problems)),
         resources: resources(Section::take(&mut file, "resources", &mut problems)),
         objectives: objectives(Section::take(&mut file, "objectives", &mut problems)),
-        repeats: file
-            .contains_key("repeats")
-            .then(|| repeats(Section::take(&mut file, "repeats", &mut problems))),
+        repeats: repeats(Section::take(&mut file, "repeats", &mut problems)),
         customers: customers(Section::take(&mut file, "customers", &mut problems)),
         adapter: has_adapter.then(|| adapter(Section::take(&mut file, "adapter", &mut problems))),
     };
@@ -134,15 +132,21 @@
     upstream
 }
 
-fn repeats(mut section: Section<'_>) -> RepeatSettings {
-    let repeats = RepeatSettings {
-        ratio: section.required_float("ratio", 0.0..=10.0),
-        slack: section.required_float("slack", 0.0..=1e6),
-        window: section.duration("window", SECOND..=HOUR, 10 * SECOND),
-        first_start: section.optional("first_start", "true or false").unwrap_or(false),
-    };
+/// Reads the bound on repeats; a part that is not set allows none. Without either part there is
+/// no bound.
+fn repeats(mut section: Section<'_>) -> Option<RepeatSettings> {
+    let ratio = section.optional_float("ratio", 0.0..=10.0);
+    let slack = section.optional_float("slack", 0.0..=1e6);
+    let window = section.duration("window", SECOND..=HOUR, 10 * SECOND);
+    let first_start = section.optional("first_start", "true or false").unwrap_or(false);
     section.finish();
-    repeats
+    let is_bounded = ratio.is_some() || slack.is_some();
+    is_bounded.then(|| RepeatSettings {
+        ratio: ratio.unwrap_or_default(),
+        slack: slack.unwrap_or_default(),
+        window,
+        first_start,
+    })
 }
 
 fn customers(mut section: Section<'_>) -> CustomerSettings {
--- a/lib/src/process/settings/section.rs
+++ b/lib/src/process/settings/section.rs
@@ -114,25 +114,23 @@
         Some(self.check_range(key, number, &accepted, T::to_string))
     }
 
-    /// Reads a required number, written as an integer or a float, in the range
-    /// `accepted`.
-    pub(super) fn required_float(
+    /// Reads an optional number, written as an integer or a float, in the range `accepted`.
+    pub(super) fn optional_float(
         &mut self,
         key: &'static str,
         accepted: RangeInclusive<f64>,
-    ) -> f64 {
+    ) -> Option<f64> {
         let expected = format!("a number from {} to {}", accepted.start(), accepted.end());
-        let found: Value = self.required(key, &expected, Value::Float(*accepted.start()));
-        let number = match &found {
-            Value::Float(number) => *number,
-            Value::Integer(number) => *number as f64,
-            _ => {
+        let number = match self.optional(key, &expected)? {
+            Value::Float(number) => number,
+            Value::Integer(number) => number as f64,
+            found => {
                 let (key, found) = (self.full_key(key), found.to_string());
                 self.problems.push(Problem::InvalidValue { key, found, expected });
-                return *accepted.start();
+                return None;
             }
         };
-        self.check_range(key, number, &accepted, f64::to_string)
+        Some(self.check_range(key, number, &accepted, f64::to_string))
     }
 
     /// Reads an optional duration in the range `accepted`; `default` applies if the key
