owner: the grace of a queue counts from when its instance may have left

Cause: a daemon whose call was sent into the silence learns of the leaving up to 1.6 s late, and then passed its queue on for 1 s more, counted from when it had learned it. Each is within the bound; their sum is not.

Evidence: the new line `instance-left` tells when and how a daemon learned it, and since when it may have been so. Ruled out by it: the deafness alone, the grace alone, and a slow send behind the last check.

Change: a watermark bounds when a change was confirmed at the earliest: a call that waits is told at once, so a change is no older than the time in which none waited. Readers pass the time on with the changes, and the second counts from it. What is believed no longer after an outage counts as left long ago. In a calm leave the time is now, so that nothing is handed back earlier.

--- a/lib/src/process/catalog/follower/calls.rs
+++ b/lib/src/process/catalog/follower/calls.rs
@@ -14,8 +14,11 @@
 use crate::process::catalog::CatalogError;
 use crate::process::catalog::Change;
 use crate::process::catalog::ChangeBatch;
+use crate::process::catalog::LearnedBy;
+use crate::process::catalog::News;
 use crate::process::catalog::Revision;
 use crate::process::catalog::Topic;
+use crate::process::catalog::Watermark;
 use crate::process::catalog::relay::Polled;
 use crate::process::catalog::relay::ReadRole;
 use crate::process::catalog::relay::RelayClient;
@@ -167,6 +170,8 @@
     pub(super) calls: CatalogCalls,
     pub(super) relay: RelayClient,
     pub(super) cursor: SourceCursor,
+    /// Time up to which the catalog itself has told this daemon all changes.
+    pub(super) watermark: Watermark,
     /// Whether the last poll of a reader failed.
     pub(super) is_reader_lost: bool,
     /// Role of this daemon by the latest list of VMs.
@@ -196,7 +201,7 @@
             Source::Relay(reader) => {
                 self.state.stop_reading(topic);
                 match self.relay.poll(reader, topic, after).await {
-                    Ok(Polled { changes, revision, as_of }) => {
+                    Ok(Polled { changes, revision, as_of, since }) => {
                         self.is_reader_lost = false;
                         let catalog = self.calls.catalog();
                         let changes = changes
@@ -206,6 +211,7 @@
                             batch: ChangeBatch { changes: changes.collect(), revision },
                             source,
                             as_of,
+                            since,
                         })
                     }
                     Err(RelayError::ChangesDiscarded) => Err(CatalogError::ChangesDiscarded),
@@ -247,13 +253,22 @@
         let asked_at = boot_time();
         let call = catalog.watch(topic, after, wait);
         let batch = self.calls.finish(topic, wait, call).await;
-        match &batch {
-            Ok(batch) if is_reader => self.state.record_changes(topic, after, batch, asked_at),
-            Ok(_) => {}
-            Err(err) if err.requires_read() => {}
-            Err(_) => self.state.stop_reading(topic),
+        let answered_at = boot_time();
+        let batch = match batch {
+            Ok(batch) => batch,
+            Err(err) => {
+                match err.requires_read() {
+                    true => self.watermark.record_discarded(asked_at, answered_at),
+                    false => self.state.stop_reading(topic),
+                }
+                return Err(err);
+            }
+        };
+        let since = self.watermark.record_watch(asked_at, answered_at);
+        if is_reader {
+            self.state.record_changes(topic, after, &batch, asked_at, since);
         }
-        Ok(Watched { batch: batch?, source: Source::Catalog, as_of: Some(asked_at) })
+        Ok(Watched { batch, source: Source::Catalog, as_of: Some(asked_at), since: Some(since) })
     }
 }
 
@@ -263,6 +278,9 @@
     pub(super) source: Source,
     /// Time at which the changes were surely complete, by [`boot_time`], if it is known.
     pub(super) as_of: Option<Duration>,
+    /// Earliest time at which the changes may have been confirmed, by [`boot_time`], if it is
+    /// known.
+    pub(super) since: Option<Duration>,
 }
 
 impl Watched {
@@ -271,6 +289,15 @@
         self.source == Source::Catalog && !self.batch.changes.is_empty()
     }
 
+    /// Returns what is known of the time of the changes.
+    pub(super) fn news(&self) -> News {
+        let by = match self.source {
+            Source::Catalog => LearnedBy::Watch,
+            Source::Relay(_) => LearnedBy::Reader,
+        };
+        News { since: self.since.unwrap_or_default(), by }
+    }
+
     /// Returns the changes in the order of their revisions.
     pub(super) fn into_changes(self) -> Vec<Change> {
         self.batch.changes
--- a/lib/src/process/catalog/follower/mod.rs
+++ b/lib/src/process/catalog/follower/mod.rs
@@ -25,6 +25,7 @@
 use self::vms::VmsFollower;
 use super::Catalog;
 use super::Roster;
+use super::Watermark;
 use super::relay;
 use super::relay::ReadRole;
 use super::relay::RelayClient;
@@ -35,6 +36,7 @@
 use crate::process::config::ActiveRules;
 use crate::process::config::ConfigCounters;
 use crate::process::config::ConfigHandle;
+use crate::process::config::KnowledgeAges;
 use crate::process::config::PeerReports;
 use crate::process::config::VersionState;
 use crate::process::membership::VmList;
@@ -44,6 +46,8 @@
 pub struct CatalogOptions {
     /// The catalog to follow.
     pub catalog: Arc<dyn Catalog>,
+    /// Address of the local upstream, by which the daemon finds its own entry.
+    pub upstream: SocketAddr,
     /// Seed for the random part of retry delays.
     pub seed: u64,
     /// How the daemon takes part in relaying; `None` if it only reads the catalog
@@ -61,8 +65,6 @@
     pub listener: TcpListener,
     /// Availability zone of the daemon.
     pub zone: Zone,
-    /// Address of the local upstream, by which the daemon finds its own entry.
-    pub upstream: SocketAddr,
 }
 
 /// Starts the tasks that follow a catalog.
@@ -71,8 +73,8 @@
 ///
 /// Panics if the listener has no local address; every open listener has one.
 pub fn spawn(options: CatalogOptions) -> ConfigHandle {
-    let CatalogOptions { catalog, seed, relay, withdrawal } = options;
-    let confirmation = Arc::default();
+    let CatalogOptions { catalog, upstream, seed, relay, withdrawal } = options;
+    let ages = KnowledgeAges::default();
     let counters = Arc::new(ConfigCounters::default());
     let state = Arc::new(RelayState::new(counters.clone()));
     let (rules_tx, rules) = watch::channel(None);
@@ -93,20 +95,21 @@
         relay: RelayClient::new(counters.clone(), withdrawal),
         withdrawal,
         cursor: SourceCursor::default(),
+        watermark: Watermark::default(),
         is_reader_lost: false,
         role: role.clone(),
         state: state.clone(),
     };
     let mut tasks = JoinSet::new();
-    let local = relay.map(|RelayOptions { listener, zone, upstream }| {
+    let local = relay.map(|RelayOptions { listener, zone }| {
         let control = listener.local_addr().expect("an open listener has an address");
         tasks.spawn(relay::serve(state.clone(), listener));
-        LocalDaemon { control, zone, upstream, role_tx, key_tx: local_key_tx }
+        LocalDaemon { control, zone, role_tx, key_tx: local_key_tx }
     });
     let policy = PolicyFollower {
         source: source(0),
         holder: VersionState::default(),
-        confirmation: Arc::clone(&confirmation),
+        confirmation: Arc::clone(&ages.confirmation),
         is_unreadable: false,
         rules_tx,
         newest_reported,
@@ -119,6 +122,10 @@
         clock: Clock::start(),
         vms_tx,
         offers,
+        upstream,
+        live_here: IndexSet::default(),
+        leave_times: Arc::clone(&ages.leave_times),
+        known_until: Duration::ZERO,
         local,
         local_changes,
     };
@@ -134,7 +141,7 @@
         ready,
         counters,
         PeerReports { newest_reported: newest_reported_tx, offers: offers_tx },
-        confirmation,
+        ages,
         tasks,
     )
 }
--- a/lib/src/process/catalog/follower/vms.rs
+++ b/lib/src/process/catalog/follower/vms.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
+use parking_lot::Mutex;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -12,23 +13,32 @@
 use super::calls::CatalogCalls;
 use super::calls::ChangeSource;
 use super::calls::Watched;
+use super::local_entry::LocalChanges;
 use super::local_entry::LocalKey;
+use crate::process::InstanceId;
 use crate::process::Zone;
 use crate::process::catalog::CatalogError;
 use crate::process::catalog::Change;
 use crate::process::catalog::ConfigSnapshot;
 use crate::process::catalog::EntryKey;
+use crate::process::catalog::LearnedBy;
+use crate::process::catalog::LeaveTimes;
+use crate::process::catalog::News;
 use crate::process::catalog::Page;
 use crate::process::catalog::Revision;
 use crate::process::catalog::Roster;
 use crate::process::catalog::Topic;
+use crate::process::catalog::Watermark;
 use crate::process::catalog::handover;
 use crate::process::catalog::relay;
 use crate::process::catalog::relay::ReadRole;
 use crate::process::clock::Clock;
+use crate::process::clock::boot_time;
 use crate::process::log;
 use crate::process::log::StateChange;
+use crate::process::membership::UpstreamFacts;
 use crate::process::membership::VmList;
+use crate::process::membership::VmState;
 
 /// Pause after changes of entries, in which further ones gather at the catalog.
 ///
@@ -36,6 +46,9 @@
 /// change would cost a call for each reader.
 const GATHER_TIME: Duration = Duration::from_millis(300);
 
+/// What is known of an entry that is no longer believed: it was removed some time before.
+const EXPIRED: News = News { since: Duration::ZERO, by: LearnedBy::Expiry };
+
 /// Most entries that cannot be used whose keys are logged and remembered as logged.
 const MAX_UNUSABLE_LOGGED: usize = 64;
 
@@ -44,8 +57,6 @@
     /// Address at which other daemons poll this one.
     pub(super) control: SocketAddr,
     pub(super) zone: Zone,
-    /// Address of the local upstream, by which its entry is found.
-    pub(super) upstream: SocketAddr,
     pub(super) role_tx: watch::Sender<ReadRole>,
     /// The entry that is watched apart while the daemon is a follower.
     pub(super) key_tx: watch::Sender<Option<LocalKey>>,
@@ -62,15 +73,22 @@
     pub(super) vms_tx: watch::Sender<Option<Arc<VmList>>>,
     /// Configurations received from other daemons.
     pub(super) offers: watch::Receiver<Option<Arc<ConfigSnapshot>>>,
+    /// Address of the local upstream, by which its entry is found.
+    pub(super) upstream: SocketAddr,
+    /// Instances at the local upstream's address that the list in force names as live.
+    pub(super) live_here: IndexSet<InstanceId>,
+    pub(super) leave_times: Arc<Mutex<LeaveTimes>>,
+    /// Time up to which all changes are known that the list in force has.
+    pub(super) known_until: Duration,
     /// `None` if the daemon takes no part in relaying.
     pub(super) local: Option<LocalDaemon>,
     /// Changes of the local upstream's entry.
-    pub(super) local_changes: mpsc::Receiver<Vec<Change>>,
+    pub(super) local_changes: mpsc::Receiver<LocalChanges>,
 }
 
 enum Update {
     Watched(Result<Watched, CatalogError>),
-    Local(Vec<Change>),
+    Local(LocalChanges),
     Expiry,
 }
 
@@ -93,6 +111,7 @@
             let has_no_list = self.vms_tx.borrow().is_none();
             let expiry = self.time_to_expiry();
             let sent_at = self.clock.now();
+            let asked_at = boot_time();
             let attempt = async {
                 let read = read_pages(&mut self.source.calls).await;
                 let ended_at = self.clock.now();
@@ -105,11 +124,13 @@
                 (read, ended_at) = attempt => match read {
                     Ok((pages, revision)) => {
                         let now = self.clock.now();
+                        let since = self.source.watermark.record_read(asked_at);
                         self.source.state.record_entries(&pages, revision);
                         self.roster.record_answer(now);
                         self.roster.replace(now, pages);
                         self.roster.expire(now);
-                        self.publish(revision);
+                        self.known_until = asked_at;
+                        self.publish(revision, News { since, by: LearnedBy::Read });
                         return revision;
                     }
                     Err(err) => self.roster.record_failure(sent_at, ended_at, &err),
@@ -142,9 +163,11 @@
                     self.roster.record_answer(self.clock.now());
                     let before = std::mem::replace(&mut after, watched.batch.revision);
                     let gathers = watched.is_change_of_catalog();
+                    let news = watched.news();
+                    self.known_until = self.known_until.max(news.since);
                     match before.era < after.era {
-                        true => self.begin_era(watched.into_changes(), before, after),
-                        false => self.apply(watched.into_changes(), after),
+                        true => self.begin_era(watched.into_changes(), news, before, after),
+                        false => self.apply(watched.into_changes(), news, after),
                     }
                     self.roster.forget_removals(after);
                     if gathers {
@@ -160,9 +183,9 @@
                     self.roster.record_failure(sent_at, self.clock.now(), &err);
                     self.back_off(after).await;
                 }
-                Update::Local(changes) => {
+                Update::Local(LocalChanges { changes, since }) => {
                     self.roster.record_answer(self.clock.now());
-                    self.apply(changes, after);
+                    self.apply(changes, News { since, by: LearnedBy::LocalEntry }, after);
                 }
                 Update::Expiry => self.expire(after),
             }
@@ -186,29 +209,35 @@
 
     fn expire(&mut self, complete: Revision) {
         if self.roster.expire(self.clock.now()) {
-            self.publish(complete);
+            self.publish(complete, EXPIRED);
         }
     }
 
     /// Applies changes to a list that is otherwise complete up to a revision.
-    fn apply(&mut self, changes: Vec<Change>, complete: Revision) {
+    fn apply(&mut self, changes: Vec<Change>, news: News, complete: Revision) {
         let mut differs = false;
         for change in changes {
             differs |= self.roster.apply(self.clock.now(), change);
         }
-        differs |= self.roster.expire(self.clock.now());
         if differs {
-            self.publish(complete);
+            self.publish(complete, news);
         }
+        self.expire(complete);
     }
 
     /// Applies all that a reader has of a later era.
-    fn begin_era(&mut self, changes: Vec<Change>, before: Revision, complete: Revision) {
+    fn begin_era(
+        &mut self,
+        changes: Vec<Change>,
+        news: News,
+        before: Revision,
+        complete: Revision,
+    ) {
         self.source.calls.record_era(Topic::Vms, before, complete);
-        let differs = self.roster.begin_era(self.clock.now(), complete.era, changes);
-        if self.roster.expire(self.clock.now()) || differs {
-            self.publish(complete);
+        if self.roster.begin_era(self.clock.now(), complete.era, changes) {
+            self.publish(complete, news);
         }
+        self.expire(complete);
     }
 
     /// Logs the entries that cannot be used, each once until it can be used or is removed.
@@ -223,14 +252,38 @@
         self.unusable = unusable;
     }
 
-    fn publish(&mut self, complete: Revision) {
+    /// Records which instances at the local upstream's address a new list no longer names as
+    /// live, before the list is published.
+    fn record_leaves(&mut self, list: &VmList, news: News) {
+        let is_here = |facts: &UpstreamFacts| facts.address == self.upstream;
+        let here = list.vms.iter().filter(|vm| vm.upstream.as_ref().is_some_and(is_here));
+        let live = here.filter(|vm| vm.state == VmState::Live).map(|vm| vm.instance.clone());
+        let live: IndexSet<InstanceId> = live.collect();
+        let mut times = self.leave_times.lock();
+        for instance in self.live_here.difference(&live) {
+            times.record(instance, news.since);
+            let known_late = boot_time().saturating_sub(news.since);
+            let instance = instance.clone();
+            log::write(&StateChange::InstanceLeft { instance, by: news.by, known_late });
+        }
+        for instance in &live {
+            times.forget(instance);
+        }
+        drop(times);
+        self.live_here = live;
+    }
+
+    fn publish(&mut self, complete: Revision, news: News) {
         self.log_unusable();
-        self.vms_tx.send_replace(Some(Arc::new(self.roster.build_list())));
+        let list = self.roster.build_list();
+        self.record_leaves(&list, news);
+        self.vms_tx.send_replace(Some(Arc::new(list)));
+        let watermark = Watermark::at(self.known_until);
         let Some(local) = &self.local else { return };
         let role = relay::assign(local.control, &local.zone, self.roster.vms());
         let key = match role {
             ReadRole::Reader => None,
-            ReadRole::Follower { .. } => self.roster.key_at(local.upstream),
+            ReadRole::Follower { .. } => self.roster.key_at(self.upstream),
         };
         local.role_tx.send_if_modified(|current| {
             let changed = *current != role;
@@ -238,9 +291,9 @@
             changed
         });
         local.key_tx.send_if_modified(|current| {
-            let changed = current.as_ref().map(|(key, _)| key) != key.as_ref();
+            let changed = current.as_ref().map(|local| &local.key) != key.as_ref();
             if changed {
-                *current = key.map(|key| (key, complete));
+                *current = key.map(|key| LocalKey { key, after: complete, watermark });
             }
             changed
         });
--- a/lib/src/process/catalog/mod.rs
+++ b/lib/src/process/catalog/mod.rs
@@ -7,9 +7,11 @@
 mod error;
 mod follower;
 mod handover;
+mod leave_times;
 mod outage;
 mod relay;
 mod roster;
+mod watermark;
 
 use std::fmt;
 use std::pin::Pin;
@@ -25,6 +27,9 @@
 pub use self::follower::spawn;
 pub use self::handover::ConfigSendTimes;
 pub use self::handover::ConfigSnapshot;
+pub use self::leave_times::LearnedBy;
+pub use self::leave_times::LeaveTimes;
+pub use self::leave_times::News;
 pub use self::relay::History;
 pub use self::relay::ReadRole;
 pub use self::relay::RelayedChange;
@@ -33,6 +38,7 @@
 pub use self::relay::SourceCursor;
 pub use self::relay::assign;
 pub use self::roster::Roster;
+pub use self::watermark::Watermark;
 use super::membership::Vm;
 use crate::version::Policy;
 
--- a/lib/src/process/catalog/relay/client.rs
+++ b/lib/src/process/catalog/relay/client.rs
@@ -53,6 +53,9 @@
     pub(in crate::process::catalog) revision: Revision,
     /// Time at which they were surely complete, by [`boot_time`], if the reader knows it.
     pub(in crate::process::catalog) as_of: Option<Duration>,
+    /// Earliest time at which the changes may have been confirmed, by [`boot_time`], if the
+    /// reader knows it.
+    pub(in crate::process::catalog) since: Option<Duration>,
 }
 
 /// Client that polls one reader at a time about one topic.
@@ -107,20 +110,22 @@
             None => POLL_WAIT,
         };
         let wants_age = confirming_wait.is_some();
-        let request = PollRequest { topic, after, wait_ms: wait.as_millis() as u32, wants_age };
+        let wants_since = topic == Topic::Vms;
+        let wait_ms = wait.as_millis() as u32;
+        let request = PollRequest { topic, after, wait_ms, wants_age, wants_since };
         let cx = context_with_timeout(wait + ANSWER_MARGIN);
         let asked_at = boot_time();
         match client.poll(cx, request).await.context(CallSnafu)? {
             PollAnswer::Changes(changes, revision) => {
-                Ok(Polled { changes, revision: revision.max(after), as_of: None })
+                Ok(Polled { changes, revision: revision.max(after), as_of: None, since: None })
             }
             PollAnswer::Confirmed(changes, revision, offset_ms) => {
-                let offset = Duration::from_millis(offset_ms.unsigned_abs());
-                let as_of = match offset_ms < 0 {
-                    true => asked_at.checked_sub(offset),
-                    false => Some(asked_at + offset),
-                };
-                Ok(Polled { changes, revision: revision.max(after), as_of })
+                let as_of = add_offset(asked_at, offset_ms);
+                Ok(Polled { changes, revision: revision.max(after), as_of, since: None })
+            }
+            PollAnswer::Dated(changes, revision, offset_ms) => {
+                let since = add_offset(asked_at, offset_ms);
+                Ok(Polled { changes, revision: revision.max(after), as_of: None, since })
             }
             PollAnswer::Discarded => ChangesDiscardedSnafu.fail(),
             PollAnswer::NotReading => NotReadingSnafu.fail(),
@@ -141,3 +146,13 @@
         Ok(client)
     }
 }
+
+/// Returns the time that lies `offset_ms` after another one; `None` if it is before the start of
+/// the clock.
+fn add_offset(at: Duration, offset_ms: i64) -> Option<Duration> {
+    let offset = Duration::from_millis(offset_ms.unsigned_abs());
+    match offset_ms < 0 {
+        true => at.checked_sub(offset),
+        false => Some(at + offset),
+    }
+}
--- a/lib/src/process/catalog/relay/rpc.rs
+++ b/lib/src/process/catalog/relay/rpc.rs
@@ -23,6 +23,9 @@
     /// Whether the follower wants to know how old the reader's knowledge is.
     #[serde(rename = "g", default)]
     pub(super) wants_age: bool,
+    /// Whether the follower wants to know since when the changes may have been confirmed.
+    #[serde(rename = "s", default)]
+    pub(super) wants_since: bool,
 }
 
 /// Answer to a [`PollRequest`].
@@ -35,6 +38,10 @@
     /// the request arrived at it; mostly negative.
     #[serde(rename = "f")]
     Confirmed(Vec<RelayedChange>, Revision, i64),
+    /// Changes, with the earliest time at which one of them may have been confirmed, in
+    /// milliseconds since the request arrived.
+    #[serde(rename = "s")]
+    Dated(Vec<RelayedChange>, Revision, i64),
     /// The changes are no longer kept; the follower must read the catalog.
     #[serde(rename = "d")]
     Discarded,
--- a/lib/src/process/catalog/relay/server.rs
+++ b/lib/src/process/catalog/relay/server.rs
@@ -1,5 +1,6 @@
 //! Answers the polls of followers from what this daemon reads.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,6 +42,8 @@
 /// Most requests in progress on one connection: one for each topic, and as many that
 /// the follower has given up.
 const REQUESTS_PER_CONNECTION_MAX: usize = 4;
+/// Most answers of the catalog whose times are kept. A follower in touch is one behind.
+const ANSWERS_DATED_MAX: usize = 64;
 /// Delay after a failed `accept`.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -68,27 +71,54 @@
     is_reading: bool,
     /// Time at which the history was surely complete, by [`boot_time`].
     as_of: Option<Duration>,
+    /// The latest answers with changes: the revision of each, and since when its changes may
+    /// have been confirmed. Both only grow.
+    dated: VecDeque<(Revision, Duration)>,
 }
 
 impl TopicInner {
-    /// Returns an answer, with the age of the history if the poll that arrived at
-    /// `received_at` wants to know it.
+    /// Returns an answer to a request that arrived at `received_at`, with the times that it
+    /// asks for.
     fn changes(
         &self,
+        request: &PollRequest,
         changes: Vec<RelayedChange>,
         revision: Revision,
-        received_at: Option<Duration>,
+        received_at: Duration,
     ) -> PollAnswer {
-        match self.as_of.zip(received_at) {
-            Some((as_of, received_at)) => {
-                // Rounded down, so that the history never looks younger than it is.
-                let offset =
-                    (as_of.as_micros() as i64 - received_at.as_micros() as i64).div_euclid(1_000);
-                PollAnswer::Confirmed(changes, revision, offset)
+        let as_of = self.as_of.filter(|_| request.wants_age);
+        let since = self.since(request.after).filter(|_| request.wants_since);
+        match (as_of, since) {
+            (Some(as_of), _) => {
+                PollAnswer::Confirmed(changes, revision, offset_ms(as_of, received_at))
             }
-            None => PollAnswer::Changes(changes, revision),
+            (None, Some(since)) if !changes.is_empty() => {
+                PollAnswer::Dated(changes, revision, offset_ms(since, received_at))
+            }
+            (None, _) => PollAnswer::Changes(changes, revision),
         }
     }
+
+    fn record_date(&mut self, revision: Revision, since: Duration) {
+        self.dated.push_back((revision, since));
+        let excess = self.dated.len().saturating_sub(ANSWERS_DATED_MAX);
+        self.dated.drain(..excess);
+    }
+
+    /// Returns since when the changes after a revision may have been confirmed; `None` if too
+    /// little is kept to tell.
+    fn since(&self, after: Revision) -> Option<Duration> {
+        let first = self.dated.iter().position(|(revision, _)| *revision > after)?;
+        // An answer before the first one that is kept may have changes after the revision, too.
+        let is_first_known = first > 0 || self.dated.len() < ANSWERS_DATED_MAX;
+        is_first_known.then(|| self.dated[first].1)
+    }
+}
+
+/// Returns a time by [`boot_time`] in milliseconds since another one, rounded down so that what
+/// is known never looks younger than it is.
+fn offset_ms(at: Duration, from: Duration) -> i64 {
+    (at.as_micros() as i64 - from.as_micros() as i64).div_euclid(1_000)
 }
 
 impl Default for TopicState {
@@ -107,18 +137,18 @@
     /// over.
     fn answer(
         &self,
-        after: Revision,
-        received_at: Option<Duration>,
+        request: &PollRequest,
+        received_at: Duration,
         is_last: bool,
     ) -> Option<PollAnswer> {
         let inner = self.inner.lock();
         if !inner.is_reading {
             return Some(PollAnswer::NotReading);
         }
-        match inner.history.since(after) {
+        match inner.history.since(request.after) {
             Since::Changes(changes, _) if changes.is_empty() && !is_last => None,
             Since::Changes(changes, revision) => {
-                Some(inner.changes(changes, revision, received_at))
+                Some(inner.changes(request, changes, revision, received_at))
             }
             Since::Discarded => Some(PollAnswer::Discarded),
             Since::Behind => Some(PollAnswer::NotReading),
@@ -149,6 +179,7 @@
                 true => inner.history.begin_era(written(pages), at),
                 false => inner.history.restart(at),
             }
+            inner.dated.clear();
             inner.is_reading = true;
         });
     }
@@ -167,16 +198,21 @@
         });
     }
 
-    /// Records what the catalog answered to a watch after a revision.
+    /// Records what the catalog answered to a watch after a revision that was sent at `asked_at`.
+    /// The changes may have been confirmed from `since` on.
     pub(in crate::process::catalog) fn record_changes(
         &self,
         topic: Topic,
         after: Revision,
         batch: &ChangeBatch,
         asked_at: Duration,
+        since: Duration,
     ) {
         let changes = relayed(batch);
         self.topic(topic).update(|inner| {
+            if !changes.is_empty() {
+                inner.record_date(batch.revision, since);
+            }
             inner.history.extend(after, changes, batch.revision);
             inner.is_reading = true;
             inner.as_of = Some(asked_at);
@@ -243,15 +279,15 @@
 
 impl CatalogRelay for RelayServer {
     async fn poll(self, _: tarpc::context::Context, request: PollRequest) -> PollAnswer {
-        let PollRequest { topic, after, wait_ms, wants_age } = request;
-        let received_at = wants_age.then(boot_time);
-        let deadline = Instant::now() + Duration::from_millis(wait_ms.into()).min(POLL_WAIT_MAX);
-        let state = self.state.topic(topic);
+        let received_at = boot_time();
+        let wait = Duration::from_millis(request.wait_ms.into()).min(POLL_WAIT_MAX);
+        let deadline = Instant::now() + wait;
+        let state = self.state.topic(request.topic);
         let mut changed = state.changed.subscribe();
         loop {
             changed.borrow_and_update();
             let is_last = Instant::now() >= deadline;
-            if let Some(answer) = state.answer(after, received_at, is_last) {
+            if let Some(answer) = state.answer(&request, received_at, is_last) {
                 return answer;
             }
             // When the wait is over, the next turn of the loop answers.
--- a/lib/src/process/config/driver.rs
+++ b/lib/src/process/config/driver.rs
@@ -25,7 +25,9 @@
 use super::server;
 use super::shared::Shared;
 use super::sync_rounds::SyncRounds;
+use crate::process::InstanceId;
 use crate::process::catalog::ConfigSnapshot;
+use crate::process::catalog::LeaveTimes;
 use crate::process::clock::boot_time;
 use crate::process::customers::Confirmation;
 use crate::process::customers::Stamp;
@@ -75,8 +77,8 @@
     /// Channel to the catalog follower for configuration received from another
     /// daemon; `None` if the daemon follows no catalog.
     offers: Option<watch::Sender<Option<Arc<ConfigSnapshot>>>>,
-    /// When the rules in force were surely the newest; only a catalog confirms them.
-    confirmation: Arc<Mutex<Confirmation>>,
+    /// How old the knowledge of the catalog is.
+    ages: KnowledgeAges,
     heartbeat: Arc<Heartbeat>,
     tasks: Mutex<JoinSet<()>>,
 }
@@ -90,6 +92,16 @@
     pub(crate) offers: watch::Sender<Option<Arc<ConfigSnapshot>>>,
 }
 
+/// What the tasks that follow a catalog record of the age of their knowledge; without a catalog
+/// nothing is known of it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KnowledgeAges {
+    /// When the rules in force were surely the newest.
+    pub(crate) confirmation: Arc<Mutex<Confirmation>>,
+    /// Since when instances of the local upstream have been leaving.
+    pub(crate) leave_times: Arc<Mutex<LeaveTimes>>,
+}
+
 impl ConfigHandle {
     /// Creates the handle of a daemon that follows a catalog and has no partners.
     pub(crate) fn new(
@@ -98,7 +110,7 @@
         ready: watch::Receiver<bool>,
         counters: Arc<ConfigCounters>,
         reports: PeerReports,
-        confirmation: Arc<Mutex<Confirmation>>,
+        ages: KnowledgeAges,
         mut tasks: JoinSet<()>,
     ) -> Self {
         let heartbeat = Arc::new(Heartbeat::new());
@@ -120,7 +132,7 @@
             counters,
             newest_reported,
             offers,
-            confirmation,
+            ages,
             heartbeat,
             tasks: Mutex::new(tasks),
         }
@@ -158,12 +170,19 @@
     /// [`boot_time`]; `None` if they never were.
     pub fn rules_age(&self) -> Option<Duration> {
         let version = self.rules.borrow().as_ref()?.version();
-        self.confirmation.lock().age(version, boot_time())
+        self.ages.confirmation.lock().age(version, boot_time())
+    }
+
+    /// Returns the earliest time at which an instance of the local upstream may have left, as
+    /// the age that it has now; `None` if no list has told that it left.
+    pub(crate) fn time_since_leave(&self, instance: &InstanceId) -> Option<Duration> {
+        let since = self.ages.leave_times.lock().since(instance)?;
+        Some(boot_time().saturating_sub(since))
     }
 
     /// Returns what other daemons are told about the age of the rules.
     pub fn stamp(&self) -> Option<Stamp> {
-        self.confirmation.lock().stamp(boot_time())
+        self.ages.confirmation.lock().stamp(boot_time())
     }
 
     /// Records what another daemon answered to a message that was sent at `asked_at`.
@@ -172,7 +191,7 @@
         let Some(version) = self.rules.borrow().as_ref().map(|rules| rules.version()) else {
             return;
         };
-        self.confirmation.lock().hear(version, asked_at, stamp);
+        self.ages.confirmation.lock().hear(version, asked_at, stamp);
     }
 
     /// Ends the background tasks and closes the control listener. The configuration in
@@ -236,7 +255,7 @@
         counters: shared.counters.clone(),
         newest_reported,
         offers: None,
-        confirmation: Arc::default(),
+        ages: KnowledgeAges::default(),
         heartbeat,
         tasks: Mutex::new(tasks),
     }
--- a/lib/src/process/config/mod.rs
+++ b/lib/src/process/config/mod.rs
@@ -33,6 +33,7 @@
 pub use delta::Edit;
 pub use driver::ConfigHandle;
 pub use driver::ConfigOptions;
+pub(crate) use driver::KnowledgeAges;
 pub(crate) use driver::PeerReports;
 pub use driver::spawn;
 pub use fault::Fault;
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -431,13 +431,15 @@
 ) -> Result<ConfigHandle, StartError> {
     let seed = rand::random();
     if let Some(catalog) = catalog {
-        let relay = control.map(|listener| RelayOptions {
-            listener,
-            zone: settings.daemon.zone.clone(),
+        let relay =
+            control.map(|listener| RelayOptions { listener, zone: settings.daemon.zone.clone() });
+        return Ok(catalog::spawn(CatalogOptions {
+            catalog,
             upstream: settings.upstream.address,
-        });
-        let withdrawal = settings.customers.withdrawal;
-        return Ok(catalog::spawn(CatalogOptions { catalog, seed, relay, withdrawal }));
+            seed,
+            relay,
+            withdrawal: settings.customers.withdrawal,
+        }));
     }
     let control = control.context(NoControlSnafu)?;
     Ok(config::spawn(ConfigOptions {
--- a/lib/src/process/log/state_change.rs
+++ b/lib/src/process/log/state_change.rs
@@ -9,6 +9,7 @@
 use crate::process::InstanceId;
 use crate::process::admission::Level;
 use crate::process::catalog::EntryKey;
+use crate::process::catalog::LearnedBy;
 use crate::process::catalog::Revision;
 use crate::process::catalog::Topic;
 use crate::process::config::VersionId;
@@ -125,6 +126,15 @@
         /// What is wrong with it.
         reason: String,
     },
+    /// The list no longer names an instance of the local upstream as live.
+    InstanceLeft {
+        /// Name of the instance.
+        instance: InstanceId,
+        /// How the daemon learned it.
+        by: LearnedBy,
+        /// Longest time for which the daemon may not have known it.
+        known_late: Duration,
+    },
     /// A peer stopped responding and is sent no new requests.
     PeerLost {
         /// VM name of the peer.
@@ -215,6 +225,7 @@
             | Self::RepeatsUsed { .. }
             | Self::UsageCoordinator { .. }
             | Self::CustomersInForce { .. }
+            | Self::InstanceLeft { .. }
             | Self::Draining { .. }
             | Self::Drained { .. } => spdlog::Level::Info,
         }
@@ -263,6 +274,10 @@
             Self::EntryUnusable { key, reason } => {
                 write!(f, "event=entry-unusable key={:?} reason={reason:?}", key.0)
             }
+            Self::InstanceLeft { instance, by, known_late } => {
+                let late_ms = known_late.as_millis();
+                write!(f, "event=instance-left instance={instance} by={by} late_ms={late_ms}")
+            }
             Self::PeerLost { instance } => write!(f, "event=peer-lost instance={instance}"),
             Self::PeerBack { instance } => write!(f, "event=peer-back instance={instance}"),
             Self::SheddingBegan { level } => write!(f, "event=shedding-began level={level}"),
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -27,6 +27,7 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
+use tokio::time::sleep_until;
 
 pub(crate) use self::crash_watch::CrashWatch;
 pub(crate) use self::crash_watch::RunGuard;
@@ -136,7 +137,8 @@
     pub local_instances: Mutex<LocalInstances>,
     /// Wakes the tasks that wait for a change of [`Self::local_instances`].
     local_instances_changed: Notify,
-    /// When the instances left for which the local upstream must no longer run requests.
+    /// When this daemon learned that instances left for which the local upstream must no longer
+    /// run requests.
     left_at: Mutex<IndexMap<InstanceId, Duration>>,
     /// Connections to other daemons.
     pub peers: PeerPool,
@@ -376,20 +378,31 @@
         self.local_instances_changed.notify_waiters();
     }
 
-    /// Returns when an instance left for which the local upstream must no longer run requests;
-    /// `None` if it has not left.
+    /// Returns when an instance left at the earliest for which the local upstream must no longer
+    /// run requests; `None` if it has not left.
+    ///
+    /// The platform may have confirmed it before this daemon learned it. See
+    /// `docs/design/membership.md`.
     pub(crate) fn left_at(&self, instance: &InstanceId) -> Option<Duration> {
-        self.left_at.lock().get(instance).copied()
+        let learned_at = self.left_at.lock().get(instance).copied()?;
+        let since = self.config.time_since_leave(instance);
+        let confirmed_at = since.map(|since| self.clock.now().saturating_sub(since));
+        Some(confirmed_at.map_or(learned_at, |at| at.min(learned_at)))
     }
 
-    /// Waits until the local upstream must no longer run requests for an instance.
-    pub async fn wait_instance_leaves(&self, instance: &InstanceId) {
+    /// Waits until a time after an instance left.
+    pub(crate) async fn wait_after_leave(&self, instance: &InstanceId, delay: Duration) {
         loop {
             let changed = self.local_instances_changed.notified();
-            if self.local_standing(instance) != LocalStanding::Current {
-                return;
+            let Some(left_at) = self.left_at(instance) else {
+                changed.await;
+                continue;
+            };
+            tokio::select! {
+                () = sleep_until(self.clock.instant(left_at + delay)) => return,
+                // The platform may tell that the instance left earlier than it said itself.
+                () = changed => {}
             }
-            changed.await;
         }
     }
 
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -16,7 +16,6 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 
 use super::exchange::Exchange;
 use super::exchange::is_delimited;
@@ -82,8 +81,8 @@
 const DEADLINE_ANSWER_GRACE: Duration = Duration::from_millis(100);
 /// How long a leaving daemon still passes queued requests to its upstream.
 const LEAVING_QUEUE_GRACE: Duration = Duration::from_secs(2);
-/// The same if only the upstream leaves. No request may reach it later than 2 s after the
-/// platform has listed it as leaving, which this daemon learns with a delay.
+/// The same if only the upstream leaves, from the earliest time at which the platform may have
+/// confirmed it. No request may reach it later than 2 s after that.
 const INSTANCE_LEAVING_QUEUE_GRACE: Duration = Duration::from_secs(1);
 /// Longest response of known length that is buffered before it is relayed. Buffering a
 /// longer one would delay its first byte.
@@ -324,14 +323,9 @@
         node.lifecycle.wait_leaving().await;
         sleep(LEAVING_QUEUE_GRACE).await;
     };
-    let instance_leaves = async {
-        node.wait_instance_leaves(instance).await;
-        let left_at = node.left_at(instance).unwrap_or_else(|| node.clock.now());
-        sleep_until(node.clock.instant(left_at + INSTANCE_LEAVING_QUEUE_GRACE)).await;
-    };
     tokio::select! {
         () = daemon_leaves => {}
-        () = instance_leaves => {}
+        () = node.wait_after_leave(instance, INSTANCE_LEAVING_QUEUE_GRACE) => {}
     }
 }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -24,6 +24,7 @@
 mod test_framing_limit;
 mod test_held_bodies;
 mod test_idempotency;
+mod test_leave_times;
 mod test_leaving;
 mod test_listener;
 mod test_log;
