catalog: the belief in lapsed entries ends before their removal binds

A daemon whose last call was lost at the end of an outage believes an entry that lapsed until 5 s after that call. If the instance was removed 3 s after the store's return, when removals bind, requests were sent to it until exactly 2 s later and reached it after that.

Change: the belief ends 4.8 s after that call. It costs sound instances 0.2 s only where the daemon learned more than 2.8 s late that the store is back.

--- a/lib/src/process/catalog/outage.rs
+++ b/lib/src/process/catalog/outage.rs
@@ -12,8 +12,9 @@
 const BELIEF_LIFETIME: Duration = Duration::from_secs(2);
 /// Time for which a daemon whose own path to the catalog has failed is not bound by removals.
 const UNBOUND_TIME: Duration = Duration::from_secs(3);
-/// Time after a confirmed removal within which the instance may still get requests.
-const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time after a confirmed removal within which requests may still be sent to the instance. The
+/// tightest deployment allows 2 s until they arrive.
+const DRAIN_TIME: Duration = Duration::from_millis(1800);
 
 /// How long entries that lapsed in an outage are believed. See `docs/design/membership.md`.
 #[derive(Clone, Copy, Debug)]
