membership: a daemon's last answers do not outlast the end of its connection

Cause: an answer that says that its daemon leaves puts the next probe off by 30 s; the end of the connection shortens that to 0.5 s. The last answers and the end of their connection arrive together and are recorded by two tasks. An answer that came second set 30 s again, and nothing shortened them any more.

A trial build with a line at this place logged such an answer 0.06 ms after the end of its connection, 3.5 s after its request had been sent.

Change: the end is remembered. An answer to a request that was sent before it sets the probe 0.5 s after the end.

Result: two cases in test_membership failed before and pass; a third keeps the 30 s for an answer on a newer connection.

The tests of leaving now state when the request was sent; what they ask for is as before.

--- a/lib/src/process/membership/health_record.rs
+++ b/lib/src/process/membership/health_record.rs
@@ -50,7 +50,10 @@
         sent_at: Duration,
     },
     /// The instance's daemon reported that it accepts no new requests.
-    Leaving,
+    Leaving {
+        /// When the request was sent whose answer says so.
+        sent_at: Duration,
+    },
     /// The instance's upstream has said in an answer that it is leaving.
     UpstreamLeaving,
     /// Another upstream uses the instance's address.
@@ -96,6 +99,8 @@
     counted_sent_at: Option<Duration>,
     /// When the last answer of the upstream arrived.
     served_at: Option<Duration>,
+    /// When a connection to the instance's daemon ended last.
+    disconnected_at: Option<Duration>,
     /// When the next probe may be sent; unused while the instance is working.
     probe_at: Duration,
     /// When the first probe was sent whose result is outstanding. Other results belong to
@@ -119,6 +124,7 @@
             consecutive_timeouts: 0,
             counted_sent_at: None,
             served_at: None,
+            disconnected_at: None,
             probe_at: Duration::ZERO,
             pending_probe: None,
             warming_since,
@@ -151,7 +157,8 @@
             Observation::Answered => self.record_answer(now),
             Observation::ConnectFailed => self.suspect(now, rng),
             Observation::TimedOut { sent_at } => self.record_timeout(now, sent_at, rng),
-            Observation::Leaving | Observation::UpstreamLeaving => self.record_leaving(now),
+            Observation::Leaving { sent_at } => self.record_daemon_leaving(now, sent_at),
+            Observation::UpstreamLeaving => self.record_leaving(now),
             Observation::Gone => self.condition = Condition::Gone,
             Observation::Disconnected => self.record_disconnect(now),
             Observation::Level(level) => self.level = Some((level, now)),
@@ -215,10 +222,26 @@
         }
     }
 
-    /// Probes a leaving instance sooner, since its daemon may have restarted.
     fn record_disconnect(&mut self, now: Duration) {
+        self.disconnected_at = Some(now);
         if self.condition == Condition::Leaving {
-            self.probe_at = self.probe_at.min(now + RESTART_PROBE_INTERVAL);
+            self.probe_after_disconnect(now);
+        }
+    }
+
+    /// Probes a leaving instance sooner, since its daemon may have restarted.
+    fn probe_after_disconnect(&mut self, disconnected_at: Duration) {
+        self.probe_at = self.probe_at.min(disconnected_at + RESTART_PROBE_INTERVAL);
+    }
+
+    /// Records that the instance's daemon is leaving.
+    ///
+    /// The last answers of a daemon that stops arrive together with the end of their connection,
+    /// and may be recorded after it.
+    fn record_daemon_leaving(&mut self, now: Duration, sent_at: Duration) {
+        self.record_leaving(now);
+        if let Some(disconnected_at) = self.disconnected_at.filter(|at| *at >= sent_at) {
+            self.probe_after_disconnect(disconnected_at);
         }
     }
 
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -199,7 +199,7 @@
     };
     let unused_retries = read_header(rsp.headers(), &RETRIES_LEFT);
     call.account.lock().reclaim(grant, unused_retries);
-    record_response(node, vm, rsp.headers());
+    record_response(node, vm, rsp.headers(), sent_at);
     if let (Some(asked_at), Some(stamp)) = (asked_at, read_header(rsp.headers(), &CONFIRMED)) {
         node.config().hear_stamp(asked_at, stamp);
     }
@@ -414,7 +414,7 @@
     update_router(node, vm, |router, now| router.observe(now, &vm.instance, observation));
 }
 
-fn record_response(node: &Node, vm: &Vm, headers: &HeaderMap) {
+fn record_response(node: &Node, vm: &Vm, headers: &HeaderMap, sent_at: Duration) {
     update_router(node, vm, |router, now| {
         router.observe(now, &vm.instance, observation_in(headers));
         if let Some(load) = read_header(headers, &LOAD) {
@@ -429,7 +429,7 @@
             Some(value) if value == UPSTREAM_LEAVING => {
                 router.observe(now, &vm.instance, Observation::UpstreamLeaving);
             }
-            Some(_) => router.observe(now, &vm.instance, Observation::Leaving),
+            Some(_) => router.observe(now, &vm.instance, Observation::Leaving { sent_at }),
             None => {}
         }
     });
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -235,20 +235,20 @@
     }
 
     leaving_on_the_wire_goes_before_a_list_that_lags: |s| {
-        s.see(0, Observation::Leaving);
+        s.see(0, Observation::Leaving { sent_at: ms(0) });
         assert!(s.members.apply(ms(1), &list(2, &["a-x1-1"])));
         assert!(s.probe_at(1) >= 30_000);
     }
 
     a_late_answer_does_not_end_leaving: |s| {
-        s.see(0, Observation::Leaving);
+        s.see(0, Observation::Leaving { sent_at: ms(0) });
         s.see(20, Observation::Answered);
         s.see(30_020, Observation::Answered);
         s.probe_at(30_020);
     }
 
     a_restarted_instance_is_found_by_a_probe: |s| {
-        s.see(0, Observation::Leaving);
+        s.see(0, Observation::Leaving { sent_at: ms(0) });
         s.probe(30_000);
         s.see(30_010, Observation::Answered);
         assert_eq!(s.health(30_010), Health::Working { share: 0.1 });
@@ -278,7 +278,7 @@
     }
 
     after_a_pause_suspected_instances_are_probed_at_once: |s| {
-        s.see(0, Observation::Leaving);
+        s.see(0, Observation::Leaving { sent_at: ms(0) });
         s.members.mark_stale(ms(5_000));
         assert_eq!(s.probe_at(5_000), 5_000);
     }
@@ -413,8 +413,37 @@
 #[test]
 fn a_restarted_daemon_is_probed_soon_after_its_connection_ended() {
     let mut s = Setup::new();
-    s.see(0, Observation::Leaving);
+    s.see(0, Observation::Leaving { sent_at: ms(0) });
     assert!(s.probe_at(0) >= 30_000);
     s.see(3_000, Observation::Disconnected);
     assert_eq!(s.probe_at(3_000), 3_500);
 }
+
+/// A daemon's last answers and the end of its connection are recorded by different tasks. In the
+/// other order the instance was left out for 30 s (review/7).
+#[test]
+fn a_restarted_daemon_is_probed_soon_if_its_last_answer_is_recorded_late() {
+    let mut s = Setup::new();
+    s.see(2_000, Observation::Leaving { sent_at: ms(1_990) });
+    s.see(3_000, Observation::Disconnected);
+    s.see(3_001, Observation::Leaving { sent_at: ms(2_990) });
+    assert_eq!(s.probe_at(3_001), 3_500);
+}
+
+/// The first word of a daemon's leaving may come with the end of its connection, too.
+#[test]
+fn a_daemon_whose_only_answer_is_recorded_late_is_probed_soon() {
+    let mut s = Setup::new();
+    s.see(2_000, Observation::Answered);
+    s.see(3_000, Observation::Disconnected);
+    s.see(3_001, Observation::Leaving { sent_at: ms(2_990) });
+    assert_eq!(s.probe_at(3_001), 3_500);
+}
+
+#[test]
+fn a_daemon_that_says_later_that_it_leaves_is_left_alone() {
+    let mut s = Setup::new();
+    s.see(3_000, Observation::Disconnected);
+    s.see(3_020, Observation::Leaving { sent_at: ms(3_010) });
+    assert!(s.probe_at(3_020) >= 33_000);
+}
--- a/lib/tests/test_routing.rs
+++ b/lib/tests/test_routing.rs
@@ -125,7 +125,7 @@
     }
 
     a_leaving_instance_gets_nothing_while_the_list_lags: |s| {
-        s.see(0, "a-x1-1", Observation::Leaving);
+        s.see(0, "a-x1-1", Observation::Leaving { sent_at: ms(0) });
         for at in [0, 1_000, 29_000] {
             assert_eq!(s.shares(at, Criticality::Normal).get("a-x1-1"), None);
         }
