catalog: an entry whose belief ends in a read counts as left long ago

Cause: found by reading the diff. Where the belief in a lapsed entry ended just as all entries were read anew (the store had discarded its history), its queue got the grace from the read's watermark, though the removal may have been told before that.

Change: the read publishes its list and then lets beliefs expire, as a watch does, so that the queue is closed at once.

--- a/lib/src/process/catalog/follower/vms.rs
+++ b/lib/src/process/catalog/follower/vms.rs
@@ -128,9 +128,9 @@
                         self.source.state.record_entries(&pages, revision);
                         self.roster.record_answer(now);
                         self.roster.replace(now, pages);
-                        self.roster.expire(now);
                         self.known_until = asked_at;
                         self.publish(revision, News { since, by: LearnedBy::Read });
+                        self.expire(revision);
                         return revision;
                     }
                     Err(err) => self.roster.record_failure(sent_at, ended_at, &err),
