review: an outage of a service after its connections went silent

Examined how an owner waits for the answer to a request that isn't idempotent. It holds the slot of the instance until 30 s after the deadline, also where the connection has gone silent and the instance is idle.

--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -14,6 +14,7 @@
 /// Bounds of the site file.
 const CONTACT: Duration = Duration::from_millis(3000);
 const DRAIN: Duration = Duration::from_millis(2000);
+const RECOVERY: Duration = Duration::from_secs(15);
 /// Time by which the record may be late.
 const CLOCK_SLACK: Duration = Duration::from_millis(20);
 
@@ -27,6 +28,7 @@
     match case {
         "silent-store" => silent_store(has_trouble, record),
         "blobs" => blobs(has_trouble, record),
+        "silent-instances" => silent_instances(has_trouble, record),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -39,12 +41,13 @@
 fn start(
     store: &Store,
     proxy: Option<&Proxy>,
+    slots: u32,
     work: Duration,
     record: &Arc<Record>,
 ) -> Result<Deployment, String> {
     store.put("op/config", CONFIG.replace("HOST", HOST).as_bytes());
     let address = proxy.map_or(store.address, |proxy| proxy.address);
-    let mut deployment = Deployment::new(address, record)?;
+    let mut deployment = Deployment::new(address, slots, record)?;
     for service in ["wuno96b", "wuno96b", "wuno96b", "huvo11a", "huvo11a", "huvo11a"] {
         let machine = deployment.add(service, work)?;
         put_state(store, &deployment, machine, "ready", record);
@@ -113,7 +116,7 @@
     let store = Store::start().map_err(problem)?;
     let proxy = Proxy::start(store.address).map_err(problem)?;
     let work = Duration::from_millis(210);
-    let mut deployment = start(&store, Some(&proxy), work, record)?;
+    let mut deployment = start(&store, Some(&proxy), 43, work, record)?;
     let mut clients = Clients::new();
     for (number, machine) in deployment.machines.iter().enumerate() {
         let name = format!("c{number}-");
@@ -149,7 +152,7 @@
 fn blobs(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     let problem = |err: std::io::Error| err.to_string();
     let store = Store::start().map_err(problem)?;
-    let deployment = start(&store, None, Duration::from_millis(210), record)?;
+    let deployment = start(&store, None, 43, Duration::from_millis(210), record)?;
     let mut clients = Clients::new();
     for (number, machine) in deployment.machines.iter().enumerate() {
         let name = format!("c{number}-");
@@ -179,6 +182,55 @@
     Ok(late == 0)
 }
 
+/// RECOVER: all open connections between daemons and instances go silent, new ones work.
+fn silent_instances(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
+    let problem = |err: std::io::Error| err.to_string();
+    let store = Store::start().map_err(problem)?;
+    let deployment = start(&store, None, 16, Duration::from_millis(640), record)?;
+    let mut clients = Clients::new();
+    for (number, machine) in deployment.machines.iter().enumerate() {
+        let name = format!("c{number}-");
+        clients.start(
+            &name,
+            machine.outbound,
+            "POST /puka111/2f",
+            Duration::from_millis(85),
+            record,
+        );
+    }
+    sleep_until(record, record.now() + Duration::from_secs(8));
+    let silent_at = record.now();
+    if has_trouble {
+        let instances = deployment.machines.iter().map(|machine| &machine.instance);
+        let count: usize = instances.map(|instance| instance.silence()).sum();
+        record.add(&format!("the {count} connections opened to instances so far are silent"));
+    }
+    let recovered_at = silent_at + RECOVERY;
+    sleep_until(record, recovered_at + Duration::from_secs(12));
+    let sent = clients.stop();
+    let share = |from: Duration, to: Duration| {
+        let of_time = sent.iter().filter(|sent| sent.at >= from && sent.at < to);
+        let (served, all) = of_time
+            .fold((0, 0), |(served, all), sent| (served + usize::from(sent.end == "200"), all + 1));
+        (served, all)
+    };
+    for second in 0..silent_at.as_secs() + 30 {
+        let at = Duration::from_secs(second);
+        let (served, all) = share(at, at + Duration::from_secs(1));
+        record.add(&format!("sent in second {second}: {all}, of these served: {served}"));
+    }
+    let (served_before, before) =
+        share(silent_at.saturating_sub(Duration::from_secs(6)), silent_at);
+    let (served, all) = share(recovered_at + CLOCK_SLACK, Duration::MAX);
+    record.add(&format!("in the 6 s before: {served_before} of {before} served"));
+    record.add(&format!("sent later than `recovery` after it: {served} of {all} served"));
+    deployment.record_logs(&["draining", "patience", "peer-lost", "shedding"]);
+    match served_before * 4 >= before && all > 0 {
+        true => Ok(served * 4 >= all),
+        false => Err("too few requests were served before".to_owned()),
+    }
+}
+
 /// Records how the requests ended; fails if hardly any was served.
 fn summarize(sent: &[Sent], record: &Record) -> Result<(), String> {
     let mut ends: std::collections::BTreeMap<&str, usize> = Default::default();
--- a/review/rig-3/daemons.rs
+++ b/review/rig-3/daemons.rs
@@ -59,11 +59,12 @@
     ports: Ports,
     folder: PathBuf,
     store: SocketAddr,
+    slots: u32,
     network: u8,
 }
 
 impl Deployment {
-    pub fn new(store: SocketAddr, record: &Arc<Record>) -> Result<Self, String> {
+    pub fn new(store: SocketAddr, slots: u32, record: &Arc<Record>) -> Result<Self, String> {
         let problem = |err: std::io::Error| err.to_string();
         let listeners: Result<Vec<TcpListener>, _> =
             (0..6).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
@@ -76,7 +77,15 @@
         std::fs::create_dir_all(&folder).map_err(problem)?;
         let network = (id % 200) as u8 + 20;
         let record = Arc::clone(record);
-        Ok(Self { machines: Vec::new(), record, ports: Ports(ports), folder, store, network })
+        Ok(Self {
+            machines: Vec::new(),
+            record,
+            ports: Ports(ports),
+            folder,
+            store,
+            slots,
+            network,
+        })
     }
 
     /// Starts a machine with an instance of a service.
@@ -131,8 +140,9 @@
     pub fn entry(&self, machine: usize, state: &str) -> (String, String) {
         let Machine { instance, service, zone, .. } = &self.machines[machine];
         let value = format!(
-            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","slots":43,"state":"{state}","cold_left":"0ms","seq":4,"born":{}}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","slots":{},"state":"{state}","cold_left":"0ms","seq":4,"born":{}}}"#,
             instance.address,
+            self.slots,
             1_760_000_000_000_u64 + machine as u64
         );
         (format!("servers/{}", instance.id), value)
--- a/review/rig-3/instance.rs
+++ b/review/rig-3/instance.rs
@@ -32,7 +32,7 @@
     work: Duration,
     record: Arc<Record>,
     has_ended: AtomicBool,
-    open: Mutex<Vec<TcpStream>>,
+    open: Mutex<Vec<(TcpStream, Arc<AtomicBool>)>>,
     arrivals: Mutex<Vec<Arrival>>,
 }
 
@@ -63,9 +63,11 @@
                 };
                 let _ = stream.set_nonblocking(false);
                 let _ = stream.set_nodelay(true);
-                served.open.lock().unwrap().extend(stream.try_clone());
+                let is_silent = Arc::new(AtomicBool::new(false));
+                let open = stream.try_clone().map(|stream| (stream, Arc::clone(&is_silent)));
+                served.open.lock().unwrap().extend(open);
                 let instance = Arc::clone(&served);
-                std::thread::spawn(move || instance.serve(stream));
+                std::thread::spawn(move || instance.serve(stream, &is_silent));
             }
         });
         Ok(instance)
@@ -74,27 +76,41 @@
     /// Ends the process: what is in progress breaks off.
     pub fn end(&self) {
         self.has_ended.store(true, Ordering::SeqCst);
-        for stream in self.open.lock().unwrap().drain(..) {
+        for (stream, _) in self.open.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
 
+    /// Lets the connections that are open go silent for good; returns how many there are.
+    pub fn silence(&self) -> usize {
+        let open = self.open.lock().unwrap();
+        open.iter().for_each(|(_, is_silent)| is_silent.store(true, Ordering::SeqCst));
+        open.len()
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().unwrap().clone()
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, is_silent: &AtomicBool) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read(&mut reader) {
-            if self.has_ended.load(Ordering::SeqCst) || self.answer(&request, &mut writer).is_err()
-            {
+            if self.has_ended.load(Ordering::SeqCst) {
+                return;
+            }
+            let mut answer = Vec::new();
+            let is_whole = self.answer(&request, &mut answer).is_ok();
+            if is_silent.load(Ordering::SeqCst) {
+                continue;
+            }
+            if !is_whole || writer.write_all(&answer).is_err() {
                 return;
             }
         }
     }
 
-    fn answer(&self, request: &Message, writer: &mut TcpStream) -> io::Result<()> {
+    fn answer(&self, request: &Message, writer: &mut Vec<u8>) -> io::Result<()> {
         if request.second() == "/healthz" {
             let id = &self.id;
             return write!(
