review: an outage of a service after some of its answers were lost

Examined what a lost answer of a request that isn't idempotent costs. The owner holds the slot of the instance until 30 s after the deadline, though the instance has ended the work at the deadline.

This takes the place of the case with silent connections, which has the same cause but depends on what the network acknowledges.

--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -15,20 +15,37 @@
 const CONTACT: Duration = Duration::from_millis(3000);
 const DRAIN: Duration = Duration::from_millis(2000);
 const RECOVERY: Duration = Duration::from_secs(15);
+/// Longest time for which answers are lost.
+const LOSS_TIME: Duration = Duration::from_secs(6);
+const CONFIG_APPLY: Duration = Duration::from_millis(2000);
+/// Entries of another writer in each zone.
+const FOREIGN_PER_ZONE: u8 = 20;
 /// Time by which the record may be late.
 const CLOCK_SLACK: Duration = Duration::from_millis(20);
 
 /// Pause between two requests of a client.
 const PAUSE: Duration = Duration::from_millis(75);
+const SHORT_PAUSE: Duration = Duration::from_millis(50);
 
 const CONFIG: &str = r#"{"version":7,"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"},"base_version":5,"listeners":[{"host":"HOST","route_rules":[{"name":"r-n2ctnfz","kind":"safe","target_latency":"1500ms","priority":2,"match":{"path_prefix":"/leny950/"},"action":{"service":"huvo11a","timeout":"1000ms","max_attempts":2}},{"name":"r-s989anu","kind":"unsafe","target_latency":"1500ms","priority":0,"match":{"path_prefix":"/puka111/"},"action":{"service":"wuno96b","timeout":"1200ms","max_attempts":2}}]}],"clusters":[{"name":"huvo11a","health_check":"/healthz","max_conns":358,"protocol":"h1","tls":false},{"name":"wuno96b","health_check":"/healthz","max_conns":358,"protocol":"h1","tls":false}]}"#;
 
+/// Returns a later configuration, which may move the submissions to the other service.
+fn config(version: u32, has_moved: bool) -> String {
+    let service = if has_moved { "huvo11a" } else { "wuno96b" };
+    CONFIG
+        .replace("HOST", HOST)
+        .replace(r#""version":7"#, &format!(r#""version":{version}"#))
+        .replace(r#""timeout":"1000ms""#, r#""timeout":"1100ms""#)
+        .replace(r#""service":"wuno96b""#, &format!(r#""service":"{service}""#))
+}
+
 /// Plays a case; returns whether the rule held.
 pub fn play(case: &str, has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     match case {
         "silent-store" => silent_store(has_trouble, record),
         "blobs" => blobs(has_trouble, record),
-        "silent-instances" => silent_instances(has_trouble, record),
+        "foreign-entries" => foreign_entries(has_trouble, record),
+        "lost-answers" => lost_answers(has_trouble, record),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -41,13 +58,12 @@
 fn start(
     store: &Store,
     proxy: Option<&Proxy>,
-    slots: u32,
     work: Duration,
     record: &Arc<Record>,
 ) -> Result<Deployment, String> {
     store.put("op/config", CONFIG.replace("HOST", HOST).as_bytes());
     let address = proxy.map_or(store.address, |proxy| proxy.address);
-    let mut deployment = Deployment::new(address, slots, record)?;
+    let mut deployment = Deployment::new(address, record)?;
     for service in ["wuno96b", "wuno96b", "wuno96b", "huvo11a", "huvo11a", "huvo11a"] {
         let machine = deployment.add(service, work)?;
         put_state(store, &deployment, machine, "ready", record);
@@ -116,7 +132,7 @@
     let store = Store::start().map_err(problem)?;
     let proxy = Proxy::start(store.address).map_err(problem)?;
     let work = Duration::from_millis(210);
-    let mut deployment = start(&store, Some(&proxy), 43, work, record)?;
+    let mut deployment = start(&store, Some(&proxy), work, record)?;
     let mut clients = Clients::new();
     for (number, machine) in deployment.machines.iter().enumerate() {
         let name = format!("c{number}-");
@@ -152,7 +168,7 @@
 fn blobs(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     let problem = |err: std::io::Error| err.to_string();
     let store = Store::start().map_err(problem)?;
-    let deployment = start(&store, None, 43, Duration::from_millis(210), record)?;
+    let deployment = start(&store, None, Duration::from_millis(210), record)?;
     let mut clients = Clients::new();
     for (number, machine) in deployment.machines.iter().enumerate() {
         let name = format!("c{number}-");
@@ -182,45 +198,54 @@
     Ok(late == 0)
 }
 
-/// RECOVER: all open connections between daemons and instances go silent, new ones work.
-fn silent_instances(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
+/// RECOVER: instances run requests and lose the answers of some, one pair after the other.
+fn lost_answers(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     let problem = |err: std::io::Error| err.to_string();
     let store = Store::start().map_err(problem)?;
-    let deployment = start(&store, None, 16, Duration::from_millis(640), record)?;
+    let deployment = start(&store, None, Duration::from_millis(210), record)?;
     let mut clients = Clients::new();
     for (number, machine) in deployment.machines.iter().enumerate() {
         let name = format!("c{number}-");
-        clients.start(
-            &name,
-            machine.outbound,
-            "POST /puka111/2f",
-            Duration::from_millis(85),
-            record,
-        );
+        clients.start(&name, machine.outbound, "POST /puka111/2f", SHORT_PAUSE, record);
     }
     sleep_until(record, record.now() + Duration::from_secs(8));
-    let silent_at = record.now();
-    if has_trouble {
-        let instances = deployment.machines.iter().map(|machine| &machine.instance);
-        let count: usize = instances.map(|instance| instance.silence()).sum();
-        record.add(&format!("the {count} connections opened to instances so far are silent"));
+    let trouble_at = record.now();
+    for pair in [[0, 1], [2, 0]] {
+        if has_trouble {
+            record.add(&format!("instances {pair:?} lose 3 of 10 answers"));
+            pair.iter().for_each(|&number| deployment.machines[number].instance.lose_answers(3));
+        }
+        sleep_until(record, record.now() + LOSS_TIME);
+        pair.iter().for_each(|&number| deployment.machines[number].instance.lose_answers(0));
     }
-    let recovered_at = silent_at + RECOVERY;
-    sleep_until(record, recovered_at + Duration::from_secs(12));
+    record.add("no answer is lost from here on");
+    recovers(&deployment, clients, trouble_at, record.now(), record)
+}
+
+/// Goes on for `recovery` and 15 s after the trouble and returns whether a quarter of the requests
+/// of these 15 s is served; fails if less was served in the 6 s before the trouble.
+fn recovers(
+    deployment: &Deployment,
+    clients: Clients,
+    trouble_at: Duration,
+    end_at: Duration,
+    record: &Record,
+) -> Result<bool, String> {
+    let recovered_at = end_at + RECOVERY;
+    sleep_until(record, recovered_at + Duration::from_secs(15));
     let sent = clients.stop();
     let share = |from: Duration, to: Duration| {
         let of_time = sent.iter().filter(|sent| sent.at >= from && sent.at < to);
-        let (served, all) = of_time
-            .fold((0, 0), |(served, all), sent| (served + usize::from(sent.end == "200"), all + 1));
-        (served, all)
+        of_time
+            .fold((0, 0), |(served, all), sent| (served + usize::from(sent.end == "200"), all + 1))
     };
-    for second in 0..silent_at.as_secs() + 30 {
+    for second in 0..recovered_at.as_secs() + 15 {
         let at = Duration::from_secs(second);
         let (served, all) = share(at, at + Duration::from_secs(1));
         record.add(&format!("sent in second {second}: {all}, of these served: {served}"));
     }
     let (served_before, before) =
-        share(silent_at.saturating_sub(Duration::from_secs(6)), silent_at);
+        share(trouble_at.saturating_sub(Duration::from_secs(6)), trouble_at);
     let (served, all) = share(recovered_at + CLOCK_SLACK, Duration::MAX);
     record.add(&format!("in the 6 s before: {served_before} of {before} served"));
     record.add(&format!("sent later than `recovery` after it: {served} of {all} served"));
@@ -231,6 +256,59 @@
     }
 }
 
+/// CONFIG: another writer writes entries of a service that isn't named; two configurations follow.
+fn foreign_entries(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
+    let problem = |err: std::io::Error| err.to_string();
+    let store = Store::start().map_err(problem)?;
+    let mut deployment = start(&store, None, Duration::from_millis(210), record)?;
+    let mut clients = Clients::new();
+    for (number, machine) in deployment.machines.iter().enumerate() {
+        let name = format!("c{number}-");
+        clients.start(&name, machine.outbound, "POST /puka111/2f", PAUSE, record);
+    }
+    sleep_until(record, record.now() + Duration::from_secs(6));
+    if has_trouble {
+        let entries = deployment.foreign_entries(FOREIGN_PER_ZONE).map_err(problem)?;
+        for (key, value) in &entries {
+            store.put(key, value.as_bytes());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        record.add(&format!("another writer has written {} entries", entries.len()));
+    }
+    sleep_until(record, record.now() + Duration::from_secs(1));
+    store.put("op/config", config(8, false).as_bytes());
+    record.add("the store has confirmed version 8");
+    sleep_until(record, record.now() + Duration::from_secs(1));
+    store.put("op/config", config(9, true).as_bytes());
+    let confirmed = record.now();
+    record.add("the store has confirmed version 9, which moves the submissions to huvo11a");
+    sleep_until(record, confirmed + Duration::from_secs(8));
+    let sent = clients.stop();
+    let bound = confirmed + CONFIG_APPLY + CLOCK_SLACK;
+    let late: Vec<&Sent> = sent.iter().filter(|sent| sent.at > bound).collect();
+    let mut stale = 0;
+    for old in deployment.machines.iter().filter(|machine| machine.service == "wuno96b") {
+        for arrival in old.instance.arrivals() {
+            let Some(request) = late.iter().find(|sent| sent.request == arrival.request) else {
+                continue;
+            };
+            stale += 1;
+            record.add(&format!(
+                "OLD: {} was sent {:.3} s after the confirmation, {} of the old service ran it, and its client has {}",
+                request.request,
+                (request.at - confirmed).as_secs_f64(),
+                old.instance.id,
+                request.end
+            ));
+        }
+    }
+    let late = late.len();
+    record.add(&format!("sent later than config_apply: {late}, run by the old service: {stale}"));
+    summarize(&sent, record)?;
+    deployment.record_logs(&["reader-lost", "version-in-force"]);
+    Ok(stale == 0)
+}
+
 /// Records how the requests ended; fails if hardly any was served.
 fn summarize(sent: &[Sent], record: &Record) -> Result<(), String> {
     let mut ends: std::collections::BTreeMap<&str, usize> = Default::default();
--- a/review/rig-3/daemons.rs
+++ b/review/rig-3/daemons.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::dark::DarkHost;
 use crate::http;
 use crate::instance::Instance;
 use crate::record::Record;
@@ -46,7 +47,7 @@
 pub struct Machine {
     pub instance: Arc<Instance>,
     pub outbound: SocketAddr,
-    service: &'static str,
+    pub service: &'static str,
     zone: &'static str,
     ready: SocketAddr,
     daemon: Arc<Mutex<Child>>,
@@ -59,12 +60,12 @@
     ports: Ports,
     folder: PathBuf,
     store: SocketAddr,
-    slots: u32,
     network: u8,
+    dark_hosts: Vec<DarkHost>,
 }
 
 impl Deployment {
-    pub fn new(store: SocketAddr, slots: u32, record: &Arc<Record>) -> Result<Self, String> {
+    pub fn new(store: SocketAddr, record: &Arc<Record>) -> Result<Self, String> {
         let problem = |err: std::io::Error| err.to_string();
         let listeners: Result<Vec<TcpListener>, _> =
             (0..6).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
@@ -83,8 +84,8 @@
             ports: Ports(ports),
             folder,
             store,
-            slots,
             network,
+            dark_hosts: Vec::new(),
         })
     }
 
@@ -140,14 +141,32 @@
     pub fn entry(&self, machine: usize, state: &str) -> (String, String) {
         let Machine { instance, service, zone, .. } = &self.machines[machine];
         let value = format!(
-            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","slots":{},"state":"{state}","cold_left":"0ms","seq":4,"born":{}}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","slots":43,"state":"{state}","cold_left":"0ms","seq":4,"born":{}}}"#,
             instance.address,
-            self.slots,
             1_760_000_000_000_u64 + machine as u64
         );
         (format!("servers/{}", instance.id), value)
     }
 
+    /// Returns the keys and values of `count` entries by another writer in each zone: of a service
+    /// that no configuration names, at hosts that do not answer.
+    pub fn foreign_entries(&mut self, count: u8) -> std::io::Result<Vec<(String, String)>> {
+        let [.., control, app] = self.ports.0;
+        let mut entries = Vec::new();
+        for (zone_number, zone) in ZONES.iter().enumerate() {
+            for number in 1..=count {
+                let ip = Ipv4Addr::new(127, 78 + zone_number as u8, self.network, number);
+                self.dark_hosts.push(DarkHost::start(SocketAddr::from((ip, control)))?);
+                let address = SocketAddr::from((ip, app));
+                let value = format!(
+                    r#"{{"service":"zeta77x","address":"{address}","zone":"{zone}","version":"v1","slots":43,"state":"ready","cold_left":"0ms","seq":4,"born":1760000000000}}"#
+                );
+                entries.push((format!("servers/z-{zone_number}-{number}"), value));
+            }
+        }
+        Ok(entries)
+    }
+
     /// Waits until all daemons say that they are ready.
     pub fn wait_ready(&self) -> Result<(), String> {
         let end = Instant::now() + Duration::from_secs(20);
--- a/review/rig-3/instance.rs
+++ b/review/rig-3/instance.rs
@@ -8,6 +8,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -32,8 +33,10 @@
     work: Duration,
     record: Arc<Record>,
     has_ended: AtomicBool,
-    open: Mutex<Vec<(TcpStream, Arc<AtomicBool>)>>,
+    open: Mutex<Vec<TcpStream>>,
     arrivals: Mutex<Vec<Arrival>>,
+    answered: AtomicUsize,
+    lost_of_ten: AtomicUsize,
 }
 
 impl Instance {
@@ -53,6 +56,8 @@
             has_ended: AtomicBool::new(false),
             open: Mutex::default(),
             arrivals: Mutex::default(),
+            answered: AtomicUsize::new(0),
+            lost_of_ten: AtomicUsize::new(0),
         });
         let served = Arc::clone(&instance);
         std::thread::spawn(move || {
@@ -63,11 +68,9 @@
                 };
                 let _ = stream.set_nonblocking(false);
                 let _ = stream.set_nodelay(true);
-                let is_silent = Arc::new(AtomicBool::new(false));
-                let open = stream.try_clone().map(|stream| (stream, Arc::clone(&is_silent)));
-                served.open.lock().unwrap().extend(open);
+                served.open.lock().unwrap().extend(stream.try_clone());
                 let instance = Arc::clone(&served);
-                std::thread::spawn(move || instance.serve(stream, &is_silent));
+                std::thread::spawn(move || instance.serve(stream));
             }
         });
         Ok(instance)
@@ -76,23 +79,26 @@
     /// Ends the process: what is in progress breaks off.
     pub fn end(&self) {
         self.has_ended.store(true, Ordering::SeqCst);
-        for (stream, _) in self.open.lock().unwrap().drain(..) {
+        for stream in self.open.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
 
-    /// Lets the connections that are open go silent for good; returns how many there are.
-    pub fn silence(&self) -> usize {
-        let open = self.open.lock().unwrap();
-        open.iter().for_each(|(_, is_silent)| is_silent.store(true, Ordering::SeqCst));
-        open.len()
+    /// From now on, loses the answers of so many of 10 requests that it runs.
+    pub fn lose_answers(&self, of_ten: usize) {
+        self.lost_of_ten.store(of_ten, Ordering::SeqCst);
+    }
+
+    fn loses_answer(&self) -> bool {
+        let number = self.answered.fetch_add(1, Ordering::SeqCst);
+        number * 3 % 10 < self.lost_of_ten.load(Ordering::SeqCst)
     }
 
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().unwrap().clone()
     }
 
-    fn serve(&self, stream: TcpStream, is_silent: &AtomicBool) {
+    fn serve(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read(&mut reader) {
@@ -101,7 +107,9 @@
             }
             let mut answer = Vec::new();
             let is_whole = self.answer(&request, &mut answer).is_ok();
-            if is_silent.load(Ordering::SeqCst) {
+            if request.second() != "/healthz" && self.loses_answer() {
+                self.record.add(&format!("instance {} loses its answer", self.id));
+                // The connection stays open until the other end closes it.
                 continue;
             }
             if !is_whole || writer.write_all(&answer).is_err() {
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -6,6 +6,7 @@
 mod cases;
 mod client;
 mod daemons;
+mod dark;
 mod http;
 mod instance;
 mod proxy;
