review: all daemons end after entries under the machines' names

Examined what a daemon does with entries of services that no configuration names. One under its own name, at another port of its machine and draining, makes it drain and end, and again after each start.

This takes the place of the case of silent connections to the store, which was broken only where the network goes on to acknowledge.

--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -7,12 +7,10 @@
 use crate::client::Sent;
 use crate::client::HOST;
 use crate::daemons::Deployment;
-use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::store::Store;
 
 /// Bounds of the site file.
-const CONTACT: Duration = Duration::from_millis(3000);
 const DRAIN: Duration = Duration::from_millis(2000);
 const RECOVERY: Duration = Duration::from_secs(15);
 /// Longest time for which answers are lost.
@@ -42,9 +40,10 @@
 /// Plays a case; returns whether the rule held.
 pub fn play(case: &str, has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     match case {
-        "silent-store" => silent_store(has_trouble, record),
         "blobs" => blobs(has_trouble, record),
         "foreign-entries" => foreign_entries(has_trouble, record),
+        "second-entries" => extra_entries(Deployment::second_entry, has_trouble, record),
+        "agent-entries" => extra_entries(Deployment::agent_entry, has_trouble, record),
         "lost-answers" => lost_answers(has_trouble, record),
         _ => Err(format!("there is no case {case}")),
     }
@@ -55,15 +54,9 @@
 }
 
 /// Starts three machines of each of two services and waits until they are ready.
-fn start(
-    store: &Store,
-    proxy: Option<&Proxy>,
-    work: Duration,
-    record: &Arc<Record>,
-) -> Result<Deployment, String> {
+fn start(store: &Store, work: Duration, record: &Arc<Record>) -> Result<Deployment, String> {
     store.put("op/config", CONFIG.replace("HOST", HOST).as_bytes());
-    let address = proxy.map_or(store.address, |proxy| proxy.address);
-    let mut deployment = Deployment::new(address, record)?;
+    let mut deployment = Deployment::new(store.address, record)?;
     for service in ["wuno96b", "wuno96b", "wuno96b", "huvo11a", "huvo11a", "huvo11a"] {
         let machine = deployment.add(service, work)?;
         put_state(store, &deployment, machine, "ready", record);
@@ -88,14 +81,12 @@
     confirmed
 }
 
-/// Counts the requests that reached the draining instance too late, of those that clients sent
-/// from `in_touch` on, and records them.
+/// Counts the requests that reached the draining instance too late, and records them.
 fn late_arrivals(
     deployment: &Deployment,
     machine: usize,
     sent: &[Sent],
     confirmed: Duration,
-    in_touch: Duration,
     record: &Record,
 ) -> usize {
     let bound = confirmed + DRAIN + CLOCK_SLACK;
@@ -106,9 +97,6 @@
         let Some(request) = sent.iter().find(|sent| sent.request == arrival.request) else {
             continue;
         };
-        if request.at < in_touch + CLOCK_SLACK {
-            continue;
-        }
         late += 1;
         lost += usize::from(!arrival.is_answered);
         record.add(&format!(
@@ -126,49 +114,11 @@
     late
 }
 
-/// DRAIN: all open connections to the store go silent, new ones work; an instance drains.
-fn silent_store(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
-    let problem = |err: std::io::Error| err.to_string();
-    let store = Store::start().map_err(problem)?;
-    let proxy = Proxy::start(store.address).map_err(problem)?;
-    let work = Duration::from_millis(210);
-    let mut deployment = start(&store, Some(&proxy), work, record)?;
-    let mut clients = Clients::new();
-    for (number, machine) in deployment.machines.iter().enumerate() {
-        let name = format!("c{number}-");
-        clients.start(&name, machine.outbound, "POST /puka111/2f", PAUSE, record);
-    }
-    sleep_until(record, record.now() + Duration::from_secs(6));
-    // A release: the new instance starts first.
-    let new = deployment.add("wuno96b", work)?;
-    deployment.wait_ready()?;
-    put_state(&store, &deployment, new, "ready", record);
-    sleep_until(record, record.now() + Duration::from_millis(600));
-    let silent_at = record.now();
-    if has_trouble {
-        let count = proxy.silence();
-        record.add(&format!("the {count} connections opened to the store so far are silent"));
-    }
-    sleep_until(record, silent_at + Duration::from_millis(200));
-    // The old instance drains; it serves on for `drain` and 1.5 s.
-    let confirmed = put_state(&store, &deployment, 0, "draining", record);
-    sleep_until(record, confirmed + DRAIN + Duration::from_millis(1500));
-    record.add("the draining instance ends");
-    deployment.machines[0].instance.end();
-    sleep_until(record, confirmed + Duration::from_secs(6));
-    let sent = clients.stop();
-    let in_touch = if has_trouble { silent_at + CONTACT } else { Duration::ZERO };
-    let late = late_arrivals(&deployment, 0, &sent, confirmed, in_touch, record);
-    summarize(&sent, record)?;
-    deployment.record_logs(&["catalog", "instance-left"]);
-    Ok(late == 0)
-}
-
 /// DRAIN: another writer writes entries that name no instance; an instance drains.
 fn blobs(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     let problem = |err: std::io::Error| err.to_string();
     let store = Store::start().map_err(problem)?;
-    let deployment = start(&store, None, Duration::from_millis(210), record)?;
+    let deployment = start(&store, Duration::from_millis(210), record)?;
     let mut clients = Clients::new();
     for (number, machine) in deployment.machines.iter().enumerate() {
         let name = format!("c{number}-");
@@ -192,7 +142,7 @@
     deployment.machines[0].instance.end();
     sleep_until(record, confirmed + Duration::from_secs(7));
     let sent = clients.stop();
-    let late = late_arrivals(&deployment, 0, &sent, confirmed, Duration::ZERO, record);
+    let late = late_arrivals(&deployment, 0, &sent, confirmed, record);
     summarize(&sent, record)?;
     deployment.record_logs(&["catalog", "instance-left"]);
     Ok(late == 0)
@@ -202,7 +152,7 @@
 fn lost_answers(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     let problem = |err: std::io::Error| err.to_string();
     let store = Store::start().map_err(problem)?;
-    let deployment = start(&store, None, Duration::from_millis(210), record)?;
+    let deployment = start(&store, Duration::from_millis(210), record)?;
     let mut clients = Clients::new();
     for (number, machine) in deployment.machines.iter().enumerate() {
         let name = format!("c{number}-");
@@ -222,6 +172,32 @@
     recovers(&deployment, clients, trouble_at, record.now(), record)
 }
 
+/// RECOVER: another writer writes an entry beside that of each instance.
+fn extra_entries(
+    entry: fn(&Deployment, usize) -> (String, String),
+    has_trouble: bool,
+    record: &Arc<Record>,
+) -> Result<bool, String> {
+    let problem = |err: std::io::Error| err.to_string();
+    let store = Store::start().map_err(problem)?;
+    let deployment = start(&store, Duration::from_millis(210), record)?;
+    let mut clients = Clients::new();
+    for (number, machine) in deployment.machines.iter().enumerate() {
+        let name = format!("c{number}-");
+        clients.start(&name, machine.outbound, "POST /puka111/2f", SHORT_PAUSE, record);
+    }
+    sleep_until(record, record.now() + Duration::from_secs(8));
+    let trouble_at = record.now();
+    if has_trouble {
+        for machine in 0..deployment.machines.len() {
+            let (key, value) = entry(&deployment, machine);
+            store.put(&key, value.as_bytes());
+            record.add(&format!("another writer has written {key}: {value}"));
+        }
+    }
+    recovers(&deployment, clients, trouble_at, trouble_at, record)
+}
+
 /// Goes on for `recovery` and 15 s after the trouble and returns whether a quarter of the requests
 /// of these 15 s is served; fails if less was served in the 6 s before the trouble.
 fn recovers(
@@ -260,7 +236,7 @@
 fn foreign_entries(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     let problem = |err: std::io::Error| err.to_string();
     let store = Store::start().map_err(problem)?;
-    let mut deployment = start(&store, None, Duration::from_millis(210), record)?;
+    let mut deployment = start(&store, Duration::from_millis(210), record)?;
     let mut clients = Clients::new();
     for (number, machine) in deployment.machines.iter().enumerate() {
         let name = format!("c{number}-");
--- a/review/rig-3/daemons.rs
+++ b/review/rig-3/daemons.rs
@@ -7,10 +7,13 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -23,16 +26,56 @@
 
 const ZONES: [&str; 3] = ["ulaanbaatar-a", "khovd-a", "choibalsan-a"];
 const PROGRAM: &str = "target/release/endivescaled";
+/// Time after which the platform starts a process again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 /// Longest time of a case.
 const TIME_LIMIT: Duration = Duration::from_secs(100);
 
 /// The processes that were started, by which they are ended if the case takes too long.
 static STARTED: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
 
+/// Set before the processes are ended, so that none is started again.
+static IS_ENDING: AtomicBool = AtomicBool::new(false);
+
+/// Starts a daemon with the command of the deploy file.
+fn spawn(settings: &Path, log: &Path) -> std::io::Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    Command::new(PROGRAM)
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()
+}
+
+/// Starts a daemon again whenever it has ended by itself, as the platform does.
+fn restart(number: usize, daemon: &Mutex<Child>, settings: &Path, log: &Path, record: &Record) {
+    loop {
+        std::thread::sleep(Duration::from_millis(100));
+        let ended = daemon.lock().unwrap().try_wait();
+        let Ok(Some(status)) = ended else { continue };
+        if IS_ENDING.load(Ordering::SeqCst) {
+            return;
+        }
+        record.add(&format!("daemon {number} has ended by itself: {status}"));
+        std::thread::sleep(RESTART_DELAY);
+        let mut daemon = daemon.lock().unwrap();
+        if IS_ENDING.load(Ordering::SeqCst) {
+            return;
+        }
+        if let Ok(started) = spawn(settings, log) {
+            *daemon = started;
+            record.add(&format!("daemon {number} is started again"));
+        }
+    }
+}
+
 /// Ends the processes that were started, and this one, if the case takes too long.
 pub fn watch_time() {
     std::thread::spawn(|| {
         std::thread::sleep(TIME_LIMIT);
+        IS_ENDING.store(true, Ordering::SeqCst);
         for daemon in STARTED.lock().unwrap().iter() {
             let _ = daemon.lock().unwrap().kill();
         }
@@ -120,18 +163,12 @@
         );
         let file = self.folder.join(format!("boot-{number}.conf"));
         std::fs::write(&file, settings).map_err(|err| err.to_string())?;
-        let log = File::create(self.folder.join(format!("log-{number}")));
-        let log = log.map_err(|err| err.to_string())?;
-        let daemon = Command::new(PROGRAM)
-            .arg("--settings")
-            .arg(&file)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().map_err(|err| err.to_string())?)
-            .stderr(log)
-            .spawn()
-            .map_err(|err| format!("{PROGRAM}: {err}"))?;
+        let log = self.folder.join(format!("log-{number}"));
+        let daemon = spawn(&file, &log).map_err(|err| format!("{PROGRAM}: {err}"))?;
         let daemon = Arc::new(Mutex::new(daemon));
         STARTED.lock().unwrap().push(Arc::clone(&daemon));
+        let (restarted, record) = (Arc::clone(&daemon), Arc::clone(&self.record));
+        std::thread::spawn(move || restart(number, &restarted, &file, &log, &record));
         let (outbound, ready) = (at(outbound), at(ready));
         self.machines.push(Machine { instance, outbound, service, zone, ready, daemon });
         Ok(number)
@@ -167,6 +204,25 @@
         Ok(entries)
     }
 
+    /// Returns the key and value of an entry by another writer at the address of a machine's
+    /// instance: of a service that no configuration names, with one slot.
+    pub fn second_entry(&self, machine: usize) -> (String, String) {
+        let (_, value) = self.entry(machine, "ready");
+        let value = value.replace(self.machines[machine].service, "zeta77x");
+        (format!("servers/zeta-{machine}"), value.replace(r#""slots":43"#, r#""slots":1"#))
+    }
+
+    /// Returns the key and value of an entry by another writer under a machine's name: of a
+    /// service that no configuration names, at another port, which drains.
+    pub fn agent_entry(&self, machine: usize) -> (String, String) {
+        let Machine { instance, service, zone, .. } = &self.machines[machine];
+        let (_, value) = self.entry(machine, "draining");
+        let address = SocketAddr::from((instance.address.ip(), 9100));
+        let value = value.replace(service, "node-agent");
+        let value = value.replace(&instance.address.to_string(), &address.to_string());
+        (format!("servers/sidecar-{zone}-{machine}"), value)
+    }
+
     /// Waits until all daemons say that they are ready.
     pub fn wait_ready(&self) -> Result<(), String> {
         let end = Instant::now() + Duration::from_secs(20);
@@ -200,6 +256,7 @@
 
 impl Drop for Deployment {
     fn drop(&mut self) {
+        IS_ENDING.store(true, Ordering::SeqCst);
         for machine in &self.machines {
             let mut daemon = machine.daemon.lock().unwrap();
             let _ = daemon.kill();
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -9,7 +9,6 @@
 mod dark;
 mod http;
 mod instance;
-mod proxy;
 mod record;
 mod store;
 
