review: submissions run by another service after entries of another writer

Examined what keeps a request from an instance of another service. The name of the expected instance is left out where a header can't have it, and a request to the own machine is sent without a comparison of the services.

--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -42,8 +42,8 @@
     match case {
         "blobs" => blobs(has_trouble, record),
         "foreign-entries" => foreign_entries(has_trouble, record),
-        "second-entries" => extra_entries(Deployment::second_entry, has_trouble, record),
-        "agent-entries" => extra_entries(Deployment::agent_entry, has_trouble, record),
+        "agent-entries" => agent_entries(has_trouble, record),
+        "named-entries" => named_entries(has_trouble, record),
         "lost-answers" => lost_answers(has_trouble, record),
         _ => Err(format!("there is no case {case}")),
     }
@@ -172,12 +172,47 @@
     recovers(&deployment, clients, trouble_at, record.now(), record)
 }
 
-/// RECOVER: another writer writes an entry beside that of each instance.
-fn extra_entries(
-    entry: fn(&Deployment, usize) -> (String, String),
-    has_trouble: bool,
-    record: &Arc<Record>,
-) -> Result<bool, String> {
+/// ROUTE: another writer writes entries at the addresses of instances of another service.
+fn named_entries(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
+    let problem = |err: std::io::Error| err.to_string();
+    let store = Store::start().map_err(problem)?;
+    let deployment = start(&store, Duration::from_millis(210), record)?;
+    let mut clients = Clients::new();
+    for (number, machine) in deployment.machines.iter().enumerate() {
+        let name = format!("c{number}-");
+        clients.start(&name, machine.outbound, "POST /puka111/2f", PAUSE, record);
+    }
+    sleep_until(record, record.now() + Duration::from_secs(6));
+    if has_trouble {
+        for machine in 3..6 {
+            let (key, value) = deployment.named_entry(machine);
+            store.put(&key, value.as_bytes());
+            record.add(&format!("another writer has written {key:?}: {value}"));
+        }
+    }
+    sleep_until(record, record.now() + Duration::from_secs(12));
+    let sent = clients.stop();
+    let mut wrong = 0;
+    for other in deployment.machines.iter().filter(|machine| machine.service != "wuno96b") {
+        for arrival in other.instance.arrivals() {
+            wrong += 1;
+            let id = &other.instance.id;
+            record.add(&format!(
+                "WRONG: {} was run by {id} of {}, and its client has {:?}",
+                arrival.request,
+                other.service,
+                sent.iter().find(|sent| sent.request == arrival.request).map(|sent| &sent.end)
+            ));
+        }
+    }
+    record.add(&format!("submissions run by a service that no configuration names: {wrong}"));
+    summarize(&sent, record)?;
+    deployment.record_logs(&["entry-unusable", "instance-left"]);
+    Ok(wrong == 0)
+}
+
+/// RECOVER: another writer writes an entry under the name of each machine.
+fn agent_entries(has_trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     let problem = |err: std::io::Error| err.to_string();
     let store = Store::start().map_err(problem)?;
     let deployment = start(&store, Duration::from_millis(210), record)?;
@@ -190,9 +225,9 @@
     let trouble_at = record.now();
     if has_trouble {
         for machine in 0..deployment.machines.len() {
-            let (key, value) = entry(&deployment, machine);
+            let (key, value) = deployment.agent_entry(machine);
             store.put(&key, value.as_bytes());
-            record.add(&format!("another writer has written {key}: {value}"));
+            record.add(&format!("another writer has written {key:?}: {value}"));
         }
     }
     recovers(&deployment, clients, trouble_at, trouble_at, record)
--- a/review/rig-3/daemons.rs
+++ b/review/rig-3/daemons.rs
@@ -204,12 +204,13 @@
         Ok(entries)
     }
 
-    /// Returns the key and value of an entry by another writer at the address of a machine's
-    /// instance: of a service that no configuration names, with one slot.
-    pub fn second_entry(&self, machine: usize) -> (String, String) {
+    /// Returns the key and value of an entry by another writer: of the service `wuno96b`, at the
+    /// address of a machine's instance, without `seq` and `version`. Its key ends with a newline.
+    pub fn named_entry(&self, machine: usize) -> (String, String) {
         let (_, value) = self.entry(machine, "ready");
-        let value = value.replace(self.machines[machine].service, "zeta77x");
-        (format!("servers/zeta-{machine}"), value.replace(r#""slots":43"#, r#""slots":1"#))
+        let value = value.replace(self.machines[machine].service, "wuno96b");
+        let value = value.replace(r#""version":"v1","#, "").replace(r#","seq":4"#, "");
+        (format!("servers/i-5c20d1e{machine}\n"), value)
     }
 
     /// Returns the key and value of an entry by another writer under a machine's name: of a
--- a/review/rig-3/store.rs
+++ b/review/rig-3/store.rs
@@ -63,8 +63,10 @@
         let mut state = self.state.lock().unwrap();
         state.revision += 1;
         let revision = state.revision;
+        // Keys of the cases have no other character that JSON escapes.
+        let key_text = key.replace('\n', "\\n");
         let json = format!(
-            r#"{{"key":"{key}","value":"{}","revision":{revision},"created":{revision},"lease":0}}"#,
+            r#"{{"key":"{key_text}","value":"{}","revision":{revision},"created":{revision},"lease":0}}"#,
             base64(value)
         );
         state.items.insert(key.to_owned(), Item { json: json.clone() });
