--- a/review/rig-3/cases.rs
+++ b/review/rig-3/cases.rs
@@ -17,7 +17,7 @@
 const LOSS_TIME: Duration = Duration::from_secs(6);
 const CONFIG_APPLY: Duration = Duration::from_millis(2000);
 /// Entries of another writer in each zone.
-const FOREIGN_PER_ZONE: u8 = 20;
+const FOREIGN_PER_ZONE: u8 = 60;
 /// Time by which the record may be late.
 const CLOCK_SLACK: Duration = Duration::from_millis(20);
 
@@ -282,7 +282,7 @@
         let entries = deployment.foreign_entries(FOREIGN_PER_ZONE).map_err(problem)?;
         for (key, value) in &entries {
             store.put(key, value.as_bytes());
-            std::thread::sleep(Duration::from_millis(5));
+            std::thread::sleep(Duration::from_millis(3));
         }
         record.add(&format!("another writer has written {} entries", entries.len()));
     }
