--- a/review/rig-3/daemons.rs
+++ b/review/rig-3/daemons.rs
@@ -1,5 +1,7 @@
 //! Machines with the project's daemon, started with the command of the deploy file, and an instance.
 
+use std::ffi::c_int;
+use std::ffi::c_ulong;
 use std::fs::File;
 use std::io::BufReader;
 use std::io::Write;
@@ -7,6 +9,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::unix::process::CommandExt as _;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -37,10 +40,27 @@
 /// Set before the processes are ended, so that none is started again.
 static IS_ENDING: AtomicBool = AtomicBool::new(false);
 
-/// Starts a daemon with the command of the deploy file.
+extern "C" {
+    fn prctl(option: c_int, ...) -> c_int;
+}
+const PR_SET_PDEATHSIG: c_int = 1;
+const SIGKILL: c_ulong = 9;
+
+/// Starts a daemon with the command of the deploy file. It ends with this process, however that
+/// ends.
 fn spawn(settings: &Path, log: &Path) -> std::io::Result<Child> {
     let log = File::options().create(true).append(true).open(log)?;
-    Command::new(PROGRAM)
+    let mut command = Command::new(PROGRAM);
+    let end_with_parent = || {
+        // SAFETY: the call takes no pointers.
+        match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+            0 => Ok(()),
+            _ => Err(std::io::Error::last_os_error()),
+        }
+    };
+    // SAFETY: the closure makes one system call and allocates nothing.
+    unsafe { command.pre_exec(end_with_parent) };
+    command
         .arg("--settings")
         .arg(settings)
         .stdin(Stdio::null())
