node: let no entry of a foreign platform end the daemon

Cause: a daemon left if the list named a leaving VM with its name and address. On the project's own platform such an entry is that of the daemon. On a foreign one it is that of an upstream, which says nothing of the daemon. The record of the case has 50 `draining` lines, all with cause=platform, which one place writes.

Change: only an entry without facts of an upstream names a daemon (Vm::names_daemon).

--- a/lib/src/process/membership/vm.rs
+++ b/lib/src/process/membership/vm.rs
@@ -45,6 +45,14 @@
     pub upstream: Option<UpstreamFacts>,
 }
 
+impl Vm {
+    /// Whether the entry has the name of the VM and its daemon; otherwise the upstream has
+    /// written it for itself. See `docs/design/membership.md`.
+    pub fn names_daemon(&self) -> bool {
+        self.upstream.is_none()
+    }
+}
+
 /// What an upstream states about itself in the platform's list.
 #[serde_as]
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -292,11 +292,12 @@
         &self.config
     }
 
-    /// Whether the platform lists this VM as leaving.
+    /// Whether the platform lists this daemon as leaving.
     ///
-    /// An entry with another address belongs to an earlier VM of the same name.
-    fn is_listed_as_leaving(&self, list: &VmList) -> bool {
-        list.vms.iter().any(|vm| {
+    /// An entry with another address belongs to an earlier VM of the same name, and one that
+    /// an upstream has written says nothing of the daemon, whatever its name.
+    fn is_told_to_leave(&self, list: &VmList) -> bool {
+        list.vms.iter().filter(|vm| vm.names_daemon()).any(|vm| {
             vm.instance == self.settings.daemon.instance
                 && vm.peer == self.peer_addr
                 && vm.state == VmState::Leaving
@@ -460,7 +461,7 @@
                 }
                 self.router.lock().apply(self.clock.now(), &list);
                 self.apply_local_entries(&list);
-                if self.is_listed_as_leaving(&list) {
+                if self.is_told_to_leave(&list) {
                     self.lifecycle.leave(DrainCause::Platform);
                 }
             }
