serve: send no request that cannot say which instance may run it

Cause: the header that names the instance was left out without a word if its value isn't one that a header can have; and a daemon that picked an instance at its own address did not ask whether it is of its service. Only requests of other daemons were checked.

Ruled out: that the checks of entries suffice. A list may come from a daemon of an earlier build, in a hand-over or by a relay; and an entry with a sound id that names another service at this daemon's upstream still cost a request to that upstream, answered 421.

Change: the dialect says that it cannot name the instance, and the request is refused as not run; the service is compared for the own instance, too.

--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -282,6 +282,11 @@
         self.config.vms.borrow().clone()
     }
 
+    /// Whether the local upstream is of a service.
+    pub(crate) fn serves(&self, service: &ServiceName) -> bool {
+        self.settings.daemon.service == *service
+    }
+
     /// Whether the platform lists an instance of a service.
     pub fn lists_service(&self, service: &ServiceName) -> bool {
         !self.router.lock().members().instances(service).is_empty()
--- a/lib/src/request/dialect/mod.rs
+++ b/lib/src/request/dialect/mod.rs
@@ -58,6 +58,10 @@
     pub handle: Handle,
 }
 
+/// No header can carry the name of the one instance that may run a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UnnamedInstance;
+
 /// What an upstream says about itself in an answer, whichever request it answers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct UpstreamNotice {
@@ -158,7 +162,16 @@
     fn parent_of<'a>(&self, name: &'a RequestName) -> Option<&'a str>;
 
     /// Adds the headers that inform the upstream about a request.
-    fn insert_upstream_headers(&self, headers: &mut HeaderMap, info: &UpstreamInfo<'_>);
+    ///
+    /// # Errors
+    ///
+    /// Fails if the dialect names the instance that may run the request, but no header can
+    /// carry its name: any upstream at the address would run the request.
+    fn insert_upstream_headers(
+        &self,
+        headers: &mut HeaderMap,
+        info: &UpstreamInfo<'_>,
+    ) -> Result<(), UnnamedInstance>;
 
     /// Determines what an upstream's answer says in its status and headers about the
     /// request that it names.
--- a/lib/src/request/dialect/own.rs
+++ b/lib/src/request/dialect/own.rs
@@ -13,6 +13,7 @@
 use super::Echo;
 use super::ResponseClass;
 use super::SenderInfo;
+use super::UnnamedInstance;
 use super::UpstreamInfo;
 use super::UpstreamNotice;
 use super::limit_notice;
@@ -72,7 +73,11 @@
         None
     }
 
-    fn insert_upstream_headers(&self, headers: &mut HeaderMap, info: &UpstreamInfo<'_>) {
+    fn insert_upstream_headers(
+        &self,
+        headers: &mut HeaderMap,
+        info: &UpstreamInfo<'_>,
+    ) -> Result<(), UnnamedInstance> {
         if let Ok(host) = HeaderValue::from_str(info.service.as_str()) {
             headers.insert(header::HOST, host);
         }
@@ -86,6 +91,7 @@
         }
         let left_ms = u64::try_from(info.left.as_millis()).unwrap_or(u64::MAX);
         headers.insert(DEADLINE_MS, left_ms.into());
+        Ok(())
     }
 
     fn classify_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseClass {
--- a/lib/src/request/serve/attempt.rs
+++ b/lib/src/request/serve/attempt.rs
@@ -161,6 +161,11 @@
     let (body, report) = reported(body);
     let timed_out = || timeout_failure(&report, now);
     let result = match is_local {
+        // The entry has an address that an instance of another service has got since, or that its
+        // writer never had.
+        true if !node.serves(&call.inbound.service) => {
+            Ok(Refusal::not_run(Reason::UnknownService).into_response())
+        }
         true => {
             let is_detached = cx.non_idempotent;
             let serving = owner::serve(node, cx, &call.inbound, &vm.instance, body);
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -36,6 +36,7 @@
 use crate::request::Reason;
 use crate::request::Refusal;
 use crate::request::dialect::ResponseClass;
+use crate::request::dialect::UnnamedInstance;
 use crate::request::dialect::UpstreamInfo;
 use crate::request::message::Inbound;
 use crate::request::message::Payload;
@@ -87,18 +88,24 @@
         self.permit.complete(completion);
     }
 
-    /// Builds the request for the upstream; `None` if the body was sent before and
-    /// no copy is kept.
-    fn build_request(&mut self, node: &Node) -> Option<Request<RelayBody>> {
-        let body = match (self.payload.take_body()?, self.payload.buffered()) {
-            (body, Some(_)) => {
+    /// Builds the request for the upstream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body was sent before and no copy is kept, or if the upstream cannot be told
+    /// which instance may run the request.
+    fn build_request(&mut self, node: &Node) -> Result<Request<RelayBody>, Refusal> {
+        let body = self.payload.take_body().ok_or(Refusal::not_run(Reason::BadBody))?;
+        let body = match self.payload.buffered() {
+            Some(_) => {
                 self.passing.whole();
                 body
             }
-            (body, None) => bound_body(body, self.stop_bound.clone(), Arc::clone(&self.passing)),
+            None => bound_body(body, self.stop_bound.clone(), Arc::clone(&self.passing)),
         };
         let Self { inbound, instance, parent, deadline, .. } = self;
-        Some(build_upstream_request(node, inbound, instance, body, parent, *deadline))
+        build_upstream_request(node, inbound, instance, body, parent, *deadline)
+            .map_err(|UnnamedInstance| Refusal::not_run(Reason::InstanceGone))
     }
 
     /// Whether a request that the upstream refused should be sent to it again, and
@@ -225,7 +232,7 @@
     wait_deadline: Instant,
 ) -> Result<(Response<Incoming>, Lease, ResponseClass), (Refusal, Completion)> {
     let req = exchange.build_request(node);
-    let req = req.ok_or((Refusal::not_run(Reason::BadBody), Completion::Failed))?;
+    let req = req.map_err(|refusal| (refusal, Completion::Failed))?;
     let (instance, stop_bound) = (&exchange.instance, &exchange.stop_bound);
     let may_send = || check_may_send(node, instance, stop_bound);
     may_send().map_err(|refusal| (refusal, Completion::Cancelled))?;
@@ -341,7 +348,7 @@
     body: RelayBody,
     parent: &ParentGuard,
     deadline: Instant,
-) -> Request<RelayBody> {
+) -> Result<Request<RelayBody>, UnnamedInstance> {
     // Without this header, a GET or HEAD would be sent without its body.
     let is_chunked = !body.is_end_stream() && body.size_hint().exact().is_none();
     let mut req = Request::new(body);
@@ -363,6 +370,6 @@
         left: deadline.saturating_duration_since(Instant::now()),
         handle: parent.handle(),
     };
-    node.dialect.insert_upstream_headers(headers, &info);
-    req
+    node.dialect.insert_upstream_headers(headers, &info)?;
+    Ok(req)
 }
--- a/lib/src/request/serve/peer.rs
+++ b/lib/src/request/serve/peer.rs
@@ -105,7 +105,7 @@
         return Err(Refusal::not_run(Reason::NoConfiguration));
     }
     // The address may now belong to an instance of another service.
-    if inbound.service != node.settings.daemon.service {
+    if !node.serves(&inbound.service) {
         return Err(Refusal::not_run(Reason::UnknownService));
     }
     if let Some(known) = known_limit {
