membership: let the upstream's answers say which entry is its own

Cause: of several entries with the upstream's address, of any service, the one with the latest start gave its slots, its standing and the end of its rate limit. Anyone can write a later start.

Ruled out: asking the health check for the id. Each check is priced and needs a slot, and the answer is there: a request names its instance, so a success shows which entry is the upstream's, and a 421 which isn't.

Change: only entries of the daemon's own service count; among them the confirmed one does, and before any answer the latest start. An upstream that restarts under another id is described by the new entry from the first answer or the first 421 on; until then the old slots hold.

--- a/lib/src/process/membership/local_instances.rs
+++ b/lib/src/process/membership/local_instances.rs
@@ -9,6 +9,7 @@
 use super::VmState;
 use super::leaving_notices::LeavingNotices;
 use crate::process::InstanceId;
+use crate::process::ServiceName;
 
 /// Most instances that are remembered as gone from the list. Others of this address
 /// ended long ago, and nobody sends to them.
@@ -32,45 +33,89 @@
 /// Other daemons' lists may be older than the local one. This daemon is the only way to
 /// its upstream, so it refuses requests for an instance that may not receive any,
 /// whatever their senders know.
+///
+/// Anyone may list an instance at the address. Which entry is the upstream's follows from its
+/// answers, see `docs/design/membership.md`.
 #[derive(Debug)]
 pub struct LocalInstances {
     /// Address of the local upstream.
     upstream: SocketAddr,
+    /// Service of the local upstream.
+    service: ServiceName,
     /// The departed instances, with the start time that the list gave for their
     /// upstreams when the departure was recorded, in milliseconds since the Unix
     /// epoch.
     departed: IndexMap<InstanceId, Option<u64>>,
     /// The listed instances, with the start times of their upstreams.
     listed: IndexMap<InstanceId, Option<u64>>,
-    /// The instances that the last list names at the local upstream's address.
-    local: IndexMap<InstanceId, VmState>,
+    /// The entries of the last list that have the local upstream's address and service.
+    local: IndexMap<InstanceId, LocalEntry>,
     /// Instances that an earlier list named at the address and the last one does not name.
     unlisted: IndexMap<InstanceId, ()>,
     /// Instances whose upstream has said that it is leaving.
     notices: LeavingNotices,
-    /// The instance that a list named last at the address, with the start time of its
-    /// upstream.
-    latest: Option<(InstanceId, Option<u64>)>,
+    /// The instance that the upstream was when it last ran a request.
+    confirmed: Option<InstanceId>,
+    /// The instance whose entry describes the upstream, with its start time.
+    described: Option<(InstanceId, u64)>,
+}
+
+/// What a list says of an instance at the local upstream's address.
+#[derive(Clone, Copy, Debug)]
+struct LocalEntry {
+    state: VmState,
+    start_ms: u64,
+    slots: u32,
+}
+
+/// What a change of what is known says about the local upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Description {
+    /// Number of requests that the upstream processes concurrently; `None` if no entry
+    /// describes it.
+    pub slots: Option<u32>,
+    /// Whether it is another upstream, or another start of it, than the one described before.
+    pub is_another: bool,
 }
 
 impl LocalInstances {
-    /// Creates a table without instances for the upstream at an address.
-    pub fn new(upstream: SocketAddr) -> Self {
+    /// Creates a table without instances for the upstream of a service at an address.
+    pub fn new(upstream: SocketAddr, service: ServiceName) -> Self {
         Self {
             upstream,
+            service,
             departed: IndexMap::new(),
             listed: IndexMap::new(),
             local: IndexMap::new(),
             unlisted: IndexMap::new(),
             notices: LeavingNotices::default(),
-            latest: None,
+            confirmed: None,
+            described: None,
         }
     }
 
-    /// Records that an instance has left the local upstream's address.
-    pub fn record_departure(&mut self, instance: &InstanceId) {
+    /// Records that an instance has left the local upstream's address, or never had it.
+    pub fn record_departure(&mut self, instance: &InstanceId) -> Description {
         let start_ms = self.listed.get(instance).copied().flatten();
         self.departed.insert(instance.clone(), start_ms);
+        self.confirmed.take_if(|confirmed| confirmed == instance);
+        self.describe()
+    }
+
+    /// Records that the upstream ran a request that only this instance may run; returns what
+    /// that changes.
+    pub fn record_run(&mut self, instance: &InstanceId) -> Option<Description> {
+        // The answer of an instance that has left meanwhile may arrive late.
+        if self.confirmed.as_ref() == Some(instance) || self.departed.contains_key(instance) {
+            return None;
+        }
+        self.confirmed = Some(instance.clone());
+        Some(self.describe())
+    }
+
+    /// Returns the instance that the upstream was when it last ran a request.
+    pub fn confirmed(&self) -> Option<&InstanceId> {
+        self.confirmed.as_ref()
     }
 
     /// Records that an instance's upstream has said that it is leaving; returns whether that
@@ -95,7 +140,7 @@
         if self.has_said_leaving(instance) {
             return LocalStanding::Leaving;
         }
-        match self.local.get(instance) {
+        match self.local.get(instance).map(|entry| entry.state) {
             Some(VmState::Leaving) => LocalStanding::Leaving,
             None if self.unlisted.contains_key(instance) => LocalStanding::Unlisted,
             Some(VmState::Live) | None => LocalStanding::Current,
@@ -109,36 +154,47 @@
         known.filter(|instance| self.standing(instance) != LocalStanding::Current)
     }
 
-    /// Applies a new list; returns whether it names another upstream at the address, or
-    /// another start of it, than the lists before.
+    /// Applies a new list; returns how it describes the upstream.
     ///
     /// Removes the departed instances that the list no longer names, and those whose
     /// upstream has another start time in it, since they may be back.
-    pub fn apply(&mut self, list: &VmList) -> bool {
+    pub fn apply(&mut self, list: &VmList) -> Description {
         self.listed = list.vms.iter().map(|vm| (vm.instance.clone(), start_ms(vm))).collect();
         let listed = &self.listed;
         self.departed.retain(|instance, start_ms| listed.get(instance) == Some(start_ms));
         self.notices.apply_starts(|instance| listed.get(instance).copied().flatten());
-        let local: IndexMap<_, _> =
-            self.local_vms(list).map(|vm| (vm.instance.clone(), vm.state)).collect();
+        let local = list.vms.iter().filter_map(|vm| Some((vm.instance.clone(), self.local(vm)?)));
+        let local = local.collect();
         let before = std::mem::replace(&mut self.local, local);
         self.unlisted.extend(before.into_keys().map(|instance| (instance, ())));
         let listed = &self.listed;
         self.unlisted.retain(|instance, ()| !listed.contains_key(instance));
         let excess = self.unlisted.len().saturating_sub(UNLISTED_MAX);
         self.unlisted.drain(..excess);
-        let latest = self.local_vms(list).max_by_key(|vm| start_ms(vm));
-        let Some(latest) = latest.map(|vm| (vm.instance.clone(), start_ms(vm))) else {
-            return false;
-        };
-        self.latest.replace(latest.clone()).is_some_and(|before| before != latest)
+        self.describe()
     }
 
-    /// Returns the VMs of a list whose upstream has the local upstream's address.
-    fn local_vms<'a>(&self, list: &'a VmList) -> impl Iterator<Item = &'a Vm> {
-        let address = self.upstream;
-        let is_local = move |vm: &&Vm| vm.upstream.is_some_and(|facts| facts.address == address);
-        list.vms.iter().filter(is_local)
+    /// Returns what an entry says of the local upstream, if it is of an instance at its address.
+    fn local(&self, vm: &Vm) -> Option<LocalEntry> {
+        let facts = vm.upstream_at(self.upstream, &self.service)?;
+        Some(LocalEntry { state: vm.state, start_ms: facts.start_ms, slots: facts.slots })
+    }
+
+    /// Selects the entry that describes the upstream.
+    fn describe(&mut self) -> Description {
+        let confirmed = self.confirmed.as_ref().and_then(|id| self.local.get_key_value(id));
+        // An upstream that has just started has answered nothing yet.
+        let latest = || {
+            let rank = |id, entry: &LocalEntry| (!self.departed.contains_key(id), entry.start_ms);
+            self.local.iter().max_by_key(|(id, entry)| rank(*id, entry))
+        };
+        let Some((instance, entry)) = confirmed.or_else(latest) else {
+            return Description { slots: None, is_another: false };
+        };
+        let slots = Some(entry.slots);
+        let described = (instance.clone(), entry.start_ms);
+        let before = self.described.replace(described.clone());
+        Description { slots, is_another: before.is_some_and(|before| before != described) }
     }
 }
 
--- a/lib/src/process/membership/mod.rs
+++ b/lib/src/process/membership/mod.rs
@@ -10,6 +10,7 @@
 pub use health_record::Observation;
 pub use list_change::Listing;
 pub use list_change::listing_changes;
+pub use local_instances::Description;
 pub use local_instances::LocalInstances;
 pub use local_instances::LocalStanding;
 pub use members::Health;
--- a/lib/src/process/membership/vm.rs
+++ b/lib/src/process/membership/vm.rs
@@ -51,6 +51,15 @@
     pub fn names_daemon(&self) -> bool {
         self.upstream.is_none()
     }
+
+    /// Returns what the upstream states about itself if it is of a service and has an address.
+    pub(crate) fn upstream_at(
+        &self,
+        address: SocketAddr,
+        service: &ServiceName,
+    ) -> Option<UpstreamFacts> {
+        self.upstream.filter(|facts| facts.address == address && self.service == *service)
+    }
 }
 
 /// What an upstream states about itself in the platform's list.
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Locks are acquired in this order, and none is held across an await:
 //! requests in progress, a request's own account, call ledger and tokens, the
-//! issuer of idempotency tokens, the called paths, the path levels, the router, the gate, the
+//! issuer of idempotency tokens, the called paths, the path levels, the router, the local
+//! instances, the gate, the
 //! connection pools, the running requests, the crash history, the usage of customers, the
 //! coordinator of usage, the burn, the times of stops, the accepted requests. Most code holds
 //! one lock at a time.
@@ -72,6 +73,7 @@
 use super::log::LimitSource;
 use super::log::LostLines;
 use super::log::StateChange;
+use super::membership::Description;
 use super::membership::LocalInstances;
 use super::membership::LocalStanding;
 use super::membership::VmList;
@@ -217,7 +219,10 @@
             router: Mutex::new(Router::new(place, rand::random())),
             gate: Gate::new(&admission_config(&settings), clock),
             repeats: settings.repeats.map(|bound| Mutex::new(repeat_account(&bound))),
-            local_instances: Mutex::new(LocalInstances::new(settings.upstream.address)),
+            local_instances: Mutex::new(LocalInstances::new(
+                settings.upstream.address,
+                settings.daemon.service.clone(),
+            )),
             local_instances_changed: Notify::new(),
             left_at: Mutex::default(),
             peers,
@@ -367,10 +372,32 @@
 
     /// Records that another upstream uses the address of an instance.
     pub(crate) fn record_departure(&self, instance: &InstanceId) {
-        self.local_instances.lock().record_departure(instance);
+        self.update_local_instances(|local| Some(local.record_departure(instance)));
         self.local_instances_have_changed();
     }
 
+    /// Records that the local upstream ran a request that only this instance may run.
+    pub(crate) fn record_run(&self, instance: &InstanceId) {
+        self.update_local_instances(|local| local.record_run(instance));
+    }
+
+    /// Updates what is known of the local instances, and applies what that says of the upstream.
+    fn update_local_instances(
+        &self,
+        update: impl FnOnce(&mut LocalInstances) -> Option<Description>,
+    ) {
+        // Held until the description is applied, so that the last one stays in force.
+        let mut local = self.local_instances.lock();
+        let Some(Description { slots, is_another }) = update(&mut local) else { return };
+        if let Some(slots) = slots {
+            self.gate.set_slots(slots as usize);
+        }
+        if is_another {
+            let change = self.gate.clear_rate_limit();
+            self.log_limit_change(change, LimitSource::List);
+        }
+    }
+
     /// Records which local instances have left, and wakes what waits for it.
     fn local_instances_have_changed(&self) {
         let now = self.clock.now();
@@ -414,22 +441,8 @@
 
     /// Applies a new list to what depends on the local upstream: its number of
     /// slots, the instances that may not receive requests and the size of its service.
-    ///
-    /// Of several entries with the upstream's address, the one with the latest
-    /// start describes it; earlier ones are of upstreams that used the address
-    /// before.
     fn apply_local_entries(&self, list: &VmList) {
-        let address = self.settings.upstream.address;
-        let facts = list.vms.iter().filter_map(|vm| vm.upstream);
-        let own = facts.filter(|facts| facts.address == address);
-        if let Some(own) = own.max_by_key(|facts| facts.start_ms) {
-            self.gate.set_slots(own.slots as usize);
-        }
-        let is_another_upstream = self.local_instances.lock().apply(list);
-        if is_another_upstream {
-            let change = self.gate.clear_rate_limit();
-            self.log_limit_change(change, LimitSource::List);
-        }
+        self.update_local_instances(|local| Some(local.apply(list)));
         self.local_instances_have_changed();
         if let Some(repeats) = &self.repeats {
             let service = &self.settings.daemon.service;
--- a/lib/src/request/serve/exchange.rs
+++ b/lib/src/request/serve/exchange.rs
@@ -328,6 +328,10 @@
         // Another instance has answered, or nobody that could be believed.
         ResponseClass::Misdirected | ResponseClass::Unusable => return,
     };
+    // An upstream may refuse or fail a request before it looks at whom the request is for.
+    if class == ResponseClass::Answered && rsp.status().is_success() {
+        node.record_run(&exchange.instance);
+    }
     let notice = node.dialect.upstream_notice(rsp.headers());
     node.record_upstream_notice(&exchange.instance, &notice, is_late);
 }
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use endivescale::process::InstanceId;
+use endivescale::process::membership::Description;
 use endivescale::process::membership::Health;
 use endivescale::process::membership::Listing;
 use endivescale::process::membership::LocalInstances;
@@ -311,7 +312,8 @@
 
 /// Returns an empty table of a daemon whose upstream listens where [`started`] says.
 fn local_instances() -> LocalInstances {
-    LocalInstances::new(started("a-x1-1", 100).upstream.unwrap().address)
+    let upstream = started("a-x1-1", 100);
+    LocalInstances::new(upstream.upstream.unwrap().address, upstream.service)
 }
 
 #[test]
@@ -386,10 +388,68 @@
     }
 }
 
+fn with_slots(name: &str, start_ms: u64, slots: u32) -> Vm {
+    let mut vm = started(name, start_ms);
+    vm.upstream.as_mut().unwrap().slots = slots;
+    vm
+}
+
+fn describe(slots: u32, is_another: bool) -> Description {
+    Description { slots: Some(slots), is_another }
+}
+
+/// Guards against an entry of another writer that takes the place of the upstream's own because
+/// it claims a later start.
+#[test]
+fn entry_that_the_upstream_answers_for_describes_it() {
+    let mut local = local_instances();
+    let both = VmList {
+        version: 1,
+        vms: vec![with_slots("a-x1-1", 100, 4), with_slots("a-x1-2", 200, 1)],
+    };
+    assert_eq!(local.apply(&both), describe(1, false));
+    assert_eq!(local.record_run(&"a-x1-1".into()), Some(describe(4, true)));
+    assert_eq!(local.record_run(&"a-x1-1".into()), None);
+    assert_eq!(local.apply(&both), describe(4, false));
+}
+
+/// Guards against slots that stay those of an instance that ended.
+#[test]
+fn restarted_upstream_is_described_by_its_first_answer_or_refusal() {
+    let old = || with_slots("a-x1-1", 100, 4);
+    let both = VmList { version: 2, vms: vec![old(), with_slots("a-x1-2", 200, 8)] };
+    let confirmed = || {
+        let mut local = local_instances();
+        local.apply(&VmList { version: 1, vms: vec![old()] });
+        local.record_run(&"a-x1-1".into());
+        assert_eq!(local.apply(&both), describe(4, false));
+        local
+    };
+    assert_eq!(confirmed().record_run(&"a-x1-2".into()), Some(describe(8, true)));
+    let mut local = confirmed();
+    assert_eq!(local.record_departure(&"a-x1-1".into()), describe(8, true));
+    // An answer of the instance that ended arrives late.
+    assert_eq!(local.record_run(&"a-x1-1".into()), None);
+    assert_eq!(
+        confirmed().apply(&VmList { version: 3, vms: vec![with_slots("a-x1-2", 200, 8)] }),
+        describe(8, true)
+    );
+}
+
+#[test]
+fn entries_of_other_services_at_the_address_say_nothing_of_the_upstream() {
+    let mut local = local_instances();
+    let foreign =
+        Vm { service: "b".into(), state: VmState::Leaving, ..with_slots("a-x1-2", 200, 1) };
+    let list = VmList { version: 1, vms: vec![with_slots("a-x1-1", 100, 4), foreign] };
+    assert_eq!(local.apply(&list), describe(4, false));
+    assert_eq!(local.standing(&"a-x1-1".into()), LocalStanding::Current);
+}
+
 /// Instances of other VMs are not this daemon's to judge.
 #[test]
 fn entries_at_other_addresses_do_not_matter() {
-    let mut local = LocalInstances::new("127.0.0.9:9".parse().unwrap());
+    let mut local = LocalInstances::new("127.0.0.9:9".parse().unwrap(), "a".into());
     let leaving = Vm { state: VmState::Leaving, ..started("a-x1-1", 100) };
     local.apply(&VmList { version: 1, vms: vec![leaving] });
     assert_eq!(local.standing(&"a-x1-1".into()), LocalStanding::Current);
