membership: take only VMs of named services for VMs with a daemon

Cause: each listed instance was taken for a VM with a daemon. Daemons of a zone with more than eight polled three such hosts instead of the store, 1.5 s each until the connection fails. The same entries counted as daemons that share caps and as instances that share the budget of repeats, could become coordinators of usage, and were told of crashes.

Ruled out: leaving such entries out of the list. The next version may name their service, and may arrive before or after the entry. The router needs no rule, since it is asked for services of the version in force only.

Change: membership/daemons.rs is the view that these readers have: VMs of services that the version in force names, each address once. The policy's changes apply to it at once, without ending the call that waits at the store. Before the first version any entry may be taken for a reader, so a follower asks the store after one that fails. Entries that aren't used are logged with the reason, 64 lines a minute at most, and counted.

--- a/lib/src/process/catalog/follower/mod.rs
+++ b/lib/src/process/catalog/follower/mod.rs
@@ -3,6 +3,8 @@
 mod calls;
 mod local_entry;
 mod policy;
+mod sources;
+mod unused;
 mod vms;
 
 use std::net::SocketAddr;
@@ -21,7 +23,9 @@
 use self::calls::ChangeSource;
 use self::local_entry::LocalEntryFollower;
 use self::policy::PolicyFollower;
-use self::vms::LocalDaemon;
+use self::sources::LocalDaemon;
+use self::sources::SourceChoice;
+use self::unused::UnusedEntries;
 use self::vms::VmsFollower;
 use super::Catalog;
 use super::Roster;
@@ -77,7 +81,7 @@
     let ages = KnowledgeAges::default();
     let counters = Arc::new(ConfigCounters::default());
     let state = Arc::new(RelayState::new(counters.clone()));
-    let (rules_tx, rules) = watch::channel(None);
+    let (rules_tx, rules) = watch::channel::<Option<Arc<ActiveRules>>>(None);
     let (vms_tx, vms) = watch::channel(None);
     let (ready_tx, ready) = watch::channel(false);
     let (newest_reported_tx, newest_reported) = watch::channel(0);
@@ -118,15 +122,14 @@
     let roster = VmsFollower {
         source: source(1),
         roster: Roster::default(),
-        unusable: IndexSet::default(),
+        unused: UnusedEntries::new(counters.clone()),
         clock: Clock::start(),
         vms_tx,
         offers,
-        upstream,
+        choice: SourceChoice { rules: rules.clone(), upstream, local },
         live_here: IndexSet::default(),
         leave_times: Arc::clone(&ages.leave_times),
         known_until: Duration::ZERO,
-        local,
         local_changes,
     };
     let local_entry =
--- a/lib/src/process/catalog/follower/vms.rs
+++ b/lib/src/process/catalog/follower/vms.rs
@@ -1,6 +1,6 @@
 //! Follows the entries of VMs and publishes the list built from them.
 
-use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,13 +14,12 @@
 use super::calls::ChangeSource;
 use super::calls::Watched;
 use super::local_entry::LocalChanges;
-use super::local_entry::LocalKey;
+use super::sources::SourceChoice;
+use super::unused::UnusedEntries;
 use crate::process::InstanceId;
-use crate::process::Zone;
 use crate::process::catalog::CatalogError;
 use crate::process::catalog::Change;
 use crate::process::catalog::ConfigSnapshot;
-use crate::process::catalog::EntryKey;
 use crate::process::catalog::LearnedBy;
 use crate::process::catalog::LeaveTimes;
 use crate::process::catalog::News;
@@ -30,8 +29,6 @@
 use crate::process::catalog::Topic;
 use crate::process::catalog::Watermark;
 use crate::process::catalog::handover;
-use crate::process::catalog::relay;
-use crate::process::catalog::relay::ReadRole;
 use crate::process::clock::Clock;
 use crate::process::clock::boot_time;
 use crate::process::log;
@@ -49,39 +46,22 @@
 /// What is known of an entry that is no longer believed: it was removed some time before.
 const EXPIRED: News = News { since: Duration::ZERO, by: LearnedBy::Expiry };
 
-/// Most entries that cannot be used whose keys are logged and remembered as logged.
-const MAX_UNUSABLE_LOGGED: usize = 64;
-
-/// What a daemon with relays knows of itself.
-pub(super) struct LocalDaemon {
-    /// Address at which other daemons poll this one.
-    pub(super) control: SocketAddr,
-    pub(super) zone: Zone,
-    pub(super) role_tx: watch::Sender<ReadRole>,
-    /// The entry that is watched apart while the daemon is a follower.
-    pub(super) key_tx: watch::Sender<Option<LocalKey>>,
-}
-
 /// Follows the entries of VMs and publishes the list built from them.
 pub(super) struct VmsFollower {
     pub(super) source: ChangeSource,
     pub(super) roster: Roster,
-    /// Entries that cannot be used and were logged.
-    pub(super) unusable: IndexSet<EntryKey>,
+    pub(super) unused: UnusedEntries,
     /// Time since the start of the task.
     pub(super) clock: Clock,
     pub(super) vms_tx: watch::Sender<Option<Arc<VmList>>>,
     /// Configurations received from other daemons.
     pub(super) offers: watch::Receiver<Option<Arc<ConfigSnapshot>>>,
-    /// Address of the local upstream, by which its entry is found.
-    pub(super) upstream: SocketAddr,
+    pub(super) choice: SourceChoice,
     /// Instances at the local upstream's address that the list in force names as live.
     pub(super) live_here: IndexSet<InstanceId>,
     pub(super) leave_times: Arc<Mutex<LeaveTimes>>,
     /// Time up to which all changes are known that the list in force has.
     pub(super) known_until: Duration,
-    /// `None` if the daemon takes no part in relaying.
-    pub(super) local: Option<LocalDaemon>,
     /// Changes of the local upstream's entry.
     pub(super) local_changes: mpsc::Receiver<LocalChanges>,
 }
@@ -153,10 +133,22 @@
         loop {
             let expiry = self.time_to_expiry();
             let sent_at = self.clock.now();
-            let update = tokio::select! {
-                watched = self.source.watch(Topic::Vms, after) => Update::Watched(watched),
-                Some(changes) = self.local_changes.recv() => Update::Local(changes),
-                () = sleep(expiry.unwrap_or_default()), if expiry.is_some() => Update::Expiry,
+            let update = {
+                let mut watching = pin!(self.source.watch(Topic::Vms, after));
+                let mut expiring = pin!(sleep(expiry.unwrap_or_default()));
+                loop {
+                    tokio::select! {
+                        watched = &mut watching => break Update::Watched(watched),
+                        Some(changes) = self.local_changes.recv() => break Update::Local(changes),
+                        () = &mut expiring, if expiry.is_some() => break Update::Expiry,
+                        // The call goes on, since each costs the catalog.
+                        () = self.choice.changed() => {
+                            let watermark = Watermark::at(self.known_until);
+                            self.choice.apply(&self.roster, after, watermark);
+                            self.unused.report(self.clock.now(), &self.roster, &self.choice.rules);
+                        }
+                    }
+                }
             };
             match update {
                 Update::Watched(Ok(watched)) => {
@@ -240,22 +232,10 @@
         self.expire(complete);
     }
 
-    /// Logs the entries that cannot be used, each once until it can be used or is removed.
-    fn log_unusable(&mut self) {
-        let mut unusable: IndexSet<EntryKey> = IndexSet::new();
-        for (key, reason) in self.roster.unusable().take(MAX_UNUSABLE_LOGGED) {
-            unusable.insert(key.clone());
-            if !self.unusable.contains(key) {
-                log::write(&StateChange::EntryUnusable { key: key.clone(), reason: reason.into() });
-            }
-        }
-        self.unusable = unusable;
-    }
-
     /// Records which instances at the local upstream's address a new list no longer names as
     /// live, before the list is published.
     fn record_leaves(&mut self, list: &VmList, news: News) {
-        let is_here = |facts: &UpstreamFacts| facts.address == self.upstream;
+        let is_here = |facts: &UpstreamFacts| facts.address == self.choice.upstream;
         let here = list.vms.iter().filter(|vm| vm.upstream.as_ref().is_some_and(is_here));
         let live = here.filter(|vm| vm.state == VmState::Live).map(|vm| vm.instance.clone());
         let live: IndexSet<InstanceId> = live.collect();
@@ -274,29 +254,12 @@
     }
 
     fn publish(&mut self, complete: Revision, news: News) {
-        self.log_unusable();
+        self.unused.report(self.clock.now(), &self.roster, &self.choice.rules);
         let list = self.roster.build_list();
         self.record_leaves(&list, news);
         self.vms_tx.send_replace(Some(Arc::new(list)));
         let watermark = Watermark::at(self.known_until);
-        let Some(local) = &self.local else { return };
-        let role = relay::assign(local.control, &local.zone, self.roster.vms());
-        let key = match role {
-            ReadRole::Reader => None,
-            ReadRole::Follower { .. } => self.roster.key_at(self.upstream),
-        };
-        local.role_tx.send_if_modified(|current| {
-            let changed = *current != role;
-            *current = role;
-            changed
-        });
-        local.key_tx.send_if_modified(|current| {
-            let changed = current.as_ref().map(|local| &local.key) != key.as_ref();
-            if changed {
-                *current = key.map(|key| LocalKey { key, after: complete, watermark });
-            }
-            changed
-        });
+        self.choice.apply(&self.roster, complete, watermark);
     }
 }
 
--- a/lib/src/process/catalog/mod.rs
+++ b/lib/src/process/catalog/mod.rs
@@ -38,6 +38,7 @@
 pub use self::relay::SourceCursor;
 pub use self::relay::assign;
 pub use self::roster::Roster;
+pub use self::roster::UnusedReason;
 pub use self::watermark::Watermark;
 use super::membership::Vm;
 use crate::version::Policy;
--- a/lib/src/process/catalog/relay/readers.rs
+++ b/lib/src/process/catalog/relay/readers.rs
@@ -8,8 +8,7 @@
 use siphasher::sip::SipHasher13;
 
 use crate::process::Zone;
-use crate::process::membership::Vm;
-use crate::process::membership::VmState;
+use crate::process::membership::Daemons;
 
 /// Largest zone in which every daemon reads the catalog itself. In a small zone
 /// relays would save few calls, and the loss of a few readers would delay most of it.
@@ -43,10 +42,9 @@
 /// The choice is a hash of the addresses, so daemons with the same list agree on it
 /// without a message. Daemons whose lists differ may disagree: then a follower finds
 /// that its choice does not read the catalog, and tries the next one.
-pub fn assign<'a>(here: SocketAddr, zone: &Zone, vms: impl Iterator<Item = &'a Vm>) -> ReadRole {
-    let in_zone = vms.filter(|vm| vm.zone == *zone && vm.state == VmState::Live);
-    let mut daemons: Vec<SocketAddr> = in_zone.map(|vm| vm.control).collect();
-    // An upstream that restarted under a new name is listed twice for a while.
+pub fn assign(here: SocketAddr, zone: &Zone, daemons: &Daemons) -> ReadRole {
+    let in_zone = daemons.iter().filter(|daemon| daemon.zone == *zone && daemon.is_live);
+    let mut daemons: Vec<SocketAddr> = in_zone.map(|daemon| daemon.control).collect();
     daemons.sort_unstable();
     daemons.dedup();
     if daemons.len() <= ZONE_SIZE_WITHOUT_RELAYS {
--- a/lib/src/process/catalog/roster.rs
+++ b/lib/src/process/catalog/roster.rs
@@ -1,5 +1,6 @@
 //! Builds the list of VMs from the platform's entries.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,9 +16,11 @@
 use super::Revision;
 use super::outage::Belief;
 use super::outage::Outage;
+use crate::process::ServiceName;
 use crate::process::membership::Vm;
 use crate::process::membership::VmList;
 use crate::process::membership::VmState;
+use crate::version::Policy;
 
 /// Time for which an entry that a new era lacks is still believed. Instances write their
 /// entries again within two seconds.
@@ -95,6 +98,26 @@
     in_copy: Option<(Revision, Entry)>,
 }
 
+/// Why an entry names no instance to use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UnusedReason<'a> {
+    /// It cannot be read, or lacks what an entry must hold.
+    Unusable(&'a str),
+    /// The version in force does not name its service; a later one may.
+    UnnamedService(&'a ServiceName),
+}
+
+impl fmt::Display for UnusedReason<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unusable(reason) => f.write_str(reason),
+            Self::UnnamedService(service) => {
+                write!(f, "the version in force does not name the service '{service}'")
+            }
+        }
+    }
+}
+
 /// Whether an entry was read from an older copy or may have been written since.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Origin {
@@ -262,11 +285,7 @@
     /// Builds the list of VMs, with a version one higher than the last.
     pub fn build_list(&mut self) -> VmList {
         self.version += 1;
-        let vms = self.entries.values().filter_map(|known| match &known.entry {
-            Entry::Listed(vm) => Some(vm),
-            Entry::Unusable(_) => None,
-        });
-        VmList { version: self.version, vms: vms.cloned().collect() }
+        VmList { version: self.version, vms: self.vms().cloned().collect() }
     }
 
     /// Gives another daemon's list a version one higher than the last list here.
@@ -275,11 +294,21 @@
         VmList { version: self.version, ..list }
     }
 
-    /// Returns the entries that cannot be used, with the reason.
-    pub fn unusable(&self) -> impl Iterator<Item = (&EntryKey, &str)> {
-        self.entries.iter().filter_map(|(key, known)| match &known.entry {
-            Entry::Listed(_) => None,
-            Entry::Unusable(reason) => Some((key, reason.as_str())),
+    /// Returns the entries that name no instance to use, with their revisions: those that are
+    /// unusable, and those of services that the policy does not name.
+    pub fn unused<'a>(
+        &'a self,
+        policy: Option<&'a Policy>,
+    ) -> impl Iterator<Item = (&'a EntryKey, Revision, UnusedReason<'a>)> {
+        self.entries.iter().filter_map(move |(key, known)| {
+            let reason = match &known.entry {
+                Entry::Unusable(reason) => UnusedReason::Unusable(reason),
+                Entry::Listed(vm) if policy.is_some_and(|it| !it.names_service(&vm.service)) => {
+                    UnusedReason::UnnamedService(&vm.service)
+                }
+                Entry::Listed(_) => return None,
+            };
+            Some((key, known.revision, reason))
         })
     }
 
--- a/lib/src/process/config/counters.rs
+++ b/lib/src/process/config/counters.rs
@@ -50,6 +50,8 @@
     eras,
     /// Answers of the platform that were left out because their era is over.
     earlier_era_answers,
+    /// Entries of the platform that name no instance to use, counted again when rewritten.
+    entries_unused,
     /// Versions put into force.
     accepted,
     /// Versions refused because their text is invalid.
--- a/lib/src/process/membership/mod.rs
+++ b/lib/src/process/membership/mod.rs
@@ -1,5 +1,6 @@
 //! The list of instances and their observed health; see `docs/design/membership.md`.
 
+mod daemons;
 mod health_record;
 mod leaving_notices;
 mod list_change;
@@ -7,6 +8,8 @@
 mod members;
 mod vm;
 
+pub use daemons::Daemons;
+pub use daemons::ListedDaemon;
 pub use health_record::Observation;
 pub use list_change::Listing;
 pub use list_change::listing_changes;
--- a/lib/src/process/node/customers.rs
+++ b/lib/src/process/node/customers.rs
@@ -74,8 +74,8 @@
     }
 
     fn daemon_part(&self) -> DaemonPart {
-        let list = self.config().vms.borrow();
-        DaemonPart { daemons: list.as_ref().map_or(1, |list| list.vms.len()) }
+        // Without a list, this daemon knows of itself alone.
+        DaemonPart { daemons: self.daemons().len().max(1) }
     }
 
     /// Returns the time until usage is to be reported; `None` if no customer has a cap.
@@ -93,12 +93,13 @@
     /// there is no configuration yet.
     pub(crate) fn take_usage_reports(&self) -> Vec<(SocketAddr, UsageReport)> {
         let rules = self.config().rules.borrow().clone();
-        let Some((rules, list)) = rules.zip(self.vms()) else {
+        let Some((rules, _)) = rules.zip(self.vms()) else {
             return Vec::new();
         };
         let mut usage = self.customers.usage.lock();
         usage.retain(|name| rules.policy.customers().get(name).is_some());
-        let daemons = list.vms.iter().map(|vm| vm.peer).chain([self.peer_addr]);
+        let daemons = self.daemons();
+        let daemons = daemons.iter().map(|daemon| daemon.peer).chain([self.peer_addr]);
         usage.take_reports(boot_time(), self.peer_addr, daemons)
     }
 
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -73,6 +73,7 @@
 use super::log::LimitSource;
 use super::log::LostLines;
 use super::log::StateChange;
+use super::membership::Daemons;
 use super::membership::Description;
 use super::membership::LocalInstances;
 use super::membership::LocalStanding;
@@ -129,6 +130,8 @@
     pub parents: Arc<Parents>,
     /// Issuer of this daemon's idempotency tokens.
     pub tokens: TokenRegistry,
+    /// The other daemons that the list tells of, and this one.
+    daemons: Mutex<Arc<Daemons>>,
     /// Selects the instance for each call.
     pub router: Mutex<Router>,
     /// Admission to the local upstream.
@@ -216,6 +219,7 @@
                 incarnation,
                 &issuer_config(&settings.idempotency),
             ),
+            daemons: Mutex::default(),
             router: Mutex::new(Router::new(place, rand::random())),
             gate: Gate::new(&admission_config(&settings), clock),
             repeats: settings.repeats.map(|bound| Mutex::new(repeat_account(&bound))),
@@ -287,6 +291,11 @@
         self.config.vms.borrow().clone()
     }
 
+    /// Returns the daemons that the list of VMs in force tells of.
+    pub(crate) fn daemons(&self) -> Arc<Daemons> {
+        self.daemons.lock().clone()
+    }
+
     /// Whether the local upstream is of a service.
     pub(crate) fn serves(&self, service: &ServiceName) -> bool {
         self.settings.daemon.service == *service
@@ -444,11 +453,18 @@
     fn apply_local_entries(&self, list: &VmList) {
         self.update_local_instances(|local| Some(local.apply(list)));
         self.local_instances_have_changed();
+    }
+
+    /// Applies which daemons there are by a list and the policy in force.
+    fn apply_daemons(&self, list: &VmList) {
+        let rules = self.config.rules.borrow().clone();
+        let daemons = Daemons::of(&list.vms, rules.as_ref().map(|rules| &rules.policy));
         if let Some(repeats) = &self.repeats {
             let service = &self.settings.daemon.service;
-            let instances = list.vms.iter().filter(|vm| vm.service == *service);
+            let instances = daemons.iter().filter(|daemon| daemon.serves(service));
             repeats.lock().set_instances(instances.count());
         }
+        *self.daemons.lock() = Arc::new(daemons);
     }
 
     fn log_listing_changes(&self, previous: &VmList, list: &VmList) {
@@ -470,21 +486,35 @@
     /// Applies each new list of VMs until the source of lists is closed.
     pub async fn follow_vms(self: Arc<Self>) {
         let mut vms: watch::Receiver<_> = self.config.vms.clone();
+        let mut rules: watch::Receiver<_> = self.config.rules.clone();
         let mut previous: Option<Arc<VmList>> = None;
         loop {
             let list = vms.borrow_and_update().clone();
+            rules.mark_unchanged();
             if let Some(list) = list {
                 if let Some(previous) = previous.replace(list.clone()) {
                     self.log_listing_changes(&previous, &list);
                 }
                 self.router.lock().apply(self.clock.now(), &list);
                 self.apply_local_entries(&list);
+                self.apply_daemons(&list);
                 if self.is_told_to_leave(&list) {
                     self.lifecycle.leave(DrainCause::Platform);
                 }
             }
-            if vms.changed().await.is_err() {
-                return;
+            loop {
+                tokio::select! {
+                    changed = vms.changed() => match changed {
+                        Ok(()) => break,
+                        Err(_) => return,
+                    },
+                    // Another version may name other services.
+                    Ok(()) = rules.changed() => {
+                        if let Some(list) = &previous {
+                            self.apply_daemons(list);
+                        }
+                    }
+                }
             }
         }
     }
--- a/lib/src/request/serve/at_most_once.rs
+++ b/lib/src/request/serve/at_most_once.rs
@@ -140,5 +140,5 @@
 /// Whether a token's issuer is a known daemon. A caller can put any address into a
 /// token, and the daemon must not connect to arbitrary ones.
 fn is_known_daemon(node: &Node, issuer: SocketAddr) -> bool {
-    node.vms().is_some_and(|list| list.vms.iter().any(|vm| vm.peer == issuer))
+    node.daemons().iter().any(|daemon| daemon.peer == issuer)
 }
--- a/lib/src/request/serve/crash_gossip.rs
+++ b/lib/src/request/serve/crash_gossip.rs
@@ -24,7 +24,8 @@
 use crate::connection::peers::PeerError;
 use crate::process::crashes::CrashId;
 use crate::process::crashes::CrashUpdate;
-use crate::process::membership::Vm;
+use crate::process::membership::Daemons;
+use crate::process::membership::ListedDaemon;
 use crate::process::node::Node;
 use crate::request::CRASHES;
 
@@ -102,32 +103,33 @@
 /// Sends an update to all daemons of the service, since their upstreams may get the next request
 /// with the same content. Those that it does not reach learn of it by comparison.
 fn push_to_service(node: &Arc<Node>, update: &CrashUpdate) {
+    let daemons = node.daemons();
     let service = &node.settings.daemon.service;
-    for vm in listed_peers(node).into_iter().filter(|vm| vm.service == *service) {
-        let (node, update) = (Arc::clone(node), update.clone());
+    for daemon in others(node, &daemons).filter(|daemon| daemon.serves(service)) {
+        let (node, update, peer) = (Arc::clone(node), update.clone(), daemon.peer);
         tokio::spawn(async move {
             let message = Message::Update { update, wanted: Vec::new() };
-            if let Err(err) = ask(&node, vm.peer, &message).await {
-                spdlog::debug!("event=crash-not-told peer={} error={err:?}", vm.peer);
+            if let Err(err) = ask(&node, peer, &message).await {
+                spdlog::debug!("event=crash-not-told peer={peer} error={err:?}");
             }
         });
     }
 }
 
-fn listed_peers(node: &Node) -> Vec<Vm> {
-    let Some(list) = node.vms() else { return Vec::new() };
-    list.vms.iter().filter(|vm| vm.peer != node.peer_addr).cloned().collect()
+fn others<'a>(node: &Node, daemons: &'a Daemons) -> impl Iterator<Item = &'a ListedDaemon> {
+    let here = node.peer_addr;
+    daemons.iter().filter(move |daemon| daemon.peer != here)
 }
 
 fn choose_peer(node: &Node) -> Option<SocketAddr> {
-    let list = node.vms()?;
-    let others = list.vms.iter().filter(|vm| vm.peer != node.peer_addr);
+    let daemons = node.daemons();
     let service = &node.settings.daemon.service;
-    let (same, foreign): (Vec<_>, Vec<_>) = others.partition(|vm| vm.service == *service);
+    let (same, foreign): (Vec<_>, Vec<_>) =
+        others(node, &daemons).partition(|daemon| daemon.serves(service));
     let mut rng = rand::rng();
     let prefers_same = foreign.is_empty() || rng.random_bool(SAME_SERVICE_SHARE);
     let candidates = if prefers_same && !same.is_empty() { same } else { foreign };
-    candidates.choose(&mut rng).map(|vm| vm.peer)
+    candidates.choose(&mut rng).map(|daemon| daemon.peer)
 }
 
 /// Compares what both daemons know and exchanges what either lacks.
--- a/lib/src/version/policy.rs
+++ b/lib/src/version/policy.rs
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Whether upstreams of a service belong to this platform. Rules may leave services out, and
+    /// the platform that publishes rules lists no others.
+    pub fn names_service(&self, service: &ServiceName) -> bool {
+        match self {
+            Self::Rules(_) => true,
+            Self::Routes(routes) => routes.has_service(service),
+        }
+    }
+
     /// Returns the customers that the configuration names.
     pub fn customers(&self) -> &CustomerTable {
         match self {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -26,6 +26,7 @@
 mod test_idempotency;
 mod test_leave_times;
 mod test_leaving;
+mod test_listed_daemons;
 mod test_listener;
 mod test_log;
 mod test_membership;
--- a/lib/tests/test_relays.rs
+++ b/lib/tests/test_relays.rs
@@ -14,6 +14,7 @@
 use endivescale::process::catalog::Source;
 use endivescale::process::catalog::SourceCursor;
 use endivescale::process::catalog::assign;
+use endivescale::process::membership::Daemons;
 use endivescale::process::membership::Vm;
 use endivescale::process::membership::VmState;
 use indexmap::IndexMap;
@@ -39,7 +40,7 @@
 }
 
 fn role(of: &Vm, list: &[Vm]) -> ReadRole {
-    assign(of.control, &of.zone, list.iter())
+    assign(of.control, &of.zone, &Daemons::of(list, None))
 }
 
 fn readers(list: &[Vm]) -> Vec<usize> {
@@ -342,7 +343,8 @@
 
     fn poll(&mut self, n: usize) {
         let daemon = &self.daemons[n];
-        let role = assign(daemon.vm.control, &daemon.vm.zone, self.lists[daemon.list].iter());
+        let listed = Daemons::of(&self.lists[daemon.list], None);
+        let role = assign(daemon.vm.control, &daemon.vm.zone, &listed);
         let source = match daemon.cursor.current(&role) {
             Source::Catalog if self.broken == Broken::NeverReads && role != ReadRole::Reader => {
                 self.daemons[n].cursor = SourceCursor::default();
