catalog: watch the entry that the local upstream answers for

A follower watches the entry of its own upstream apart, so that it learns in time that this leaves, also while its readers are cut off. With another writer's entry at the upstream's address, of any service and with a later start, it watched that one, and requests could reach an upstream longer than 2 s after the store has confirmed that it leaves.

Cause: the key of the entry with the address and the latest start was watched; which entry is the upstream's was not told to the follower.

Change: only entries of the daemon's own service count, and the daemon tells the follower which instance its upstream is by its answers. What is recorded of leaving instances at the address asks for the service, too.

--- a/lib/src/process/catalog/follower/mod.rs
+++ b/lib/src/process/catalog/follower/mod.rs
@@ -35,6 +35,7 @@
 use super::relay::RelayClient;
 use super::relay::RelayState;
 use super::relay::SourceCursor;
+use crate::process::ServiceName;
 use crate::process::Zone;
 use crate::process::clock::Clock;
 use crate::process::config::ActiveRules;
@@ -52,6 +53,8 @@
     pub catalog: Arc<dyn Catalog>,
     /// Address of the local upstream, by which the daemon finds its own entry.
     pub upstream: SocketAddr,
+    /// Service of the local upstream.
+    pub service: ServiceName,
     /// Seed for the random part of retry delays.
     pub seed: u64,
     /// How the daemon takes part in relaying; `None` if it only reads the catalog
@@ -77,7 +80,7 @@
 ///
 /// Panics if the listener has no local address; every open listener has one.
 pub fn spawn(options: CatalogOptions) -> ConfigHandle {
-    let CatalogOptions { catalog, upstream, seed, relay, withdrawal } = options;
+    let CatalogOptions { catalog, upstream, service, seed, relay, withdrawal } = options;
     let ages = KnowledgeAges::default();
     let counters = Arc::new(ConfigCounters::default());
     let state = Arc::new(RelayState::new(counters.clone()));
@@ -86,6 +89,7 @@
     let (ready_tx, ready) = watch::channel(false);
     let (newest_reported_tx, newest_reported) = watch::channel(0);
     let (offers_tx, offers) = watch::channel(None);
+    let (local_instance_tx, local_instance) = watch::channel(None);
     let (role_tx, role) = watch::channel(ReadRole::Reader);
     let (local_key_tx, local_key) = watch::channel(None);
     let (local_changes_tx, local_changes) = mpsc::channel(1);
@@ -126,7 +130,7 @@
         clock: Clock::start(),
         vms_tx,
         offers,
-        choice: SourceChoice { rules: rules.clone(), upstream, local },
+        choice: SourceChoice { rules: rules.clone(), local_instance, upstream, service, local },
         live_here: IndexSet::default(),
         leave_times: Arc::clone(&ages.leave_times),
         known_until: Duration::ZERO,
@@ -143,7 +147,11 @@
         vms,
         ready,
         counters,
-        PeerReports { newest_reported: newest_reported_tx, offers: offers_tx },
+        PeerReports {
+            newest_reported: newest_reported_tx,
+            offers: offers_tx,
+            local_instance: local_instance_tx,
+        },
         ages,
         tasks,
     )
--- a/lib/src/process/catalog/follower/sources.rs
+++ b/lib/src/process/catalog/follower/sources.rs
@@ -6,6 +6,8 @@
 use tokio::sync::watch;
 
 use super::local_entry::LocalKey;
+use crate::process::InstanceId;
+use crate::process::ServiceName;
 use crate::process::Zone;
 use crate::process::catalog::Revision;
 use crate::process::catalog::Roster;
@@ -34,8 +36,11 @@
 pub(super) struct SourceChoice {
     /// The policy in force, which names the services that have daemons.
     pub(super) rules: watch::Receiver<Option<Arc<ActiveRules>>>,
-    /// Address of the local upstream, by which its entry is found.
+    /// The instance that the local upstream is by its own answers.
+    pub(super) local_instance: watch::Receiver<Option<InstanceId>>,
+    /// Address and service of the local upstream, by which its entry is found.
     pub(super) upstream: SocketAddr,
+    pub(super) service: ServiceName,
     /// `None` if the daemon takes no part in relaying.
     pub(super) local: Option<LocalDaemon>,
 }
@@ -43,8 +48,10 @@
 impl SourceChoice {
     /// Waits until the same entries may lead to another choice.
     pub(super) async fn changed(&mut self) {
-        if self.rules.changed().await.is_err() {
-            std::future::pending::<()>().await;
+        tokio::select! {
+            Ok(()) = self.rules.changed() => {}
+            Ok(()) = self.local_instance.changed() => {}
+            else => std::future::pending().await,
         }
     }
 
@@ -61,7 +68,10 @@
         }
         let key = match role {
             ReadRole::Reader => None,
-            ReadRole::Follower { .. } => roster.key_at(self.upstream),
+            ReadRole::Follower { .. } => {
+                let confirmed = self.local_instance.borrow().clone();
+                roster.key_at(self.upstream, &self.service, confirmed.as_ref())
+            }
         };
         local.role_tx.send_if_modified(|current| {
             let changed = *current != role;
--- a/lib/src/process/catalog/follower/vms.rs
+++ b/lib/src/process/catalog/follower/vms.rs
@@ -33,7 +33,7 @@
 use crate::process::clock::boot_time;
 use crate::process::log;
 use crate::process::log::StateChange;
-use crate::process::membership::UpstreamFacts;
+use crate::process::membership::Vm;
 use crate::process::membership::VmList;
 use crate::process::membership::VmState;
 
@@ -235,8 +235,9 @@
     /// Records which instances at the local upstream's address a new list no longer names as
     /// live, before the list is published.
     fn record_leaves(&mut self, list: &VmList, news: News) {
-        let is_here = |facts: &UpstreamFacts| facts.address == self.choice.upstream;
-        let here = list.vms.iter().filter(|vm| vm.upstream.as_ref().is_some_and(is_here));
+        let SourceChoice { upstream, service, .. } = &self.choice;
+        let is_here = |vm: &&Vm| vm.upstream_at(*upstream, service).is_some();
+        let here = list.vms.iter().filter(is_here);
         let live = here.filter(|vm| vm.state == VmState::Live).map(|vm| vm.instance.clone());
         let live: IndexSet<InstanceId> = live.collect();
         let mut times = self.leave_times.lock();
--- a/lib/src/process/catalog/roster.rs
+++ b/lib/src/process/catalog/roster.rs
@@ -16,6 +16,7 @@
 use super::Revision;
 use super::outage::Belief;
 use super::outage::Outage;
+use crate::process::InstanceId;
 use crate::process::ServiceName;
 use crate::process::membership::Vm;
 use crate::process::membership::VmList;
@@ -270,16 +271,20 @@
         self.removed.retain(|_, at| *at > complete);
     }
 
-    /// Returns the key of the entry whose upstream listens on an address. Of several,
-    /// it is the one that started last.
-    pub fn key_at(&self, upstream: SocketAddr) -> Option<EntryKey> {
-        let at_address = self.entries.iter().filter_map(|(key, known)| match &known.entry {
-            Entry::Listed(vm) => {
-                vm.upstream.filter(|facts| facts.address == upstream).map(|facts| (facts, key))
-            }
-            Entry::Unusable(_) => None,
+    /// Returns the key of the entry of an upstream of a service at an address. Of several, it is
+    /// the one of `confirmed`, or else the one that started last.
+    pub fn key_at(
+        &self,
+        upstream: SocketAddr,
+        service: &ServiceName,
+        confirmed: Option<&InstanceId>,
+    ) -> Option<EntryKey> {
+        let at_address = self.entries.iter().filter_map(|(key, known)| {
+            let Entry::Listed(vm) = &known.entry else { return None };
+            let facts = vm.upstream_at(upstream, service)?;
+            Some(((Some(&vm.instance) == confirmed, facts.start_ms), key))
         });
-        at_address.max_by_key(|(facts, _)| facts.start_ms).map(|(_, key)| key.clone())
+        at_address.max_by_key(|(rank, _)| *rank).map(|(_, key)| key.clone())
     }
 
     /// Builds the list of VMs, with a version one higher than the last.
--- a/lib/src/process/config/driver.rs
+++ b/lib/src/process/config/driver.rs
@@ -77,19 +77,24 @@
     /// Channel to the catalog follower for configuration received from another
     /// daemon; `None` if the daemon follows no catalog.
     offers: Option<watch::Sender<Option<Arc<ConfigSnapshot>>>>,
+    /// Channel to the catalog follower for the instance that the local upstream is by its own
+    /// answers; `None` if the daemon follows no catalog.
+    local_instance: Option<watch::Sender<Option<InstanceId>>>,
     /// How old the knowledge of the catalog is.
     ages: KnowledgeAges,
     heartbeat: Arc<Heartbeat>,
     tasks: Mutex<JoinSet<()>>,
 }
 
-/// Channels that report other daemons' versions to the task that follows a catalog.
+/// Channels that report to the tasks that follow a catalog what requests have told.
 #[derive(Debug)]
 pub(crate) struct PeerReports {
     /// Newest rules version that another daemon has reported.
     pub(crate) newest_reported: watch::Sender<u64>,
     /// Configuration received from another daemon.
     pub(crate) offers: watch::Sender<Option<Arc<ConfigSnapshot>>>,
+    /// Instance that the local upstream is by its own answers.
+    pub(crate) local_instance: watch::Sender<Option<InstanceId>>,
 }
 
 /// What the tasks that follow a catalog record of the age of their knowledge; without a catalog
@@ -122,8 +127,8 @@
             }
         });
         let (_, partners) = watch::channel(Default::default());
-        let PeerReports { newest_reported, offers } = reports;
-        let offers = Some(offers);
+        let PeerReports { newest_reported, offers, local_instance } = reports;
+        let (offers, local_instance) = (Some(offers), Some(local_instance));
         Self {
             rules,
             vms,
@@ -132,6 +137,7 @@
             counters,
             newest_reported,
             offers,
+            local_instance,
             ages,
             heartbeat,
             tasks: Mutex::new(tasks),
@@ -153,6 +159,17 @@
         }
     }
 
+    /// Reports the instance that the local upstream is by its own answers.
+    pub(crate) fn report_local_instance(&self, instance: Option<InstanceId>) {
+        if let Some(local_instance) = &self.local_instance {
+            local_instance.send_if_modified(|known| {
+                let is_news = *known != instance;
+                *known = instance;
+                is_news
+            });
+        }
+    }
+
     /// Reports a rules version that a peer's request mentioned. Starts a catch-up
     /// if it is newer than the rules in force.
     pub fn report_version(&self, number: u64) {
@@ -255,6 +272,7 @@
         counters: shared.counters.clone(),
         newest_reported,
         offers: None,
+        local_instance: None,
         ages: KnowledgeAges::default(),
         heartbeat,
         tasks: Mutex::new(tasks),
--- a/lib/src/process/daemon/mod.rs
+++ b/lib/src/process/daemon/mod.rs
@@ -436,6 +436,7 @@
         return Ok(catalog::spawn(CatalogOptions {
             catalog,
             upstream: settings.upstream.address,
+            service: settings.daemon.service.clone(),
             seed,
             relay,
             withdrawal: settings.customers.withdrawal,
--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -405,6 +405,7 @@
             let change = self.gate.clear_rate_limit();
             self.log_limit_change(change, LimitSource::List);
         }
+        self.config.report_local_instance(local.confirmed().cloned());
     }
 
     /// Records which local instances have left, and wakes what waits for it.
