roster: keep lapsed entries beside entries of another writer

Cause: a lapsed entry is believed for some seconds after an outage of the store, unless another entry has its address, which may have gone to another instance. An entry of another writer has no lease and stood there before, so it ended the belief at once; and it counted as an instance known before the outage, so that a lapse of all looked like one of a few.

Result: entry_that_stood_beside_a_lapsed_one_does_not_end_its_belief failed before.

--- a/lib/src/process/catalog/follower/sources.rs
+++ b/lib/src/process/catalog/follower/sources.rs
@@ -58,10 +58,9 @@
     /// Chooses by the entries, which are complete up to a revision.
     pub(super) fn apply(&self, roster: &Roster, complete: Revision, watermark: Watermark) {
         let Some(local) = &self.local else { return };
-        let rules = self.rules.borrow().clone();
-        let daemons = Daemons::of(roster.vms(), rules.as_ref().map(|rules| &rules.policy));
+        let daemons = Daemons::of(roster.vms(), roster.policy());
         let mut role = relay::assign(local.control, &local.zone, &daemons);
-        if rules.is_none()
+        if roster.policy().is_none()
             && let ReadRole::Follower { readers } = &mut role
         {
             readers.truncate(UNPROVEN_READERS_MAX);
--- a/lib/src/process/catalog/follower/unused.rs
+++ b/lib/src/process/catalog/follower/unused.rs
@@ -5,12 +5,10 @@
 
 use indexmap::IndexMap;
 use rustc_hash::FxBuildHasher;
-use tokio::sync::watch;
 
 use crate::process::catalog::EntryKey;
 use crate::process::catalog::Revision;
 use crate::process::catalog::Roster;
-use crate::process::config::ActiveRules;
 use crate::process::config::ConfigCounters;
 use crate::process::log;
 use crate::process::log::StateChange;
@@ -35,19 +33,12 @@
     }
 
     /// Counts and logs the entries that were written since they were last reported.
-    pub(super) fn report(
-        &mut self,
-        now: Duration,
-        roster: &Roster,
-        rules: &watch::Receiver<Option<Arc<ActiveRules>>>,
-    ) {
-        let rules = rules.borrow().clone();
-        let policy = rules.as_ref().map(|rules| &rules.policy);
+    pub(super) fn report(&mut self, now: Duration, roster: &Roster) {
         if now.saturating_sub(self.window_began_at) >= LINES_WINDOW {
             (self.window_began_at, self.lines) = (now, 0);
         }
         let mut unused = IndexMap::default();
-        for (key, revision, reason) in roster.unused(policy) {
+        for (key, revision, reason) in roster.unused() {
             if self.reported.get(key) != Some(&revision) {
                 self.counters.entries_unused.add_one();
                 self.lines += 1;
--- a/lib/src/process/catalog/follower/vms.rs
+++ b/lib/src/process/catalog/follower/vms.rs
@@ -88,6 +88,7 @@
     /// Meanwhile uses the list of another daemon if there is none yet.
     async fn read(&mut self, complete: Revision) -> Revision {
         loop {
+            self.roster.set_rules(self.choice.rules.borrow().clone());
             let has_no_list = self.vms_tx.borrow().is_none();
             let expiry = self.time_to_expiry();
             let sent_at = self.clock.now();
@@ -131,6 +132,7 @@
     /// they are complete.
     async fn watch(&mut self, mut after: Revision) -> Revision {
         loop {
+            self.roster.set_rules(self.choice.rules.borrow().clone());
             let expiry = self.time_to_expiry();
             let sent_at = self.clock.now();
             let update = {
@@ -143,9 +145,10 @@
                         () = &mut expiring, if expiry.is_some() => break Update::Expiry,
                         // The call goes on, since each costs the catalog.
                         () = self.choice.changed() => {
+                            self.roster.set_rules(self.choice.rules.borrow().clone());
                             let watermark = Watermark::at(self.known_until);
                             self.choice.apply(&self.roster, after, watermark);
-                            self.unused.report(self.clock.now(), &self.roster, &self.choice.rules);
+                            self.unused.report(self.clock.now(), &self.roster);
                         }
                     }
                 }
@@ -255,7 +258,7 @@
     }
 
     fn publish(&mut self, complete: Revision, news: News) {
-        self.unused.report(self.clock.now(), &self.roster, &self.choice.rules);
+        self.unused.report(self.clock.now(), &self.roster);
         let list = self.roster.build_list();
         self.record_leaves(&list, news);
         self.vms_tx.send_replace(Some(Arc::new(list)));
--- a/lib/src/process/catalog/roster.rs
+++ b/lib/src/process/catalog/roster.rs
@@ -2,11 +2,12 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use rustc_hash::FxBuildHasher;
-use rustc_hash::FxHashSet;
+use rustc_hash::FxHashMap;
 
 use super::CatalogError;
 use super::Change;
@@ -18,6 +19,7 @@
 use super::outage::Outage;
 use crate::process::InstanceId;
 use crate::process::ServiceName;
+use crate::process::config::ActiveRules;
 use crate::process::membership::Vm;
 use crate::process::membership::VmList;
 use crate::process::membership::VmState;
@@ -58,6 +60,8 @@
     outage: Option<Outage>,
     /// What is believed after the last outage.
     belief: Option<Belief>,
+    /// The rules in force, which name the services that instances may be of.
+    rules: Option<Arc<ActiveRules>>,
     /// Version of the last list built.
     version: u64,
 }
@@ -76,16 +80,20 @@
 }
 
 impl Known {
-    fn is_live(&self) -> bool {
-        matches!(&self.entry, Entry::Listed(vm) if vm.state == VmState::Live)
-    }
-
-    fn upstream(&self) -> Option<SocketAddr> {
+    fn vm(&self) -> Option<&Vm> {
         match &self.entry {
-            Entry::Listed(vm) => vm.upstream.map(|facts| facts.address),
+            Entry::Listed(vm) => Some(vm),
             Entry::Unusable(_) => None,
         }
     }
+
+    fn live(&self) -> Option<&Vm> {
+        self.vm().filter(|vm| vm.state == VmState::Live)
+    }
+
+    fn upstream(&self) -> Option<SocketAddr> {
+        self.vm()?.upstream.map(|facts| facts.address)
+    }
 }
 
 /// An instance whose entry was removed.
@@ -144,6 +152,20 @@
 }
 
 impl Roster {
+    /// Sets the rules in force, which name the services that instances may be of.
+    pub fn set_rules(&mut self, rules: Option<Arc<ActiveRules>>) {
+        self.rules = rules;
+    }
+
+    /// Returns the policy in force, if there is one.
+    pub fn policy(&self) -> Option<&Policy> {
+        self.rules.as_ref().map(|rules| &rules.policy)
+    }
+
+    fn is_named(&self, service: &ServiceName) -> bool {
+        self.policy().is_none_or(|policy| policy.names_service(service))
+    }
+
     /// Replaces all entries by the pages of one read.
     pub fn replace(&mut self, now: Duration, pages: Vec<Page>) {
         let era = pages.first().map_or(self.era, |page| page.revision.era);
@@ -181,7 +203,9 @@
     /// Records that the catalog has answered, before its answer is applied.
     pub fn record_answer(&mut self, now: Duration) {
         let Some(outage) = self.outage.take() else { return };
-        let known = self.entries.values().filter(|known| known.is_live()).count();
+        // Another writer's entries have no leases that lapse.
+        let known = self.entries.values().filter_map(Known::live);
+        let known = known.filter(|vm| self.is_named(&vm.service)).count();
         if let Some(belief) = outage.end(now, known) {
             self.belief = Some(belief);
         }
@@ -239,11 +263,12 @@
 
     /// Ends the beliefs whose time is over; returns whether the list may differ.
     pub fn expire(&mut self, now: Duration) -> bool {
-        let taken = self.addresses_taken_from_lapsed();
+        let taken = self.addresses_taken();
         let is_over = |known: &Known| {
-            let is_replaced = || known.upstream().is_some_and(|address| taken.contains(&address));
-            known.expires_at.is_some_and(|at| at <= now)
-                || known.lapsed_by.is_some() && is_replaced()
+            let taken_at = || known.upstream().and_then(|address| taken.get(&address).copied());
+            // What stood beside the entry before it lapsed has not taken its place.
+            let is_replaced = |back_at| taken_at().is_some_and(|at| at >= back_at);
+            known.expires_at.is_some_and(|at| at <= now) || known.lapsed_by.is_some_and(is_replaced)
         };
         let unconfirmed = self.entries.iter().filter(|(_, known)| is_over(known));
         let unconfirmed: Vec<EntryKey> = unconfirmed.map(|(key, _)| key.clone()).collect();
@@ -280,7 +305,7 @@
         confirmed: Option<&InstanceId>,
     ) -> Option<EntryKey> {
         let at_address = self.entries.iter().filter_map(|(key, known)| {
-            let Entry::Listed(vm) = &known.entry else { return None };
+            let vm = known.vm()?;
             let facts = vm.upstream_at(upstream, service)?;
             Some(((Some(&vm.instance) == confirmed, facts.start_ms), key))
         });
@@ -301,14 +326,11 @@
 
     /// Returns the entries that name no instance to use, with their revisions: those that are
     /// unusable, and those of services that the policy does not name.
-    pub fn unused<'a>(
-        &'a self,
-        policy: Option<&'a Policy>,
-    ) -> impl Iterator<Item = (&'a EntryKey, Revision, UnusedReason<'a>)> {
-        self.entries.iter().filter_map(move |(key, known)| {
+    pub fn unused(&self) -> impl Iterator<Item = (&EntryKey, Revision, UnusedReason<'_>)> {
+        self.entries.iter().filter_map(|(key, known)| {
             let reason = match &known.entry {
                 Entry::Unusable(reason) => UnusedReason::Unusable(reason),
-                Entry::Listed(vm) if policy.is_some_and(|it| !it.names_service(&vm.service)) => {
+                Entry::Listed(vm) if !self.is_named(&vm.service) => {
                     UnusedReason::UnnamedService(&vm.service)
                 }
                 Entry::Listed(_) => return None,
@@ -319,10 +341,7 @@
 
     /// Returns the VMs of all usable entries.
     pub fn vms(&self) -> impl Iterator<Item = &Vm> {
-        self.entries.values().filter_map(|known| match &known.entry {
-            Entry::Listed(vm) => Some(vm),
-            Entry::Unusable(_) => None,
-        })
+        self.entries.values().filter_map(Known::vm)
     }
 
     fn write(
@@ -412,7 +431,7 @@
         let Some(belief) = self.belief.as_mut().filter(|belief| belief.holds(now)) else {
             return false;
         };
-        if !known.is_live() || known.told_at >= belief.back_at {
+        if known.live().is_none() || known.told_at >= belief.back_at {
             return false;
         }
         let is_longer = belief.count_lapse();
@@ -427,13 +446,21 @@
         true
     }
 
-    /// Returns the addresses of the other entries; empty if no entry has lapsed.
-    fn addresses_taken_from_lapsed(&self) -> FxHashSet<SocketAddr> {
+    /// Returns the addresses of the entries that have not lapsed, and when this daemon was last
+    /// told that one was written; empty if no entry has lapsed.
+    fn addresses_taken(&self) -> FxHashMap<SocketAddr, Duration> {
+        let mut taken: FxHashMap<SocketAddr, Duration> = FxHashMap::default();
         if self.entries.values().all(|known| known.lapsed_by.is_none()) {
-            return FxHashSet::default();
+            return taken;
+        }
+        for known in self.entries.values().filter(|known| known.lapsed_by.is_none()) {
+            let is_named = known.vm().is_some_and(|vm| self.is_named(&vm.service));
+            if let Some(address) = known.upstream().filter(|_| is_named) {
+                let told_at = taken.entry(address).or_default();
+                *told_at = known.told_at.max(*told_at);
+            }
         }
-        let others = self.entries.values().filter(|known| known.lapsed_by.is_none());
-        others.filter_map(Known::upstream).collect()
+        taken
     }
 
     /// Removes an entry and remembers its instance as departed.
--- a/lib/tests/test_roster.rs
+++ b/lib/tests/test_roster.rs
@@ -376,6 +376,19 @@
     assert_eq!(names(&roster), ["a-x1-2", "a-x1-3", "b-x1-9"]);
 }
 
+/// Guards against requests that are refused after an outage, because another writer lists the
+/// addresses of the instances whose entries have lapsed.
+#[test]
+fn entry_that_stood_beside_a_lapsed_one_does_not_end_its_belief() {
+    let mut roster = fleet();
+    let other = at_port("b-x1-9", 3, VmState::Live);
+    roster.apply(ms(1), Change::Written(key("b-x1-9"), Revision::new(0, 8), other));
+    away(&mut roster, 1_000, AWAY);
+    roster.record_answer(ms(BACK));
+    remove(&mut roster, BACK, "a-x1-1", 10);
+    assert!(names(&roster).contains(&"a-x1-1".to_owned()));
+}
+
 const INSTANCES: usize = 4;
 const SEED: u64 = 24;
 const TRACES: u64 = 2_000;
