membership: judge an instance anew whose entry has another address

Cause: a 421 takes an instance out until a later start of it is listed. The record was kept when the entry named another address, so an instance whose entry was wrong for a moment got nothing any more, though its own entry was back.

Change: an entry with another address of the daemon begins a new record.

Result: instance_whose_entry_has_its_own_address_again_is_used_again failed before.

--- a/lib/src/process/membership/members.rs
+++ b/lib/src/process/membership/members.rs
@@ -37,9 +37,10 @@
     Gone,
 }
 
-/// Whether two entries of one instance describe the same start of its upstream.
+/// Whether two entries of one instance describe the same start of its upstream at the same
+/// address. What was observed at another address says nothing of the instance.
 fn is_same_start(left: &Vm, right: &Vm) -> bool {
-    start_ms(left) == start_ms(right)
+    start_ms(left) == start_ms(right) && left.peer == right.peer
 }
 
 fn start_ms(vm: &Vm) -> Option<u64> {
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -310,6 +310,23 @@
     assert_eq!(s.health(3_003), WORKS);
 }
 
+/// Guards against instances that get nothing for good after an entry named another's address as
+/// theirs for a moment.
+#[test]
+fn instance_whose_entry_has_its_own_address_again_is_used_again() {
+    let mut s = Setup::new();
+    let at = |version, peer: &str| {
+        let vm = Vm { peer: peer.parse().unwrap(), ..started("a-x1-1", 100) };
+        VmList { version, vms: vec![vm] }
+    };
+    s.members.apply(ms(0), &at(2, "127.0.0.1:1"));
+    s.members.apply(ms(1), &at(3, "127.0.0.2:1"));
+    s.see(2, Observation::Gone);
+    assert_eq!(s.health(2), Health::Gone);
+    s.members.apply(ms(3), &at(4, "127.0.0.1:1"));
+    assert!(matches!(s.health(3), Health::Working { .. }), "{:?}", s.health(3));
+}
+
 /// Returns an empty table of a daemon whose upstream listens where [`started`] says.
 fn local_instances() -> LocalInstances {
     let upstream = started("a-x1-1", 100);
