catalog: read the entries by pages if their changes are too long

Cause: an answer to a watch that is longer than 8 MiB failed as one that broke off, and the same watch was sent again; its answer only grows.

Ruled out: a larger bound. Each answer is held in memory, and the pages set no bound on what gathers.

Change: it is an error of its own, after which the entries are read by pages, which the store bounds; a line changes-too-long says so.

--- a/lib/src/process/catalog/error.rs
+++ b/lib/src/process/catalog/error.rs
@@ -44,6 +44,10 @@
     /// The platform has discarded the changes after the requested revision.
     #[snafu(display("the platform has discarded the requested changes"))]
     ChangesDiscarded,
+    /// The changes after the requested revision are more than an answer may hold. They only grow,
+    /// but pages of all entries are bounded.
+    #[snafu(display("the changes are longer than an answer may be"))]
+    ChangesTooLong,
     /// The platform has come back from an older copy, so that changes after the requested
     /// revision are other ones.
     #[snafu(display("the platform has come back from an older copy, in era {era}"))]
@@ -68,6 +72,6 @@
 impl CatalogError {
     /// Whether the topic must be read completely before it can be watched again.
     pub fn requires_read(&self) -> bool {
-        matches!(self, Self::ChangesDiscarded | Self::EraChanged { .. })
+        matches!(self, Self::ChangesDiscarded | Self::ChangesTooLong | Self::EraChanged { .. })
     }
 }
--- a/lib/src/process/catalog/follower/calls.rs
+++ b/lib/src/process/catalog/follower/calls.rs
@@ -146,7 +146,10 @@
         if matches!(err, CatalogError::EarlierEra { .. }) {
             self.counters.earlier_era_answers.add_one();
         }
-        // Discarded changes are not an outage: the catalog is read again at once.
+        if matches!(err, CatalogError::ChangesTooLong) {
+            spdlog::warn!("event=changes-too-long topic={topic}");
+        }
+        // Changes that cannot be had are not an outage: the catalog is read again at once.
         if err.requires_read() {
             return;
         }
--- a/lib/src/process/catalog/outage.rs
+++ b/lib/src/process/catalog/outage.rs
@@ -94,6 +94,7 @@
             CatalogError::Connect { .. } | CatalogError::Refused { .. } => (now, now),
             CatalogError::Unreadable { .. }
             | CatalogError::ChangesDiscarded
+            | CatalogError::ChangesTooLong
             | CatalogError::EraChanged { .. }
             | CatalogError::EarlierEra { .. }
             | CatalogError::Relay => return outage,
