serve: free the slot of a lost answer soon after the deadline

Cause: the owner waits for the answer to a request that isn't idempotent until 30 s after its deadline and holds its slot. On the users' platform an instance stops work at the deadline that it is told.

Ruled out: ending at the deadline itself; an answer that is ready then is on its way.

Change: where the dialect says that upstreams end work at the deadline, the wait for the beginning of an answer ends 1 s after it. The project's own interface is as before.

--- a/lib/src/request/dialect/mod.rs
+++ b/lib/src/request/dialect/mod.rs
@@ -142,6 +142,10 @@
     /// attempts need no idempotency token.
     fn names_attempts(&self) -> bool;
 
+    /// Whether an upstream stops work at the deadline that it is told, so that an answer which
+    /// has not begun soon after it never will.
+    fn ends_work_at_deadline(&self) -> bool;
+
     /// Whether an answer without a length is complete when the upstream closes the
     /// connection. A reset never completes an answer.
     fn allows_close_delimited(&self) -> bool;
--- a/lib/src/request/dialect/own.rs
+++ b/lib/src/request/dialect/own.rs
@@ -54,6 +54,10 @@
         false
     }
 
+    fn ends_work_at_deadline(&self) -> bool {
+        false
+    }
+
     fn allows_close_delimited(&self) -> bool {
         false
     }
--- a/lib/src/request/serve/owner.rs
+++ b/lib/src/request/serve/owner.rs
@@ -75,6 +75,9 @@
 const MAX_DEPTH: u8 = 64;
 /// How long a non-idempotent request that has started may run after its deadline.
 const LATE_FINISH_GRACE: Duration = Duration::from_secs(30);
+/// How long such a request is waited for if its upstream stops work at the deadline. Its slot is
+/// held meanwhile, for nothing if the answer is lost.
+const ENDED_WORK_GRACE: Duration = Duration::from_secs(1);
 /// How long the owner of an idempotent request waits after the deadline for the upstream's
 /// own answer. It covers an upstream that answers at the deadline; a sender that does not
 /// wait so long cancels the request.
@@ -449,7 +452,11 @@
 
 async fn run_to_end(node: &Arc<Node>, exchange: Exchange) -> Result<Response<RelayBody>, Refusal> {
     let wait_deadline = exchange.deadline + LATE_FINISH_GRACE;
-    let (mut rsp, lease, exchange) = send(node, exchange, wait_deadline).await?;
+    let answer_deadline = match node.dialect.ends_work_at_deadline() {
+        true => exchange.deadline + ENDED_WORK_GRACE,
+        false => wait_deadline,
+    };
+    let (mut rsp, lease, exchange) = send(node, exchange, answer_deadline).await?;
     let is_long = rsp.body().size_hint().exact().is_none_or(|len| len > BUFFERING_THRESHOLD_BYTES);
     let is_delimited = is_delimited(&rsp);
     remove_hop_by_hop(rsp.headers_mut());
