tests: another writer in the model of the roster

Entries that can't be used, or drain or live at the instances' address, come and go beside the traces of drills; what the model checks of the instances must hold as without them.

--- a/lib/tests/test_roster.rs
+++ b/lib/tests/test_roster.rs
@@ -17,6 +17,9 @@
 use quickcheck::Arbitrary;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
 
 use crate::test_membership::ms;
 use crate::test_membership::vm;
@@ -390,6 +393,8 @@
 }
 
 const INSTANCES: usize = 4;
+/// Service of another writer's entries.
+const FOREIGN: &str = "agent";
 const SEED: u64 = 24;
 const TRACES: u64 = 2_000;
 /// Longest time after a drill until an instance writes its entry again.
@@ -474,6 +479,8 @@
     /// Starts that the daemon has listed.
     known: Vec<(String, u64)>,
     problem: Option<String>,
+    /// Draws what another writer writes, if there is one, and how often it has.
+    foreign: Option<(ChaCha8Rng, u64)>,
 }
 
 fn instance_name(instance: usize) -> String {
@@ -506,6 +513,7 @@
             known_leaving: Vec::new(),
             known: Vec::new(),
             problem: None,
+            foreign: None,
         };
         for (instance, said) in drilled.said.into_iter().enumerate() {
             drilled.log.push(Logged { at: Duration::ZERO, instance, said });
@@ -591,10 +599,26 @@
             false => self.read(complete),
         }
         self.after = Revision::new(self.era, self.log.len() as u64);
+        self.write_foreign();
         self.roster.forget_removals(complete);
         self.check();
     }
 
+    /// Lets another writer write or remove an entry at the address of the instances.
+    fn write_foreign(&mut self) {
+        let Some((rng, writes)) = &mut self.foreign else { return };
+        *writes += 1;
+        let at = Revision::new(self.era, *writes);
+        let name = format!("{FOREIGN}-x1-{}", rng.random_range(0..3));
+        let state = if rng.random() { VmState::Live } else { VmState::Leaving };
+        let change = match rng.random_range(0..3) {
+            0 => Change::Removed(key(&name), at),
+            1 => Change::Written(key(&name), at, Entry::unusable(&"odd")),
+            _ => Change::Written(key(&name), at, entry(&name, state, rng.random_range(0..9_000))),
+        };
+        self.roster.apply(self.now, change);
+    }
+
     fn apply_changes(&mut self) {
         for number in self.after.number as usize + 1..=self.log.len() {
             let Logged { instance, said, .. } = self.log[number - 1];
@@ -633,6 +657,7 @@
         let listed: Vec<(String, u64, VmState)> = self
             .roster
             .vms()
+            .filter(|vm| vm.service.as_str() != FOREIGN)
             .map(|vm| (vm.instance.as_str().to_owned(), vm.upstream.unwrap().start_ms, vm.state))
             .collect();
         for (name, start, state) in &listed {
@@ -671,6 +696,7 @@
         let due = self.now.max(self.last_drill + WATCH_INTERVAL + BELIEF_MAX);
         self.pass(due - self.now + WATCH_INTERVAL);
         let mut listed = states(&self.roster);
+        listed.retain(|(name, _)| !name.starts_with(FOREIGN));
         listed.sort_unstable_by(|left, right| left.0.cmp(&right.0));
         let said = (0..INSTANCES).filter_map(|instance| match self.said[instance] {
             Said::Live(_) => Some((instance_name(instance), VmState::Live)),
@@ -685,7 +711,10 @@
 
 /// Plays a trace; returns what went wrong.
 fn play(trace: &[Event], broken: Broken) -> Option<String> {
-    let mut drilled = Drilled::new(broken);
+    play_on(Drilled::new(broken), trace)
+}
+
+fn play_on(mut drilled: Drilled, trace: &[Event]) -> Option<String> {
     for event in trace {
         match *event {
             Event::Next(instance) => drilled.next(instance),
@@ -707,6 +736,16 @@
     checker.quickcheck(property as fn(Vec<Event>) -> Result<(), String>);
 }
 
+#[test]
+fn holds_roster_over_drills_beside_another_writer() {
+    fn property(seed: u64, trace: Vec<Event>) -> Result<(), String> {
+        let foreign = Some((ChaCha8Rng::seed_from_u64(seed), 0));
+        play_on(Drilled { foreign, ..Drilled::new(Broken::No) }, &trace).map_or(Ok(()), Err)
+    }
+    let mut checker = QuickCheck::new().rng(Gen::from_size_and_seed(60, SEED)).tests(TRACES);
+    checker.quickcheck(property as fn(u64, Vec<Event>) -> Result<(), String>);
+}
+
 macro_rules! holds_over_trace {
     ($($name:ident: [$($event:expr),*];)*) => {
         $(#[test]
