--- a/lib/src/process/node/mod.rs
+++ b/lib/src/process/node/mod.rs
@@ -3,10 +3,9 @@
 //! Locks are acquired in this order, and none is held across an await:
 //! requests in progress, a request's own account, call ledger and tokens, the
 //! issuer of idempotency tokens, the called paths, the path levels, the router, the local
-//! instances, the gate, the
-//! connection pools, the running requests, the crash history, the usage of customers, the
-//! coordinator of usage, the burn, the times of stops, the accepted requests. Most code holds
-//! one lock at a time.
+//! instances, the gate, the connection pools, the running requests, the crash history, the
+//! usage of customers, the coordinator of usage, the burn, the times of stops, the accepted
+//! requests. Most code holds one lock at a time.
 
 mod crash_watch;
 mod customers;
@@ -130,7 +129,7 @@
     pub parents: Arc<Parents>,
     /// Issuer of this daemon's idempotency tokens.
     pub tokens: TokenRegistry,
-    /// The other daemons that the list tells of, and this one.
+    /// The daemons that the list of VMs tells of.
     daemons: Mutex<Arc<Daemons>>,
     /// Selects the instance for each call.
     pub router: Mutex<Router>,
@@ -449,14 +448,14 @@
         }
     }
 
-    /// Applies a new list to what depends on the local upstream: its number of
-    /// slots, the instances that may not receive requests and the size of its service.
+    /// Applies a new list to what depends on the local upstream: its number of slots and the
+    /// instances that may not receive requests.
     fn apply_local_entries(&self, list: &VmList) {
         self.update_local_instances(|local| Some(local.apply(list)));
         self.local_instances_have_changed();
     }
 
-    /// Applies which daemons there are by a list and the policy in force.
+    /// Applies a list and the policy in force to what depends on which daemons there are.
     fn apply_daemons(&self, list: &VmList) {
         let rules = self.config.rules.borrow().clone();
         let daemons = Daemons::of(&list.vms, rules.as_ref().map(|rules| &rules.policy));
